--- /dev/null
+++ b/admin/main.go
@@ -0,0 +1,4 @@
+// Command chivectl is part of chivepost.
+package main
+
+func main() {}
--- /dev/null
+++ b/caller/main.go
@@ -0,0 +1,4 @@
+// Command chive-call is part of chivepost.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command chive-entry is part of chivepost.
+package main
+
+func main() {}
--- /dev/null
+++ b/share/hosts/hosts.go
@@ -0,0 +1,76 @@
+// Package hosts is the client of the platform's host list.
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Role says what runs on a host.
+type Role string
+
+// The roles of hosts.
+const (
+	RoleEntry  Role = "entry"
+	RoleTarget Role = "target"
+)
+
+// State says whether a host is to get work.
+type State string
+
+// The states of hosts.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Host is one entry of the list. Addresses are "ip:port"; an entry host's
+// Address faces callers and its PeerAddress faces other entry hosts. For a
+// target, Name is the target's name.
+type Host struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	PeerAddress string `json:"peer_address,omitempty"`
+	DataCentre  string `json:"data_centre"`
+	Region      string `json:"region"`
+	Role        Role   `json:"role"`
+	State       State  `json:"state"`
+}
+
+// List is one reading of the host list. Version grows with each change.
+type List struct {
+	Version int64  `json:"version"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// Client reads the host list over HTTP.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client of the host list at base, such as "http://127.0.0.1:7001".
+func New(base string, client *http.Client) *Client { return &Client{base: base, http: client} }
+
+// Hosts reads the list once.
+func (c *Client) Hosts(ctx context.Context) (List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/hosts", http.NoBody)
+	if err != nil {
+		return List{}, fmt.Errorf("build host list request: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return List{}, fmt.Errorf("read host list: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return List{}, fmt.Errorf("read host list: status %d", resp.StatusCode)
+	}
+	var list List
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return List{}, fmt.Errorf("decode host list: %w", err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/share/target/target.go
@@ -0,0 +1,85 @@
+// Package target holds the protocol between entry hosts and targets and a client for it.
+package target
+
+import (
+	"context"
+	"time"
+
+	"chivepost/share/units"
+)
+
+// Headers of calls and answers.
+const (
+	HeaderRequestID = "X-Request-Id"
+	HeaderTimeout   = "X-Timeout"
+	HeaderFence     = "X-Fence"
+	HeaderPriority  = "X-Priority"
+	HeaderState     = "X-Target-State"
+	HeaderBoot      = "X-Target-Boot"
+	HeaderNotRun    = "X-Not-Run"
+)
+
+// State is what a target says of itself.
+type State string
+
+// The states of targets.
+const (
+	StateWarm    State = "warm"
+	StateCold    State = "cold"
+	StateLeaving State = "leaving"
+)
+
+// Call is one attempt at a stage. ID is "<run>/<stage>/<attempt>".
+type Call struct {
+	ID       string
+	Address  string
+	Input    string
+	Model    string
+	Timeout  time.Duration
+	Fence    uint64
+	Priority int
+	// Once marks a call that may not be repeated: a fresh connection, no retries.
+	Once bool
+}
+
+// Sent says how far a call got.
+type Sent int
+
+// How far a call got.
+const (
+	// SentNo: no byte reached the target, or the target said that nothing was run.
+	SentNo Sent = iota
+	// SentMaybe: the target may have run the call.
+	SentMaybe
+	// SentYes: the target answered the call.
+	SentYes
+)
+
+// Result is what came of a call. Output is valid only if Err is nil. State and
+// Boot are empty if the target did not answer.
+type Result struct {
+	Output string
+	Tokens int
+	Cached int
+	State  State
+	Boot   string
+	Sent   Sent
+	Err    error
+}
+
+// Load answers GET /v1/load. AsOf is the age of the report.
+type Load struct {
+	State     State          `json:"state"`
+	Boot      string         `json:"boot"`
+	Running   int            `json:"running"`
+	Queued    int            `json:"queued"`
+	Limit     int            `json:"limit"`
+	ColdLimit int            `json:"cold_limit"`
+	AsOf      units.Duration `json:"as_of"`
+}
+
+// Caller makes calls to targets. Token, when not nil, is called for each streamed piece.
+type Caller interface {
+	Run(ctx context.Context, call Call, token func(index int, text string)) Result
+	Load(ctx context.Context, address string) (Load, error)
+}
--- /dev/null
+++ b/stand/main.go
@@ -0,0 +1,4 @@
+// Command chive-stand is part of chivepost.
+package main
+
+func main() {}
