--- a/entry/internal/invar/invar.go
+++ b/entry/internal/invar/invar.go
@@ -10,17 +10,17 @@
 
 var checks = expvar.NewInt("invariant_checks_count")
 
-// Breach is the value of the panic that a broken invariant raises.
-type Breach struct{ what string }
+// BreachError is the value of the panic that a broken invariant raises.
+type BreachError struct{ what string }
 
 // Error says which invariant broke and how.
-func (b Breach) Error() string { return "invariant broken: " + b.what }
+func (b BreachError) Error() string { return "invariant broken: " + b.what }
 
-var stop atomic.Pointer[func(Breach)]
+var stop atomic.Pointer[func(BreachError)]
 
 // OnBreach replaces the panic, for a process that logs first. It is called once,
 // before any check.
-func OnBreach(f func(Breach)) { stop.Store(&f) }
+func OnBreach(f func(BreachError)) { stop.Store(&f) }
 
 // Check stops the process unless ok holds. The format and args say what broke.
 func Check(ok bool, format string, args ...any) {
@@ -28,7 +28,7 @@
 	if ok {
 		return
 	}
-	b := Breach{what: fmt.Sprintf(format, args...)}
+	b := BreachError{what: fmt.Sprintf(format, args...)}
 	if f := stop.Load(); f != nil {
 		(*f)(b)
 	}
