--- /dev/null
+++ b/entry/internal/front/filter.go
@@ -0,0 +1,90 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"chivepost/entry/internal/chain"
+	"chivepost/share/apiv1"
+)
+
+// Doorkeeper says whether this host takes new requests. Enter counts one in.
+type Doorkeeper interface {
+	Enter() (leave func(), ok bool)
+}
+
+// Server says whether new work may be taken under the configuration in force; the
+// error says why not.
+type Server interface {
+	MayServe() error
+}
+
+// Directory names the entry hosts that callers may use instead of this one.
+type Directory interface {
+	Others() []string
+	IsOut() bool
+}
+
+// readyFilter refuses requests while the host must not take new work, and names
+// other hosts. It stands first, so that what it refuses has not been run.
+type readyFilter struct {
+	door  Doorkeeper
+	serve Server
+	dir   Directory
+}
+
+// NewReady returns the filter that refuses work this host must not take.
+func NewReady(door Doorkeeper, serve Server, dir Directory) chain.Filter {
+	return &readyFilter{door: door, serve: serve, dir: dir}
+}
+
+// Name returns the filter's name.
+func (f *readyFilter) Name() string { return "ready" }
+
+// Handle passes req on if the host takes new work.
+func (f *readyFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
+	leave, ok := f.door.Enter()
+	if !ok {
+		return f.elsewhere(req, apiv1.ProblemUnready, "the host is starting or shutting down")
+	}
+	defer leave()
+	if err := f.serve.MayServe(); err != nil {
+		return f.elsewhere(req, apiv1.ProblemUnready, err.Error())
+	}
+	if f.dir.IsOut() {
+		return f.elsewhere(req, apiv1.ProblemMoved, "the data centre of this host has been taken out")
+	}
+	return next(ctx, req)
+}
+
+func (f *readyFilter) elsewhere(req *chain.Request, problem, detail string) chain.Outcome {
+	out := chain.Refused(req.Body.ID, problem, http.StatusServiceUnavailable, detail)
+	out.Problem.Addresses = f.dir.Others()
+	return out
+}
+
+// deadlineFilter bounds the deadline by the pipeline's and refuses what is late already.
+type deadlineFilter struct{}
+
+// NewDeadline returns the filter that sets the request's deadline.
+func NewDeadline() chain.Filter { return deadlineFilter{} }
+
+// Name returns the filter's name.
+func (deadlineFilter) Name() string { return "deadline" }
+
+// Handle sets the deadline and passes req on.
+func (deadlineFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
+	d := req.Body.Deadline.Std()
+	if d == 0 {
+		d = req.Pipeline.Deadline()
+	}
+	if d < 0 {
+		return chain.Refused(req.Body.ID, apiv1.ProblemDeadline, http.StatusGatewayTimeout, "the deadline has passed")
+	}
+	req.Deadline = req.Arrived.Add(min(d, req.Pipeline.Deadline()))
+	if time.Until(req.Deadline) <= 0 {
+		return chain.Refused(req.Body.ID, apiv1.ProblemDeadline, http.StatusGatewayTimeout, "the deadline has passed")
+	}
+	return next(ctx, req)
+}
