--- /dev/null
+++ b/share/bundle/parse.go
@@ -0,0 +1,229 @@
+package bundle
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"chivepost/share/inicfg"
+)
+
+// ServiceFile is the name of the files that ParseDir collects.
+const ServiceFile = "service.ini"
+
+// Source is one service file: its name in problems and its bytes.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// ParseDir collects every service.ini below root, at any depth, in the order of their
+// paths. Folders whose names start with a dot are passed over. The error is
+// an *inicfg.ProblemsError, with all that is wrong in all files, if they are at fault.
+func ParseDir(root string) (Doc, error) {
+	sources, err := collect(root)
+	if err != nil {
+		return Doc{}, err
+	}
+	if len(sources) == 0 {
+		missing := inicfg.Problem{File: root, Found: "no " + ServiceFile, Want: "at least one below this folder"}
+		return Doc{}, inicfg.Problems{missing}.Err()
+	}
+	return Parse(sources...)
+}
+
+func collect(root string) ([]Source, error) {
+	var sources []Source
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && path != root && strings.HasPrefix(entry.Name(), "."):
+			return fs.SkipDir
+		case entry.IsDir() || entry.Name() != ServiceFile:
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		sources = append(sources, Source{Name: path, Data: data})
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("collect service files: %w", err)
+	}
+	slices.SortFunc(sources, func(a, b Source) int { return strings.Compare(a.Name, b.Name) })
+	return sources, nil
+}
+
+// Parse reads service files in the given order. The document is sorted by name, so
+// that equal input gives equal bytes; Out is empty, since operators set it.
+func Parse(sources ...Source) (Doc, error) {
+	p := newParser()
+	for _, s := range sources {
+		file, problems := inicfg.Scan(s.Name, s.Data)
+		p.problems = append(p.problems, problems...)
+		for _, section := range file.Sections {
+			p.section(section)
+		}
+	}
+	p.check()
+	if err := p.problems.Err(); err != nil {
+		return Doc{}, err
+	}
+	doc := p.doc()
+	if _, err := New(doc); err != nil {
+		return Doc{}, fmt.Errorf("check configuration: %w", err)
+	}
+	return doc, nil
+}
+
+// Sort puts every list in the order of names; stages keep theirs.
+func (d *Doc) Sort() {
+	slices.SortFunc(d.Pipelines, func(a, b PipelineDoc) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Pools, func(a, b PoolDoc) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Targets, func(a, b TargetDoc) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Accounts, func(a, b AccountDoc) int { return strings.Compare(a.Name, b.Name) })
+	slices.Sort(d.Out)
+}
+
+// defined is one section that defines a name.
+type defined[T any] struct {
+	at   inicfg.Section
+	keys T
+}
+
+type parser struct {
+	pipelines map[string]*defined[pipelineKeys]
+	pools     map[string]*defined[poolKeys]
+	targets   map[string]*defined[targetKeys]
+	accounts  map[string]*defined[accountKeys]
+	stages    []*stageDef
+	problems  inicfg.Problems
+}
+
+// stageDef is a stage with the name of its pipeline.
+type stageDef struct {
+	defined[stageKeys]
+	pipeline string
+	name     string
+}
+
+func newParser() *parser {
+	return &parser{
+		pipelines: map[string]*defined[pipelineKeys]{},
+		pools:     map[string]*defined[poolKeys]{},
+		targets:   map[string]*defined[targetKeys]{},
+		accounts:  map[string]*defined[accountKeys]{},
+	}
+}
+
+// section reads one section; an empty name has been reported by the scan.
+func (p *parser) section(s inicfg.Section) {
+	if s.Name == "" {
+		return
+	}
+	kind, name, _ := strings.Cut(s.Name, " ")
+	switch kind {
+	case "pipeline":
+		define(p, p.pipelines, s, name)
+	case "pool":
+		define(p, p.pools, s, name)
+	case "target":
+		define(p, p.targets, s, name)
+	case "account":
+		define(p, p.accounts, s, name)
+	case "stage":
+		p.stage(s, name)
+	default:
+		kinds := sectionKinds()
+		p.fault(s, "", fmt.Sprintf("unknown section %q", s.Name), fmt.Sprintf("[%s NAME], the nearest of %s",
+			inicfg.Nearest(kind, kinds), strings.Join(kinds, ", ")))
+	}
+}
+
+func define[T any](p *parser, all map[string]*defined[T], s inicfg.Section, name string) {
+	if !inicfg.IsName(name) {
+		p.fault(s, "", fmt.Sprintf("name %q", name), inicfg.NameWant)
+		return
+	}
+	d := &defined[T]{at: s}
+	p.decode(s, &d.keys)
+	if first, ok := all[name]; ok {
+		p.twice(s, first.at)
+		return
+	}
+	all[name] = d
+}
+
+func (p *parser) stage(s inicfg.Section, path string) {
+	pipeline, name, ok := strings.Cut(path, "/")
+	if !ok || !inicfg.IsName(pipeline) || !inicfg.IsName(name) {
+		p.fault(s, "", fmt.Sprintf("name %q", path), "PIPELINE/STAGE, each "+inicfg.NameWant)
+		return
+	}
+	d := &stageDef{pipeline: pipeline, name: name, defined: defined[stageKeys]{at: s}}
+	p.decode(s, &d.keys)
+	for _, first := range p.stages {
+		if first.pipeline == pipeline && first.name == name {
+			p.twice(s, first.at)
+			return
+		}
+	}
+	p.stages = append(p.stages, d)
+}
+
+func (p *parser) decode(s inicfg.Section, keys any) {
+	problems, err := inicfg.Decode(s, keys)
+	if err != nil {
+		p.fault(s, "", err.Error(), "a table of keys without faults")
+	}
+	p.problems = append(p.problems, problems...)
+}
+
+func (p *parser) twice(s, first inicfg.Section) {
+	p.fault(s, "", "a second definition, the first at "+first.Place(""), "each name once")
+}
+
+func (p *parser) fault(s inicfg.Section, key, found, want string) {
+	problem := s.Problem(key, want)
+	problem.Found = found
+	p.problems = append(p.problems, problem)
+}
+
+// doc returns the document of what was read.
+func (p *parser) doc() Doc {
+	d := Doc{Pipelines: []PipelineDoc{}, Pools: []PoolDoc{}, Targets: []TargetDoc{}, Accounts: []AccountDoc{}, Out: []string{}}
+	for name, v := range p.pipelines {
+		d.Pipelines = append(d.Pipelines, PipelineDoc{
+			Name: name, Deadline: v.keys.Deadline, Objective: v.keys.Objective, Stages: p.stagesOf(name),
+		})
+	}
+	for name, v := range p.pools {
+		d.Pools = append(d.Pools, PoolDoc{
+			Name: name, Kind: Kind(v.keys.Kind), Repeat: v.keys.Repeat == repeatAny,
+			ChecksFence: v.keys.ChecksFence, Limit: v.keys.Limit, ColdLimit: v.keys.ColdLimit,
+		})
+	}
+	for name, v := range p.targets {
+		d.Targets = append(d.Targets, TargetDoc{
+			Name: name, Pool: v.keys.Pool, DataCentre: v.keys.DataCentre, Region: v.keys.Region, Address: v.keys.Address,
+		})
+	}
+	for name, v := range p.accounts {
+		d.Accounts = append(d.Accounts, AccountDoc{Name: name, Credential: v.keys.Credential, Share: v.keys.Share})
+	}
+	d.Sort()
+	return d
+}
+
+func (p *parser) stagesOf(pipeline string) []StageDoc {
+	stages := []StageDoc{}
+	for _, s := range p.stages {
+		if s.pipeline == pipeline {
+			stages = append(stages, StageDoc{Name: s.name, Pool: s.keys.Pool, Model: s.keys.Model, Timeout: s.keys.Timeout})
+		}
+	}
+	return stages
+}
--- /dev/null
+++ b/share/inicfg/scan.go
@@ -0,0 +1,188 @@
+package inicfg
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+)
+
+// File is a file cut into its sections, in file order.
+type File struct {
+	Name     string
+	Sections []Section
+}
+
+// Section is one "[name]" block. Runs of spaces in Name are single spaces.
+type Section struct {
+	File    string
+	Name    string
+	Line    int
+	Entries []Entry
+}
+
+// Entry is one "key = value" line. Value has no quotes and no comment.
+type Entry struct {
+	Key   string
+	Value string
+	Line  int
+}
+
+// Entry returns the entry with the given key.
+func (s Section) Entry(key string) (Entry, bool) {
+	for _, e := range s.Entries {
+		if e.Key == key {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
+
+// Problem returns a problem with the value of key, or with the section if key is empty
+// or not there.
+func (s Section) Problem(key, want string) Problem {
+	p := Problem{File: s.File, Line: s.Line, Section: s.Name, Key: key, Found: "nothing", Want: want}
+	if e, ok := s.Entry(key); ok {
+		p.Line, p.Found = e.Line, fmt.Sprintf("%q", e.Value)
+	}
+	return p
+}
+
+// Place returns "file:line" of key, or of the section if key is not there.
+func (s Section) Place(key string) string {
+	line := s.Line
+	if e, ok := s.Entry(key); ok {
+		line = e.Line
+	}
+	return fmt.Sprintf("%s:%d", s.File, line)
+}
+
+// ReadFile reads and scans the file at path.
+func ReadFile(path string) (File, Problems) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return File{Name: path}, Problems{{File: path, Found: err.Error(), Want: "a readable file"}}
+	}
+	return Scan(path, data)
+}
+
+// Scan cuts data into sections. The ini library reads the values; it gives no line
+// numbers and merges what is written twice, so each section is passed to it under a
+// name of its own and lines that it would read in a surprising way are reported.
+func Scan(name string, data []byte) (File, Problems) {
+	s := scanner{file: File{Name: name}}
+	text := strings.TrimPrefix(string(data), "\uFEFF")
+	for i, line := range strings.Split(text, "\n") {
+		s.line = i + 1
+		s.read(strings.TrimSuffix(line, "\r"))
+	}
+	s.fill()
+	return s.file, s.problems
+}
+
+type scanner struct {
+	file     File
+	line     int
+	clean    strings.Builder
+	problems Problems
+}
+
+func (s *scanner) read(line string) {
+	if bad := strings.IndexFunc(line, isControl); bad >= 0 || !utf8.ValidString(line) {
+		s.fault("", fmt.Sprintf("%q", line), "UTF-8 text without control characters")
+		return
+	}
+	line = strings.TrimSpace(line)
+	switch {
+	case line == "" || line[0] == '#' || line[0] == ';':
+	case line[0] == '[':
+		s.header(line)
+	default:
+		s.entry(line)
+	}
+}
+
+func isControl(r rune) bool { return unicode.IsControl(r) && r != '\t' }
+
+func (s *scanner) header(line string) {
+	inner, rest, ok := strings.Cut(line[1:], "]")
+	rest = strings.TrimSpace(rest)
+	name := strings.Join(strings.Fields(inner), " ")
+	if !ok || name == "" || (rest != "" && rest[0] != '#' && rest[0] != ';') {
+		s.fault("", fmt.Sprintf("%q", line), "a section header such as [name]")
+		// The keys that follow belong to no known section: they are kept apart and not checked.
+		name = ""
+	}
+	s.file.Sections = append(s.file.Sections, Section{File: s.file.Name, Name: name, Line: s.line})
+	fmt.Fprintf(&s.clean, "[s%d]\n", len(s.file.Sections)-1)
+}
+
+func (s *scanner) entry(line string) {
+	key, value, ok := strings.Cut(line, "=")
+	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
+	switch {
+	case !ok || !isWord(key):
+		s.fault("", fmt.Sprintf("%q", line), "a line such as key = value")
+		return
+	case strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
+		s.fault(key, fmt.Sprintf("%q", value), "a value on one line")
+		return
+	case len(s.file.Sections) == 0:
+		s.fault(key, "a key before the first section", "a section header such as [name] above it")
+		return
+	}
+	section := &s.file.Sections[len(s.file.Sections)-1]
+	if first, ok := section.Entry(key); ok {
+		s.fault(key, fmt.Sprintf("the key a second time, first at %s:%d", s.file.Name, first.Line), "each key once")
+		return
+	}
+	section.Entries = append(section.Entries, Entry{Key: key, Line: s.line})
+	fmt.Fprintf(&s.clean, "%s = %s\n", key, value)
+}
+
+func isWord(key string) bool {
+	return key != "" && strings.IndexFunc(key, func(r rune) bool {
+		return r != '_' && r != '-' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+	}) < 0 && key != "-"
+}
+
+func (s *scanner) fault(key, found, want string) {
+	p := Problem{File: s.file.Name, Line: s.line, Key: key, Found: found, Want: want}
+	if n := len(s.file.Sections); n > 0 {
+		p.Section = s.file.Sections[n-1].Name
+	}
+	s.problems = append(s.problems, p)
+}
+
+// fill takes the values from the ini library.
+func (s *scanner) fill() {
+	options := ini.LoadOptions{
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		KeyValueDelimiters:         "=",
+		SkipUnrecognizableLines:    false,
+		UnescapeValueDoubleQuotes:  true,
+		AllowPythonMultilineValues: false,
+	}
+	parsed, err := ini.LoadSources(options, []byte(s.clean.String()))
+	if err != nil {
+		s.line = 0
+		s.fault("", err.Error(), "an INI file")
+		return
+	}
+	for i := range s.file.Sections {
+		keys := parsed.Section(fmt.Sprintf("s%d", i)).Keys()
+		entries := s.file.Sections[i].Entries
+		for j := range entries {
+			if j >= len(keys) || keys[j].Name() != entries[j].Key {
+				s.line = entries[j].Line
+				s.fault(entries[j].Key, "a line that the INI library reads in another way", "a line such as key = value")
+				break
+			}
+			entries[j].Value = keys[j].Value()
+		}
+	}
+}
