--- /dev/null
+++ b/entry/internal/config/record.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// recordVersion is the version of the record format. Fields may be added within a
+// version. A reader skips records of another version, so a new version needs all
+// hosts to read it before the first one writes it.
+const recordVersion = 1
+
+type recordKind string
+
+const (
+	kindChange recordKind = "change"
+	kindCopy   recordKind = "copy"
+)
+
+// record is one record of the config stream. A change has Base and PublishID; a copy
+// states that Copied was in force after all records up to AsOf.
+type record struct {
+	Version   int        `cbor:"version"`
+	Kind      recordKind `cbor:"kind"`
+	Author    string     `cbor:"author"`
+	Base      int64      `cbor:"base,omitempty"`
+	PublishID string     `cbor:"publish_id,omitempty"`
+	Copied    int64      `cbor:"copied,omitempty"`
+	AsOf      int64      `cbor:"as_of,omitempty"`
+	Bundle    []byte     `cbor:"bundle"`
+}
+
+var errRecord = errors.New("unreadable config record")
+
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{
+		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 4, MaxMapPairs: 64, MaxArrayElements: 64,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+var encMode = func() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+func encodeRecord(r record) []byte {
+	r.Version = recordVersion
+	data, err := encMode.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("encode config record: %v", err)) // Strings, numbers and bytes always encode.
+	}
+	return data
+}
+
+func decodeRecord(data []byte) (record, error) {
+	var r record
+	if err := decMode.Unmarshal(data, &r); err != nil {
+		return record{}, fmt.Errorf("%w: %w", errRecord, err)
+	}
+	switch {
+	case r.Version != recordVersion:
+		return record{}, fmt.Errorf("%w: version %d", errRecord, r.Version)
+	case r.Kind == kindChange && r.PublishID != "" && r.Base >= 0:
+		return r, nil
+	case r.Kind == kindCopy && r.Copied >= 1 && r.Copied <= r.AsOf:
+		return r, nil
+	}
+	return record{}, fmt.Errorf("%w: kind %q, base %d, copied %d, as of %d", errRecord, r.Kind, r.Base, r.Copied, r.AsOf)
+}
