--- /dev/null
+++ b/entry/internal/queue/queue.go
@@ -0,0 +1,306 @@
+// Package queue holds the calls that wait for a slot of a target and hands slots
+// out: by fair shares between accounts, and by slack within an account.
+package queue
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/route"
+	"chivepost/share/target"
+)
+
+// Errors of Acquire besides those of its context. Nothing was sent.
+var (
+	ErrDeadline = errors.New("the deadline can't be met any more")
+	ErrFull     = errors.New("the queue is full")
+	ErrClosed   = errors.New("the queue is closed")
+)
+
+// Hold is one slot in use. Check is called immediately before the send; Done
+// gives the slot back, once.
+type Hold interface {
+	Check() error
+	Fence() uint64
+	Done(res target.Result, took time.Duration)
+}
+
+// Slots are the slots that this host may use. The queue calls View, Take and
+// Want under its lock, so they neither block nor call the queue. The slice of
+// View is only read.
+type Slots interface {
+	View(pool string) []route.Target
+	// Take returns false when the target has no slot any more.
+	Take(name string) (Hold, bool)
+	// Want tells how many calls wait for slots of the pool.
+	Want(pool string, n int)
+	// Changed is ready to receive when slots may have become free.
+	Changed() <-chan struct{}
+}
+
+// Job is one call to place.
+type Job struct {
+	Pool    string
+	Account string
+	// Share weighs the account against others; values below 1 count as 1.
+	Share int
+	// Deadline is that of the request; the zero time means none.
+	Deadline time.Time
+	// Expected is the service time of this and the later stages.
+	Expected time.Duration
+	// Priority goes before slack; a higher one comes first.
+	Priority int
+	Prefix   uint64
+	Exclude  route.Set
+}
+
+// Slot is a slot taken for a job. Its holder must call Done.
+type Slot struct {
+	Hold
+	Target route.Target
+	Waited time.Duration
+}
+
+// Options sets a queue. The zero value selects the defaults.
+type Options struct {
+	DataCentre string
+	Region     string
+	// MaxPool and MaxAccount bound the calls that wait per pool, and per account
+	// in a pool (defaults 4096 and 1024).
+	MaxPool    int
+	MaxAccount int
+	// Plain serves calls in order of arrival and drops none early. The baselines
+	// use it.
+	Plain bool
+}
+
+// Queue hands out slots to waiting calls. It is safe for concurrent use.
+type Queue struct {
+	opts   Options
+	slots  Slots
+	policy route.Policy
+	logger logr.Logger
+	spill  time.Duration
+
+	mu     sync.Mutex
+	pools  map[string]*pool
+	closed chan struct{}
+	once   sync.Once
+	ended  sync.WaitGroup
+}
+
+// New returns a queue that is to be closed.
+func New(opts Options, slots Slots, policy route.Policy, logger logr.Logger) *Queue {
+	if opts.MaxPool == 0 {
+		opts.MaxPool = 4096
+	}
+	if opts.MaxAccount == 0 {
+		opts.MaxAccount = 1024
+	}
+	q := &Queue{
+		opts: opts, slots: slots, policy: policy, logger: logger.WithName("queue"),
+		pools: map[string]*pool{}, closed: make(chan struct{}),
+	}
+	if s, ok := policy.(interface{ SpillWait() time.Duration }); ok {
+		q.spill = s.SpillWait()
+	}
+	q.ended.Go(func() {
+		for {
+			// The channel is read before the dispatch, so that a change during the
+			// dispatch is seen by the next receive.
+			changed := q.slots.Changed()
+			q.dispatchAll()
+			select {
+			case <-changed:
+			case <-q.closed:
+				return
+			}
+		}
+	})
+	return q
+}
+
+// Close ends the queue; waiting calls get ErrClosed.
+func (q *Queue) Close() {
+	q.once.Do(func() { close(q.closed) })
+	q.ended.Wait()
+}
+
+// Acquire waits for a slot. The error is ErrDeadline, ErrFull, ErrClosed or that
+// of ctx.
+func (q *Queue) Acquire(ctx context.Context, job Job) (Slot, error) {
+	if err := ctx.Err(); err != nil {
+		return Slot{}, err
+	}
+	w, err := q.enter(job)
+	if err != nil {
+		return Slot{}, err
+	}
+	return q.await(ctx, w)
+}
+
+// enter puts the job in its line and hands out slots.
+func (q *Queue) enter(job Job) (*waiter, error) {
+	now := time.Now()
+	w := &waiter{job: job, since: now, ready: make(chan struct{})}
+	if !job.Deadline.IsZero() {
+		w.latest = job.Deadline.Add(-job.Expected)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.opts.Plain && w.isLate(now) {
+		return nil, ErrDeadline
+	}
+	p := q.pools[job.Pool]
+	if p == nil {
+		p = &pool{name: job.Pool, lines: map[string]*line{}, plain: q.opts.Plain}
+		q.pools[job.Pool] = p
+	}
+	if !p.add(w, q.opts) {
+		return nil, ErrFull
+	}
+	q.dispatch(p, now)
+	return w, nil
+}
+
+// await waits until the job has a slot or must leave.
+func (q *Queue) await(ctx context.Context, w *waiter) (Slot, error) {
+	timer := time.NewTimer(q.nextLook(w))
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.ready:
+			return w.slot, w.err
+		case <-ctx.Done():
+			return q.leave(w, ctx.Err())
+		case <-q.closed:
+			return q.leave(w, ErrClosed)
+		case <-timer.C:
+			q.look(w)
+			timer.Reset(q.nextLook(w))
+		}
+	}
+}
+
+// nextLook returns when the job's own state changes: when it may go to another
+// region, or when it can't be served in time any more.
+func (q *Queue) nextLook(w *waiter) time.Duration {
+	const never = 24 * time.Hour
+	now := time.Now()
+	if d := q.spill - now.Sub(w.since); q.spill > 0 && d > 0 {
+		return d
+	}
+	if q.opts.Plain || w.latest.IsZero() {
+		return never
+	}
+	return max(w.latest.Sub(now)+1, 1)
+}
+
+func (q *Queue) look(w *waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.dispatch(q.pools[w.job.Pool], time.Now())
+}
+
+// leave takes the job out of its line; a slot that it was given meanwhile goes back.
+func (q *Queue) leave(w *waiter, err error) (Slot, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[w.job.Pool]
+	select {
+	case <-w.ready:
+		if w.err == nil {
+			w.slot.Done(target.Result{Sent: target.SentNo, Err: err}, 0)
+		}
+	default:
+		p.remove(w)
+		q.want(p)
+	}
+	return Slot{}, err
+}
+
+func (q *Queue) dispatchAll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for _, p := range q.pools {
+		q.dispatch(p, now)
+	}
+}
+
+// dispatch drops the jobs of the pool that can't be served in time and hands out
+// free slots.
+func (q *Queue) dispatch(p *pool, now time.Time) {
+	if !q.opts.Plain {
+		p.dropLate(now)
+	}
+	if p.waiting > 0 {
+		p.view = append(p.view[:0], q.slots.View(p.name)...)
+		for p.waiting > 0 && p.hasFree() && p.next(func(l *line) bool { return q.serve(p, l, now) }) {
+		}
+	}
+	q.want(p)
+}
+
+// serve places one of the first jobs of the line. A job that no target can take
+// now, since it was tried there before or may not leave the region yet, does not
+// hold up those behind it.
+func (q *Queue) serve(p *pool, l *line, now time.Time) bool {
+	const tries = 4
+	for _, w := range l.jobs[:min(tries, len(l.jobs))] {
+		if q.place(p, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) place(p *pool, w *waiter, now time.Time) bool {
+	req := route.Request{
+		Pool: p.name, Prefix: w.job.Prefix, DataCentre: q.opts.DataCentre, Region: q.opts.Region,
+		Wait: now.Sub(w.since), Exclude: w.job.Exclude,
+	}
+	for {
+		i := q.policy.Pick(req, p.view)
+		if i < 0 {
+			return false
+		}
+		hold, ok := q.slots.Take(p.view[i].Name)
+		if !ok {
+			// The view was older than the slots.
+			p.view[i].Free = 0
+			continue
+		}
+		p.view[i].Free--
+		p.view[i].InUse++
+		p.remove(w)
+		w.finish(Slot{Hold: hold, Target: p.view[i], Waited: req.Wait}, nil)
+		return true
+	}
+}
+
+func (q *Queue) want(p *pool) {
+	if p.wanted != p.waiting {
+		p.wanted = p.waiting
+		q.slots.Want(p.name, p.waiting)
+	}
+}
+
+// Waiting returns how many calls wait for slots of the pool, in all and of the
+// account.
+func (q *Queue) Waiting(pool, account string) (all, own int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.pools[pool]
+	if p == nil {
+		return 0, 0
+	}
+	if l := p.lines[account]; l != nil {
+		own = len(l.jobs)
+	}
+	return p.waiting, own
+}
--- /dev/null
+++ b/entry/internal/retry/retry.go
@@ -0,0 +1,157 @@
+// Package retry bounds the calls that are made in addition to the first ones, so
+// that a failing pool is not loaded further by its own failures.
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// Options sets the budgets. The zero value selects the defaults.
+type Options struct {
+	// Ratio is the part of a target's calls in the window that may be retries and
+	// hedges (default 0.1).
+	Ratio float64
+	// Floor is the number that is allowed per target and window even below the
+	// ratio (default 1); without it a target with little traffic allows none.
+	Floor int
+	// Window is the time over which calls count (default 10 s).
+	Window time.Duration
+	// PerStage and PerRequest bound one request (defaults 1 and 2).
+	PerStage   int
+	PerRequest int
+	// P95 returns the P95 of the service time of a pool, and whether it is known.
+	// Without it nothing is hedged.
+	P95 func(pool string) (time.Duration, bool)
+	// Repeatable reports whether calls of the pool may be repeated.
+	Repeatable func(pool string) bool
+}
+
+// Budgets holds the budgets of all targets. It is safe for concurrent use.
+type Budgets struct {
+	opts    Options
+	started time.Time
+
+	mu      sync.Mutex
+	targets map[string]*window
+}
+
+// New returns full budgets.
+func New(opts Options) *Budgets {
+	if opts.Ratio == 0 {
+		opts.Ratio = 0.1
+	}
+	if opts.Floor == 0 {
+		opts.Floor = 1
+	}
+	if opts.Window == 0 {
+		opts.Window = 10 * time.Second
+	}
+	if opts.PerStage == 0 {
+		opts.PerStage = 1
+	}
+	if opts.PerRequest == 0 {
+		opts.PerRequest = 2
+	}
+	return &Budgets{opts: opts, started: time.Now(), targets: map[string]*window{}}
+}
+
+// Request returns the budget of one request.
+func (b *Budgets) Request() *PerRequest { return &PerRequest{budgets: b, stages: map[string]int{}} }
+
+// Sent counts a first call to the target, towards which retries are measured.
+func (b *Budgets) Sent(target string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(target).add(b.slice(), 1, 0)
+}
+
+// HedgeAfter returns how long to wait for an answer of the pool before a second
+// call is made. It returns false when calls of the pool may not be repeated or
+// the P95 is not known. The second call is subject to Allow.
+func (b *Budgets) HedgeAfter(pool string) (time.Duration, bool) {
+	if b.opts.P95 == nil || b.opts.Repeatable == nil || !b.opts.Repeatable(pool) {
+		return 0, false
+	}
+	return b.opts.P95(pool)
+}
+
+func (b *Budgets) window(target string) *window {
+	w := b.targets[target]
+	if w == nil {
+		w = &window{}
+		b.targets[target] = w
+	}
+	return w
+}
+
+// take spends one retry of the target's budget.
+func (b *Budgets) take(target string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.slice()
+	w := b.window(target)
+	calls, retries := w.add(at, 0, 0)
+	if retries >= max(b.opts.Floor, int(b.opts.Ratio*float64(calls))) {
+		return false
+	}
+	w.add(at, 0, 1)
+	return true
+}
+
+// PerRequest is the budget of one request. It is safe for concurrent use.
+type PerRequest struct {
+	budgets *Budgets
+
+	mu     sync.Mutex
+	spent  int
+	stages map[string]int
+}
+
+// Allow spends one retry of the request, the stage and the target, the one to
+// which the additional call goes. It returns false and spends nothing when any of
+// the three is used up.
+func (p *PerRequest) Allow(target, stage string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	opts := p.budgets.opts
+	if p.spent >= opts.PerRequest || p.stages[stage] >= opts.PerStage || !p.budgets.take(target) {
+		return false
+	}
+	p.spent++
+	p.stages[stage]++
+	return true
+}
+
+// Sent counts a first call to the target.
+func (p *PerRequest) Sent(target string) { p.budgets.Sent(target) }
+
+// parts is the number of slices of the window: an old call counts up to a tenth
+// of the window too long.
+const parts = 10
+
+// slice returns the number of the current slice, from 0 when the budgets were
+// made. It follows the monotonic clock.
+func (b *Budgets) slice() int64 { return int64(time.Since(b.started) / (b.opts.Window / parts)) }
+
+// window counts calls and retries over the recent past.
+type window struct {
+	calls, retries [parts]int
+	last           int64
+}
+
+// add counts in slice number at and returns the sums of the window.
+func (w *window) add(at int64, calls, retries int) (int, int) {
+	for k := max(w.last+1, at-parts+1); k <= at; k++ {
+		w.calls[k%parts], w.retries[k%parts] = 0, 0
+	}
+	w.last = max(w.last, at)
+	w.calls[w.last%parts] += calls
+	w.retries[w.last%parts] += retries
+	sumCalls, sumRetries := 0, 0
+	for i := range parts {
+		sumCalls += w.calls[i]
+		sumRetries += w.retries[i]
+	}
+	return sumCalls, sumRetries
+}
--- a/entry/internal/route/target.go
+++ b/entry/internal/route/target.go
@@ -1,11 +1,16 @@
 // Package route chooses the target of a stage attempt.
 package route
 
-import "chivepost/share/target"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"chivepost/share/target"
+)
 
 // Target is what an entry host knows of one target when it chooses. Free is the
 // number of slots that it could use now, InUse the calls that it has in flight,
-// Limit the slots that it holds.
+// Limit the slots that it holds. Hash is HashName(Name); a policy computes it
+// when it is 0.
 type Target struct {
 	Name       string
 	DataCentre string
@@ -15,4 +20,29 @@
 	Free       int
 	InUse      int
 	Limit      int
+	Hash       uint64
+}
+
+// HashName returns the hash of a target's name for rendezvous scores.
+func HashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// HashPrefix returns the hash of a prompt prefix, never 0.
+func HashPrefix(prefix string) uint64 { return max(1, xxhash.Sum64String(prefix)) }
+
+func (t *Target) isLeaving() bool { return t.State == target.StateLeaving }
+
+func (t *Target) isWarm() bool { return t.State == target.StateWarm }
+
+// score ranks the target for a prefix: the highest score of the pool wins, so a
+// target that joins or leaves moves only its own prefixes.
+func (t *Target) score(prefix uint64) uint64 {
+	h := t.Hash
+	if h == 0 {
+		h = HashName(t.Name)
+	}
+	// The finaliser of splitmix64 spreads the bits of the two hashes.
+	h ^= prefix
+	h = (h ^ h>>30) * 0xbf58476d1ce4e5b9
+	h = (h ^ h>>27) * 0x94d049bb133111eb
+	return h ^ h>>31
 }
