--- a/share/target/target.go
+++ b/share/target/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"chivepost/share/bundle"
 	"chivepost/share/units"
 )
 
@@ -17,6 +18,10 @@
 	HeaderState     = "X-Target-State"
 	HeaderBoot      = "X-Target-Boot"
 	HeaderNotRun    = "X-Not-Run"
+	// HeaderDataCentre names the data centre of the calling host.
+	HeaderDataCentre = "X-Data-Centre"
+	// HeaderIdempotencyID names the work, across attempts, for services that keep a ledger.
+	HeaderIdempotencyID = "X-Idempotency-Id"
 )
 
 // State is what a target says of itself.
@@ -29,9 +34,11 @@
 	StateLeaving State = "leaving"
 )
 
-// Call is one attempt at a stage. ID is "<run>/<stage>/<attempt>".
+// Call is one attempt at a stage. ID is "<run>/<stage>/<attempt>". Kind selects the
+// protocol: streamed completions for engines, /v1/run for everything else.
 type Call struct {
 	ID       string
+	Kind     bundle.Kind
 	Address  string
 	Input    string
 	Model    string
@@ -40,6 +47,8 @@
 	Priority int
 	// Once marks a call that may not be repeated: a fresh connection, no retries.
 	Once bool
+	// IdempotencyID, when not empty, is passed on to the target.
+	IdempotencyID string
 }
 
 // Sent says how far a call got.
--- /dev/null
+++ b/stand/internal/deploy/deploy.go
@@ -0,0 +1,140 @@
+// Package deploy reads a deployment: its data centres and delays, the number and
+// pace of its targets, and the service files of its pipelines.
+package deploy
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+	"gopkg.in/ini.v1"
+
+	"chivepost/share/bundle"
+	"chivepost/share/units"
+	"chivepost/stand/internal/spec"
+)
+
+// Deployment is what the folder of a deployment says.
+type Deployment struct {
+	Name string
+	// Delays are one way: inside a region, between regions, and to clients.
+	LocalDelay, RegionDelay, ClientDelay time.Duration
+	DataCentres                          []DataCentre
+	Groups                               []Group
+	// Services holds the service files by service name, as they are.
+	Services map[string][]byte
+	// Doc is the configuration that the service files amount to, without targets.
+	Doc bundle.Doc
+}
+
+// DataCentre is one data centre with a number of entry hosts.
+type DataCentre struct {
+	Name       string
+	Region     string
+	EntryHosts int
+}
+
+// Group is the targets of one pool, spread over the data centres in turn.
+type Group struct {
+	Pool  string
+	Count int
+	Pace  spec.Pace
+}
+
+// Delay returns the one-way delay between two data centres.
+func (d *Deployment) Delay(from, to DataCentre) time.Duration {
+	switch {
+	case from.Name == to.Name:
+		return 0
+	case from.Region == to.Region:
+		return d.LocalDelay
+	default:
+		return d.RegionDelay
+	}
+}
+
+// PoolDoc returns the pool called name.
+func (d *Deployment) PoolDoc(name string) (bundle.PoolDoc, bool) {
+	i := slices.IndexFunc(d.Doc.Pools, func(p bundle.PoolDoc) bool { return p.Name == name })
+	if i < 0 {
+		return bundle.PoolDoc{}, false
+	}
+	return d.Doc.Pools[i], true
+}
+
+// Read reads the deployment in a folder.
+func Read(dir string) (*Deployment, error) {
+	d := &Deployment{Services: map[string][]byte{}}
+	path := filepath.Join(dir, "deployment.ini")
+	file, err := ini.Load(path)
+	if err != nil {
+		return nil, oops.Wrapf(err, "read deployment")
+	}
+	for _, s := range file.Sections() {
+		if err := d.section(s); err != nil {
+			return nil, oops.With("path", path).Wrapf(err, "section %q", s.Name())
+		}
+	}
+	paths, err := filepath.Glob(filepath.Join(dir, "services", "*", "service.ini"))
+	if err != nil {
+		return nil, oops.Wrapf(err, "list service files")
+	}
+	for _, p := range paths {
+		data, err := os.ReadFile(p)
+		if err != nil {
+			return nil, oops.Wrapf(err, "read service file")
+		}
+		if err := addService(&d.Doc, data); err != nil {
+			return nil, oops.Wrapf(err, "service file %s", p)
+		}
+		d.Services[filepath.Base(filepath.Dir(p))] = data
+	}
+	for _, g := range d.Groups {
+		if _, ok := d.PoolDoc(g.Pool); !ok {
+			return nil, oops.Errorf("deployment %s: no service file has pool %q", dir, g.Pool)
+		}
+	}
+	if len(d.DataCentres) == 0 {
+		return nil, oops.Errorf("deployment %s has no data centre", dir)
+	}
+	return d, nil
+}
+
+func (d *Deployment) section(s *ini.Section) error {
+	kind, name, _ := strings.Cut(s.Name(), " ")
+	r := reader{section: s}
+	switch kind {
+	case ini.DefaultSection:
+	case "deployment":
+		d.Name = r.text("name")
+		d.LocalDelay = r.duration("local_delay")
+		d.RegionDelay = r.duration("region_delay")
+		d.ClientDelay = r.duration("client_delay")
+	case "data_centre":
+		d.DataCentres = append(d.DataCentres, DataCentre{Name: name, Region: r.text("region"), EntryHosts: r.integer("entry_hosts")})
+	case "targets":
+		d.Groups = append(d.Groups, Group{Pool: name, Count: r.integer("count"), Pace: r.pace()})
+	default:
+		r.fail("unknown section")
+	}
+	return r.err
+}
+
+func (r *reader) pace() spec.Pace {
+	return spec.Pace{
+		FirstToken:  units.Duration(r.optional("first_token")),
+		PromptToken: units.Duration(r.optional("prompt_token")),
+		PerToken:    units.Duration(r.optional("per_token")),
+		Service:     units.Duration(r.optional("service")),
+		ColdTime:    units.Duration(r.duration("cold_time")),
+		ColdFactor:  r.number("cold_factor"),
+		FallTime:    units.Duration(r.duration("fall_time")),
+		ReportLag:   units.Duration(r.duration("report_lag")),
+		CacheBlocks: r.optionalInteger("cache_blocks"),
+		EventLag:    units.Duration(r.optional("event_lag")),
+		EventGaps:   r.optionalNumber("event_gaps"),
+	}
+}
--- /dev/null
+++ b/stand/internal/logsrv/logsrv.go
@@ -0,0 +1,199 @@
+// Package logsrv stands in for the platform's log service.
+package logsrv
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"chivepost/share/units"
+	"chivepost/stand/internal/serve"
+)
+
+// Options set up a Service.
+type Options struct {
+	// AppendRate is the number of appends a second taken over all streams.
+	AppendRate float64
+	// Retention is how long a record is kept.
+	Retention time.Duration
+	Seed      uint64
+}
+
+// Faults are set from outside while the service runs.
+type Faults struct {
+	// Down answers 503 to everything.
+	Down bool `json:"down"`
+	// Delay is waited before an append takes effect, also if the caller goes away,
+	// and before a read is served.
+	Delay units.Duration `json:"delay"`
+	// AnswerDelay is waited after an append has taken effect.
+	AnswerDelay units.Duration `json:"answer_delay"`
+	// LoseAnswers is the share of appends whose answer is lost after they took effect.
+	LoseAnswers float64 `json:"lose_answers"`
+}
+
+// Service keeps streams in memory.
+type Service struct {
+	opts    Options
+	limiter *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[string]*stream
+	faults  Faults
+	random  *rand.Rand
+}
+
+// New returns a log service without records.
+func New(opts Options) *Service {
+	burst := max(1, int(math.Ceil(opts.AppendRate/10)))
+	return &Service{
+		opts:    opts,
+		limiter: rate.NewLimiter(rate.Limit(opts.AppendRate), burst),
+		streams: map[string]*stream{},
+		random:  rand.New(rand.NewPCG(opts.Seed, 1)),
+	}
+}
+
+// Handler returns the service's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/streams/{stream}/records", s.append).Methods(http.MethodPost)
+	r.HandleFunc("/v1/streams/{stream}/records", s.read).Methods(http.MethodGet)
+	r.HandleFunc("/v1/faults", s.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/v1/faults", s.showFaults).Methods(http.MethodGet)
+	return r
+}
+
+func (s *Service) current() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// setFaults changes the faults that the body names and leaves the others.
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	faults := s.current()
+	if !serve.ReadJSON(w, r, &faults) {
+		return
+	}
+	s.mu.Lock()
+	s.faults = faults
+	s.mu.Unlock()
+	serve.WriteJSON(w, http.StatusOK, faults)
+}
+
+func (s *Service) showFaults(w http.ResponseWriter, _ *http.Request) {
+	serve.WriteJSON(w, http.StatusOK, s.current())
+}
+
+func (s *Service) append(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Records [][]byte `json:"records"`
+	}
+	faults := s.current()
+	if faults.Down {
+		serve.WriteError(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	if !serve.ReadJSON(w, r, &body) {
+		return
+	}
+	if len(body.Records) == 0 {
+		serve.WriteError(w, http.StatusBadRequest, "no records")
+		return
+	}
+	if !s.limiter.Allow() {
+		serve.WriteError(w, http.StatusTooManyRequests, "append rate")
+		return
+	}
+	time.Sleep(faults.Delay.Std())
+	offset, lost := s.add(mux.Vars(r)["stream"], body.Records)
+	time.Sleep(faults.AnswerDelay.Std())
+	if lost {
+		serve.Drop()
+	}
+	serve.WriteJSON(w, http.StatusOK, struct {
+		Offset int64 `json:"offset"`
+	}{offset})
+}
+
+func (s *Service) add(name string, records [][]byte) (offset int64, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = s.faults.LoseAnswers > 0 && s.random.Float64() < s.faults.LoseAnswers
+	return s.stream(name).add(records, time.Now()), lost
+}
+
+// stream returns the named stream, pruned. The caller holds the lock.
+func (s *Service) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = newStream()
+		s.streams[name] = st
+	}
+	st.prune(time.Now().Add(-s.opts.Retention))
+	return st
+}
+
+const (
+	defaultMax = 1000
+	maxWait    = 30 * time.Second
+)
+
+func (s *Service) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, errFrom := strconv.ParseInt(q.Get("from"), 10, 64)
+	limit, errMax := optionalInt(q.Get("max"), defaultMax)
+	wait, errWait := optionalDuration(q.Get("wait"))
+	if errFrom != nil || errMax != nil || errWait != nil || from < 1 || limit < 1 {
+		serve.WriteError(w, http.StatusBadRequest, "want from >= 1, max >= 1 and wait such as 1s")
+		return
+	}
+	faults := s.current()
+	if faults.Down {
+		serve.WriteError(w, http.StatusServiceUnavailable, "down")
+		return
+	}
+	time.Sleep(faults.Delay.Std())
+	timeout := time.NewTimer(min(wait, maxWait))
+	defer timeout.Stop()
+	for {
+		page, changed := s.page(mux.Vars(r)["stream"], from, limit)
+		if len(page.Records) > 0 || wait <= 0 {
+			serve.WriteJSON(w, http.StatusOK, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+		// An outage that began during the wait must not pass for an empty stream.
+		if s.current().Down {
+			serve.WriteError(w, http.StatusServiceUnavailable, "down")
+			return
+		}
+	}
+}
+
+func optionalInt(text string, or int) (int, error) {
+	if text == "" {
+		return or, nil
+	}
+	return strconv.Atoi(text)
+}
+
+func optionalDuration(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return time.ParseDuration(text)
+}
--- /dev/null
+++ b/stand/internal/server/faults.go
@@ -0,0 +1,112 @@
+package server
+
+import (
+	"net/http"
+
+	"chivepost/share/target"
+	"chivepost/share/units"
+	"chivepost/stand/internal/serve"
+)
+
+// Faults are in force until they are changed. Shares are of calls, 0 to 1.
+type Faults struct {
+	// Down breaks each connection before any work.
+	Down bool `json:"down"`
+	// Slow multiplies times; 0 and 1 change nothing.
+	Slow float64 `json:"slow"`
+	// Fail answers 500 in place of the result. A service has then not done the work.
+	Fail float64 `json:"fail"`
+	// Refuse answers 503 before any work.
+	Refuse float64 `json:"refuse"`
+	// Crossed gives the answer of another call.
+	Crossed float64 `json:"crossed"`
+	// Truncated gives a part of the answer.
+	Truncated float64 `json:"truncated"`
+	// LoseAnswers breaks the connection after the work is done.
+	LoseAnswers float64 `json:"lose_answers"`
+	// Late is waited after the work and before the answer.
+	Late units.Duration `json:"late"`
+}
+
+// Change is the body of POST /v1/faults. Fields that are absent change nothing.
+type Change struct {
+	// Cold true turns the target cold without notice, false warm at once.
+	Cold *bool `json:"cold"`
+	// Leaving sets what the target says of itself.
+	Leaving *bool `json:"leaving"`
+	// Restart ends all calls and starts the target anew, cold.
+	Restart     *bool           `json:"restart"`
+	Down        *bool           `json:"down"`
+	Slow        *float64        `json:"slow"`
+	Fail        *float64        `json:"fail"`
+	Refuse      *float64        `json:"refuse"`
+	Crossed     *float64        `json:"crossed"`
+	Truncated   *float64        `json:"truncated"`
+	LoseAnswers *float64        `json:"lose_answers"`
+	Late        *units.Duration `json:"late"`
+}
+
+// Apply sets the faults that the change names.
+func (t *Target) Apply(c Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	set(&t.faults.Down, c.Down)
+	set(&t.faults.Slow, c.Slow)
+	set(&t.faults.Fail, c.Fail)
+	set(&t.faults.Refuse, c.Refuse)
+	set(&t.faults.Crossed, c.Crossed)
+	set(&t.faults.Truncated, c.Truncated)
+	set(&t.faults.LoseAnswers, c.LoseAnswers)
+	set(&t.faults.Late, c.Late)
+	if c.Leaving != nil && *c.Leaving != t.leaving {
+		t.leaving = *c.Leaving
+		t.note()
+	}
+	if c.Restart != nil && *c.Restart {
+		t.boot(true)
+	}
+	if c.Cold != nil {
+		t.setCold(*c.Cold)
+	}
+}
+
+func set[T any](to, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
+// Status is what a target is at the moment, without lag.
+type Status struct {
+	Name    string       `json:"name"`
+	Pool    string       `json:"pool"`
+	Address string       `json:"address"`
+	State   target.State `json:"state"`
+	Boot    string       `json:"boot"`
+	Fallen  bool         `json:"fallen"`
+	Calls   int          `json:"calls"`
+	Faults  Faults       `json:"faults"`
+}
+
+// Status returns the target's present state.
+func (t *Target) Status() Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Status{
+		Name: t.Name(), Pool: t.Pool(), Address: t.Address(), State: t.state(),
+		Boot: t.bootID(), Fallen: t.fallen, Calls: t.inFlight, Faults: t.faults,
+	}
+}
+
+func (t *Target) setFaults(w http.ResponseWriter, r *http.Request) {
+	var change Change
+	if !serve.ReadJSON(w, r, &change) {
+		return
+	}
+	t.Apply(change)
+	serve.WriteJSON(w, http.StatusOK, t.Status())
+}
+
+func (t *Target) showFaults(w http.ResponseWriter, _ *http.Request) {
+	serve.WriteJSON(w, http.StatusOK, t.Status())
+}
--- /dev/null
+++ b/stand/internal/server/info.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+
+	"chivepost/share/target"
+	"chivepost/stand/internal/serve"
+)
+
+// showLoad answers GET /v1/load with a lag. The headers carry the present state,
+// as those of all answers do.
+func (t *Target) showLoad(w http.ResponseWriter, r *http.Request) {
+	if !t.reachable(w, r) {
+		return
+	}
+	serve.WriteJSON(w, http.StatusOK, t.load())
+}
+
+func (t *Target) showCacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		serve.WriteError(w, http.StatusBadRequest, "want from as a number")
+		return
+	}
+	if !t.reachable(w, r) {
+		return
+	}
+	page := t.cache.Events(from)
+	page.Boot = w.Header().Get(target.HeaderBoot)
+	serve.WriteJSON(w, http.StatusOK, page)
+}
+
+// Kinds of orders.
+const (
+	orderLoad   = "load"
+	orderUnload = "unload"
+	orderRole   = "role"
+)
+
+// order takes an order to load or unload a model or to change role. Loading turns
+// the target cold.
+func (t *Target) order(w http.ResponseWriter, r *http.Request) {
+	var body target.Order
+	if !serve.ReadJSON(w, r, &body) || !t.reachable(w, r) {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.opts.Spec.ChecksFence && body.Fence < t.fence {
+		serve.WriteError(w, http.StatusConflict, "fence "+strconv.FormatUint(body.Fence, 10)+
+			" is older than "+strconv.FormatUint(t.fence, 10))
+		return
+	}
+	switch body.Kind {
+	case orderLoad:
+		if body.Model != t.model {
+			t.model = body.Model
+			t.setCold(true)
+		}
+	case orderUnload:
+		t.model = ""
+	case orderRole:
+	default:
+		serve.WriteError(w, http.StatusBadRequest, "want kind load, unload or role")
+		return
+	}
+	t.fence = max(t.fence, body.Fence)
+	serve.WriteJSON(w, http.StatusOK, struct {
+		Fence uint64 `json:"fence"`
+		Model string `json:"model"`
+	}{t.fence, t.model})
+}
+
+// reachable waits for the link's delay both ways, answers for a target that is
+// down or fallen and otherwise sets the headers of all answers.
+func (t *Target) reachable(w http.ResponseWriter, r *http.Request) bool {
+	if sleep(r.Context(), 2*t.delay(r)) != nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.faults.Down {
+		serve.Drop()
+	}
+	w.Header().Set(target.HeaderState, string(t.state()))
+	w.Header().Set(target.HeaderBoot, t.bootID())
+	if t.fallen {
+		serve.WriteError(w, http.StatusInternalServerError, errFallen.Error())
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/stand/internal/server/target.go
@@ -0,0 +1,167 @@
+// Package server stands in for one target: an engine, a stage pool's member or a
+// plain service.
+package server
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"chivepost/share/bundle"
+	"chivepost/share/events"
+	"chivepost/share/target"
+	"chivepost/share/units"
+	"chivepost/stand/internal/gate"
+	"chivepost/stand/internal/prefix"
+	"chivepost/stand/internal/spec"
+)
+
+// Options set up a Target.
+type Options struct {
+	Spec       spec.Target
+	DataCentre string
+	// Delays are one way, by the caller's data centre.
+	Delays map[string]units.Duration
+	Seed   uint64
+	// StartWarm leaves out the first cold start.
+	StartWarm bool
+	Events    *events.Log
+	// Weights, when not nil, is called at each cold start and returns when the
+	// model's weights are there.
+	Weights func(ctx context.Context)
+}
+
+// queueFactor bounds the calls that wait, in multiples of the limit.
+const queueFactor = 2
+
+// Target is a running stand-in.
+type Target struct {
+	opts   Options
+	gate   *gate.Gate
+	cache  *prefix.Cache
+	ledger ledger
+
+	mu          sync.Mutex
+	boots       int
+	cold        bool
+	fallen      bool
+	leaving     bool
+	inFlight    int
+	coldCalls   int // Calls begun in this cold start and still in flight.
+	model       string
+	fence       uint64 // Highest fence of an accepted order.
+	faults      Faults
+	last        answer // The answer given last, for crossed answers.
+	reports     []report
+	life        context.Context // Ends with this boot.
+	end         context.CancelFunc
+	warmUp      context.CancelFunc
+	closed      bool
+	backgrounds sync.WaitGroup
+}
+
+// New returns a target in cold start, unless the options say otherwise.
+func New(opts Options) *Target {
+	s := opts.Spec
+	t := &Target{opts: opts, gate: gate.New(s.Limit, queueFactor*s.Limit), ledger: ledger{counts: map[string]int{}}}
+	t.cache = prefix.New(prefix.Options{
+		Blocks:   s.Pace.CacheBlocks,
+		EventLag: s.Pace.EventLag.Std(),
+		Lost: func(seq int64) bool {
+			return t.draw("cache_event", fmt.Sprint(seq)) < s.Pace.EventGaps
+		},
+	})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.boot(!opts.StartWarm)
+	return t
+}
+
+// Close ends all calls and background work.
+func (t *Target) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.end()
+	t.warmUp()
+	t.mu.Unlock()
+	t.backgrounds.Wait()
+}
+
+// Name returns the target's name.
+func (t *Target) Name() string { return t.opts.Spec.Name }
+
+// Pool returns the name of the target's pool.
+func (t *Target) Pool() string { return t.opts.Spec.Pool }
+
+// Address returns the "ip:port" on which the target is to be served.
+func (t *Target) Address() string { return t.opts.Spec.Address }
+
+// Handler returns the target's HTTP interface.
+func (t *Target) Handler() http.Handler {
+	r := mux.NewRouter()
+	if t.opts.Spec.Kind == bundle.KindEngine {
+		r.HandleFunc("/v1/completions", t.complete).Methods(http.MethodPost)
+		r.HandleFunc("/v1/cache/events", t.showCacheEvents).Methods(http.MethodGet)
+	} else {
+		r.HandleFunc("/v1/run", t.run).Methods(http.MethodPost)
+	}
+	r.HandleFunc("/v1/load", t.showLoad).Methods(http.MethodGet)
+	r.HandleFunc("/v1/orders", t.order).Methods(http.MethodPost)
+	r.HandleFunc("/v1/ledger", t.showLedger).Methods(http.MethodGet)
+	r.HandleFunc("/v1/faults", t.setFaults).Methods(http.MethodPost)
+	r.HandleFunc("/v1/faults", t.showFaults).Methods(http.MethodGet)
+	return r
+}
+
+// draw returns a number in [0, 1) that depends only on the seed, the target, the
+// kind of draw and the id, not on the order of calls.
+func (t *Target) draw(kind, id string) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%d\x00%s\x00%s\x00%s", t.opts.Seed, t.opts.Spec.Name, kind, id)
+	// FNV alone spreads short keys badly over the high bits.
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return float64(x>>11) / (1 << 53)
+}
+
+// delay returns the one-way delay of the link to the caller.
+func (t *Target) delay(r *http.Request) time.Duration {
+	return t.opts.Delays[r.Header.Get(target.HeaderDataCentre)].Std()
+}
+
+// sleep waits or returns the context's error.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// event returns an event of the call with the given id.
+func (t *Target) event(kind events.Kind, id, input string) events.Event {
+	e := events.Event{
+		Kind: kind, Target: t.opts.Spec.Name, DataCentre: t.opts.DataCentre,
+		Run: id, Request: target.WorkID(input),
+	}
+	if parts := strings.Split(id, "/"); len(parts) == 3 {
+		e.Run, e.Stage, e.Attempt = parts[0], parts[1], parts[2]
+	}
+	return e
+}
--- a/stand/main.go
+++ b/stand/main.go
@@ -1,4 +1,10 @@
-// Command chive-stand is part of chivepost.
+// Command chive-stand runs stand-ins for the platform and the targets of chivepost.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"chivepost/stand/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
