caller: send, load and check; stand-ins cut off by data centre

A load needs retries that are safe and a checker that is independent of the entry hosts. chive-call keeps the id of a broken request, never repeats after unknown for a service that runs once, and the checker compares callers, hosts, targets and ledgers.

--- /dev/null
+++ b/caller/cmd/check.go
@@ -0,0 +1,94 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+
+	"chivepost/caller/internal/check"
+	"chivepost/caller/internal/expect"
+	"chivepost/share/target"
+)
+
+type checkCmd struct {
+	Files        []string      `arg:"" help:"Event files of callers, entry hosts and targets." type:"existingfile"`
+	Bundle       string        `help:"Configuration written by chive-stand plan." required:"" type:"existingfile"`
+	Ledger       []string      `help:"Addresses of target processes' common listeners, or files with their ledgers."`
+	Killed       []string      `help:"Entry hosts that were killed during the run."`
+	ColdNotice   time.Duration `help:"Time after an unannounced cold start in which nobody can know of it." default:"1s"`
+	LeavingBound time.Duration `help:"Time after which a leaving target may get no new call." default:"4s"`
+	Strict       bool          `help:"Forbid requests without an outcome."`
+	JSON         bool          `help:"Print JSON." name:"json"`
+}
+
+// Run checks the files. The exit code is 1 if something forbidden was found.
+func (c *checkCmd) Run(ctx context.Context, out output) error {
+	b, err := expect.Read(c.Bundle)
+	if err != nil {
+		return err
+	}
+	opts := check.Options{
+		Bundle: b, HasLedgers: len(c.Ledger) > 0, Killed: c.Killed,
+		ColdNotice: c.ColdNotice, LeavingBound: c.LeavingBound, Strict: c.Strict,
+	}
+	for _, name := range c.Ledger {
+		ledger, err := readLedger(ctx, name)
+		if err != nil {
+			return oops.With("ledger", name).Wrapf(err, "read ledger")
+		}
+		opts.Ledgers = append(opts.Ledgers, ledger.Entries...)
+	}
+	var records []check.Record
+	for _, path := range c.Files {
+		record, err := readEvents(path)
+		if err != nil {
+			return err
+		}
+		records = append(records, record)
+	}
+	report := check.Run(records, opts)
+	if c.JSON {
+		err = writeJSON(out, report)
+	} else {
+		err = report.WriteTable(out)
+	}
+	if err == nil && report.Forbidden.Sum() > 0 {
+		return errFound
+	}
+	return err
+}
+
+func readEvents(path string) (check.Record, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return check.Record{}, oops.Wrapf(err, "open events")
+	}
+	defer func() { _ = f.Close() }()
+	return check.Read(path, f)
+}
+
+// readLedger reads a file if there is one with the name, else asks the address.
+func readLedger(ctx context.Context, name string) (target.Ledger, error) {
+	var ledger target.Ledger
+	var source io.ReadCloser
+	if f, err := os.Open(name); err == nil {
+		source = f
+	} else {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
+		if err != nil {
+			return ledger, err
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return ledger, err
+		}
+		source = resp.Body
+	}
+	defer func() { _ = source.Close() }()
+	return ledger, json.NewDecoder(source).Decode(&ledger)
+}
--- /dev/null
+++ b/caller/internal/check/table.go
@@ -0,0 +1,47 @@
+package check
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// WriteTable writes the report for people to read.
+func (r Report) WriteTable(w io.Writer) error {
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range []struct {
+		name  string
+		count int
+	}{
+		{"sent", r.Sent},
+		{"answered", r.Answered},
+		{"refused", r.Refused},
+		{"failed", r.Failed},
+		{"unknown", r.Unknown},
+		{"no outcome", r.NoOutcome},
+		{"attempts", r.Attempts},
+		{"accepted by entry hosts", r.Accepted},
+		{"ended at entry hosts", r.Ended},
+		{"started at targets", r.Started},
+		{"above cold limit, unnoticed", r.ColdUnnoticed},
+		{"", -1},
+		{"executed twice", r.Forbidden.ExecutedTwice},
+		{"given to another", r.Forbidden.GivenToAnother},
+		{"incomplete", r.Forbidden.Incomplete},
+		{"lost", r.Forbidden.Lost},
+		{"refused but run", r.Forbidden.RefusedButRun},
+		{"above cold limit", r.Forbidden.AboveColdLimit},
+		{"on leaving target", r.Forbidden.OnLeaving},
+		{"no outcome, strict", r.Forbidden.NoOutcome},
+	} {
+		if row.count < 0 {
+			_, _ = fmt.Fprintln(tab, "forbidden\t")
+			continue
+		}
+		_, _ = fmt.Fprintf(tab, "%s\t%d\n", row.name, row.count)
+	}
+	for _, e := range r.Examples {
+		_, _ = fmt.Fprintln(tab, e)
+	}
+	return tab.Flush()
+}
--- /dev/null
+++ b/caller/internal/expect/expect.go
@@ -0,0 +1,53 @@
+// Package expect computes the answer that the stand-ins give to a request.
+package expect
+
+import (
+	"os"
+
+	"github.com/samber/oops"
+
+	"chivepost/share/bundle"
+	"chivepost/share/target"
+)
+
+// Read reads a configuration as chive-stand plan writes it.
+func Read(path string) (*bundle.Bundle, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, oops.Wrapf(err, "read configuration")
+	}
+	b, err := bundle.Decode(data)
+	return b, oops.With("path", path).Wrapf(err, "decode configuration")
+}
+
+// Output returns the final answer of a pipeline: each stage's output is the next
+// stage's input.
+func Output(b *bundle.Bundle, pipeline, input string) (string, error) {
+	p, ok := b.Pipeline(pipeline)
+	if !ok {
+		return "", oops.Errorf("the configuration has no pipeline %q", pipeline)
+	}
+	text := input
+	for _, s := range p.Stages() {
+		pool, ok := b.Pool(s.Pool)
+		if !ok {
+			return "", oops.Errorf("the configuration has no pool %q", s.Pool)
+		}
+		text = target.Expected(pool.Kind, pool.Name, text)
+	}
+	return text, nil
+}
+
+// RunsOnce reports whether a stage of the pipeline may not be repeated.
+func RunsOnce(b *bundle.Bundle, pipeline string) bool {
+	p, ok := b.Pipeline(pipeline)
+	if !ok {
+		return false
+	}
+	for _, s := range p.Stages() {
+		if pool, ok := b.Pool(s.Pool); ok && !pool.Repeat {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/caller/internal/stats/stats.go
@@ -0,0 +1,194 @@
+// Package stats sums up the reports of a load.
+package stats
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"chivepost/caller/internal/agent"
+	"chivepost/share/apiv1"
+	"chivepost/share/units"
+)
+
+// Counts of jobs by what became of them. Wrong and Incomplete jobs are among the
+// answered ones.
+type Counts struct {
+	Sent       int `json:"sent"`
+	Answered   int `json:"answered"`
+	InTime     int `json:"in_time"`
+	Refused    int `json:"refused"`
+	Failed     int `json:"failed"`
+	Unknown    int `json:"unknown"`
+	Broken     int `json:"broken"`
+	Unsent     int `json:"unsent"`
+	Wrong      int `json:"wrong"`
+	Incomplete int `json:"incomplete"`
+	Attempts   int `json:"attempts"`
+}
+
+// Percentiles of a time. Values are precise to about 1 in 1000.
+type Percentiles struct {
+	Count int64          `json:"count"`
+	P50   units.Duration `json:"p50"`
+	P90   units.Duration `json:"p90"`
+	P95   units.Duration `json:"p95"`
+	P99   units.Duration `json:"p99"`
+	Max   units.Duration `json:"max"`
+}
+
+// Row is the part of a summary for one pipeline or account, or for all.
+type Row struct {
+	Name string `json:"name"`
+	Counts
+	// Attainment is the share of jobs completely answered in time.
+	Attainment float64     `json:"attainment"`
+	Latency    Percentiles `json:"latency"`
+}
+
+// Summary is the result of a load.
+type Summary struct {
+	Label      string         `json:"label"`
+	Seed       uint64         `json:"seed"`
+	Took       units.Duration `json:"took"`
+	Total      Row            `json:"total"`
+	FirstToken Percentiles    `json:"first_token"`
+	TokenGap   Percentiles    `json:"token_gap"`
+	Pipelines  []Row          `json:"pipelines"`
+	Accounts   []Row          `json:"accounts"`
+	// Problems counts refusals and failures by type of problem.
+	Problems map[string]int `json:"problems"`
+}
+
+// Collector adds up reports. It is safe for concurrent use.
+type Collector struct {
+	mu        sync.Mutex
+	total     *tally
+	pipelines map[string]*tally
+	accounts  map[string]*tally
+	first     *hdrhistogram.Histogram
+	gap       *hdrhistogram.Histogram
+	problems  map[string]int
+}
+
+type tally struct {
+	counts  Counts
+	latency *hdrhistogram.Histogram
+}
+
+// histogram covers 1 us to 2 min with 3 significant digits.
+func histogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, (2 * time.Minute).Microseconds(), 3)
+}
+
+func newTally() *tally { return &tally{latency: histogram()} }
+
+// New returns an empty collector.
+func New() *Collector {
+	return &Collector{
+		total: newTally(), pipelines: map[string]*tally{}, accounts: map[string]*tally{},
+		first: histogram(), gap: histogram(), problems: map[string]int{},
+	}
+}
+
+// Add counts one report.
+func (c *Collector) Add(r agent.Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total.add(r)
+	of(c.pipelines, r.Pipeline).add(r)
+	of(c.accounts, r.Account).add(r)
+	if r.Problem != nil {
+		c.problems[r.Problem.Type]++
+	}
+	if r.Outcome != apiv1.Answered {
+		return
+	}
+	if r.First > 0 {
+		record(c.first, r.First)
+	}
+	for _, g := range r.Gaps {
+		record(c.gap, g)
+	}
+}
+
+func of(m map[string]*tally, name string) *tally {
+	if m[name] == nil {
+		m[name] = newTally()
+	}
+	return m[name]
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), h.HighestTrackableValue()))
+}
+
+func (t *tally) add(r agent.Report) {
+	n := &t.counts
+	n.Sent++
+	n.Attempts += r.Attempts
+	switch r.Outcome {
+	case apiv1.Answered:
+		n.Answered++
+		record(t.latency, r.Latency)
+	case apiv1.Refused:
+		n.Refused++
+	case apiv1.Failed:
+		n.Failed++
+	case apiv1.Unknown:
+		n.Unknown++
+	case agent.Broken:
+		n.Broken++
+	case agent.Unsent:
+		n.Unsent++
+	}
+	switch r.Flaw {
+	case agent.FlawWrong:
+		n.Wrong++
+	case agent.FlawIncomplete:
+		n.Incomplete++
+	}
+	if r.InTime {
+		n.InTime++
+	}
+}
+
+func (t *tally) row(name string) Row {
+	row := Row{Name: name, Counts: t.counts, Latency: percentiles(t.latency)}
+	if row.Sent > 0 {
+		row.Attainment = float64(row.InTime) / float64(row.Sent)
+	}
+	return row
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) units.Duration {
+		return units.Duration(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
+	}
+	return Percentiles{
+		Count: h.TotalCount(), P50: at(50), P90: at(90), P95: at(95), P99: at(99),
+		Max: units.Duration(time.Duration(h.Max()) * time.Microsecond),
+	}
+}
+
+// Summary returns the sums so far, rows sorted by name.
+func (c *Collector) Summary(label string, seed uint64, took time.Duration) Summary {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Summary{
+		Label: label, Seed: seed, Took: units.Duration(took.Round(time.Millisecond)),
+		Total: c.total.row("total"), FirstToken: percentiles(c.first), TokenGap: percentiles(c.gap),
+		Pipelines: rows(c.pipelines), Accounts: rows(c.accounts), Problems: maps.Clone(c.problems),
+	}
+}
+
+func rows(m map[string]*tally) []Row {
+	out := []Row{}
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[name].row(name))
+	}
+	return out
+}
--- a/caller/main.go
+++ b/caller/main.go
@@ -1,4 +1,10 @@
-// Command chive-call is part of chivepost.
+// Command chive-call calls pipelines, loads them and checks what became of the calls.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"chivepost/caller/cmd"
+)
+
+func main() { os.Exit(cmd.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/share/hosts/hosts.go
+++ b/share/hosts/hosts.go
@@ -45,14 +45,30 @@
 	Hosts   []Host `json:"hosts"`
 }
 
+// HeaderDataCentre names the data centre of the calling host.
+const HeaderDataCentre = "X-Data-Centre"
+
 // Client reads the host list over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base       string
+	http       *http.Client
+	dataCentre string
 }
 
+// Option changes a Client in New.
+type Option func(*Client)
+
+// WithDataCentre names the calling host's data centre in each call.
+func WithDataCentre(name string) Option { return func(c *Client) { c.dataCentre = name } }
+
 // New returns a client of the host list at base, such as "http://127.0.0.1:7001".
-func New(base string, client *http.Client) *Client { return &Client{base: base, http: client} }
+func New(base string, client *http.Client, opts ...Option) *Client {
+	c := &Client{base: base, http: client}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
 
 // Hosts reads the list once.
 func (c *Client) Hosts(ctx context.Context) (List, error) {
@@ -60,6 +76,7 @@
 	if err != nil {
 		return List{}, fmt.Errorf("build host list request: %w", err)
 	}
+	req.Header.Set(HeaderDataCentre, c.dataCentre)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return List{}, fmt.Errorf("read host list: %w", err)
--- a/share/logsvc/logsvc.go
+++ b/share/logsvc/logsvc.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -43,14 +44,30 @@
 	Records []Record `json:"records"`
 }
 
+// HeaderDataCentre names the data centre of the calling host.
+const HeaderDataCentre = "X-Data-Centre"
+
 // Client calls the log service over HTTP.
 type Client struct {
-	base string
-	http *http.Client
+	base       string
+	http       *http.Client
+	dataCentre string
 }
 
+// Option changes a Client in New.
+type Option func(*Client)
+
+// WithDataCentre names the calling host's data centre in each call.
+func WithDataCentre(name string) Option { return func(c *Client) { c.dataCentre = name } }
+
 // New returns a client of the log service at base, such as "http://127.0.0.1:7000".
-func New(base string, client *http.Client) *Client { return &Client{base: base, http: client} }
+func New(base string, client *http.Client, opts ...Option) *Client {
+	c := &Client{base: base, http: client}
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
 
 // Append adds records as one append and returns the offset of the first. The
 // error is ErrUnavailable when nothing was appended, else ErrUnknown.
@@ -66,7 +83,11 @@
 		return 0, fmt.Errorf("build append: %w", err)
 	}
 	req.GetBody = nil // The HTTP client must not repeat an append by itself.
+	req.Header.Set(HeaderDataCentre, c.dataCentre)
 	resp, err := c.http.Do(req)
+	if isDial(err) {
+		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrUnavailable, err)
+	}
 	if err != nil {
 		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrUnknown, err)
 	}
@@ -99,6 +120,7 @@
 	if err != nil {
 		return Page{}, fmt.Errorf("build read: %w", err)
 	}
+	req.Header.Set(HeaderDataCentre, c.dataCentre)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return Page{}, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, err)
@@ -118,6 +140,12 @@
 	return c.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
 }
 
+// isDial reports whether no connection was made, so that nothing can have been sent.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // closeBody drains a little of the body first so that the connection can be reused.
 func closeBody(resp *http.Response) {
 	_, _ = io.CopyN(io.Discard, resp.Body, 4096)
--- a/stand/internal/hostd/hostd.go
+++ b/stand/internal/hostd/hostd.go
@@ -29,6 +29,8 @@
 type Faults struct {
 	// Down answers 503 to readers; changes are still taken.
 	Down bool `json:"down"`
+	// Cut breaks the connections of readers in these data centres.
+	Cut []string `json:"cut"`
 	// Delay is waited before a read is served.
 	Delay units.Duration `json:"delay"`
 	// Lag replaces the bound for changes made from now on.
@@ -74,8 +76,11 @@
 	return r
 }
 
-func (s *Service) read(w http.ResponseWriter, _ *http.Request) {
+func (s *Service) read(w http.ResponseWriter, r *http.Request) {
 	faults := s.current()
+	if slices.Contains(faults.Cut, r.Header.Get(hosts.HeaderDataCentre)) {
+		serve.Drop()
+	}
 	if faults.Down {
 		serve.WriteError(w, http.StatusServiceUnavailable, "down")
 		return
--- a/stand/internal/logsrv/logsrv.go
+++ b/stand/internal/logsrv/logsrv.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
+	"chivepost/share/logsvc"
 	"chivepost/share/units"
 	"chivepost/stand/internal/serve"
 )
@@ -29,6 +31,8 @@
 type Faults struct {
 	// Down answers 503 to everything.
 	Down bool `json:"down"`
+	// Cut breaks the connections of callers in these data centres.
+	Cut []string `json:"cut"`
 	// Delay is waited before an append takes effect, also if the caller goes away,
 	// and before a read is served.
 	Delay units.Duration `json:"delay"`
@@ -97,8 +101,7 @@
 		Records [][]byte `json:"records"`
 	}
 	faults := s.current()
-	if faults.Down {
-		serve.WriteError(w, http.StatusServiceUnavailable, "down")
+	if !faults.admit(w, r) {
 		return
 	}
 	if !serve.ReadJSON(w, r, &body) {
@@ -156,8 +159,7 @@
 		return
 	}
 	faults := s.current()
-	if faults.Down {
-		serve.WriteError(w, http.StatusServiceUnavailable, "down")
+	if !faults.admit(w, r) {
 		return
 	}
 	time.Sleep(faults.Delay.Std())
@@ -177,13 +179,23 @@
 			return
 		}
 		// An outage that began during the wait must not pass for an empty stream.
-		if s.current().Down {
-			serve.WriteError(w, http.StatusServiceUnavailable, "down")
+		if !s.current().admit(w, r) {
 			return
 		}
 	}
 }
 
+// admit answers for a service that is down or cut off from the caller.
+func (f Faults) admit(w http.ResponseWriter, r *http.Request) bool {
+	if slices.Contains(f.Cut, r.Header.Get(logsvc.HeaderDataCentre)) {
+		serve.Drop()
+	}
+	if f.Down {
+		serve.WriteError(w, http.StatusServiceUnavailable, "down")
+	}
+	return !f.Down
+}
+
 func optionalInt(text string, or int) (int, error) {
 	if text == "" {
 		return or, nil
--- a/stand/internal/server/call.go
+++ b/stand/internal/server/call.go
@@ -16,19 +16,18 @@
 
 // call is one call in progress.
 type call struct {
-	t       *Target
-	id      string
-	input   string
-	work    string // The id under which the ledger counts the call.
-	faults  Faults
-	delay   time.Duration
-	ctx     context.Context
-	cancel  context.CancelFunc
-	inGate  bool
-	cold    bool
-	boot    string
-	state   target.State
-	started bool
+	t      *Target
+	id     string
+	input  string
+	work   string // The id under which the ledger counts the call.
+	faults Faults
+	delay  time.Duration
+	ctx    context.Context
+	cancel context.CancelFunc
+	inGate bool
+	cold   bool
+	boot   string
+	state  target.State
 }
 
 // outcomes of calls, in Finished events.
@@ -82,14 +81,13 @@
 	defer t.mu.Unlock()
 	c.faults = t.faults
 	c.boot, c.state = t.bootID(), t.state()
-	if c.faults.Down {
+	if t.cutOff(r) {
 		serve.Drop()
 	}
 	if t.fallen {
 		return errFallen
 	}
 	t.inFlight++
-	c.started = true
 	c.cold = t.cold
 	e := t.event(events.Started, c.id, c.input)
 	e.Load, e.Detail = t.inFlight, string(c.state)
@@ -102,6 +100,9 @@
 		if t.coldCalls > t.opts.Spec.ColdLimit {
 			t.fall()
 			t.inFlight--
+			done := t.event(events.Finished, c.id, c.input)
+			done.Load, done.Outcome = t.inFlight, outcomeFailed
+			t.opts.Events.Add(done)
 			return errFallen
 		}
 	}
@@ -138,6 +139,7 @@
 // refuse answers that nothing was run and finishes the call.
 func (c *call) refuse(w http.ResponseWriter, detail string) {
 	c.finish(outcomeRefused)
+	time.Sleep(c.delay)
 	c.stamp(w)
 	w.Header().Set(target.HeaderNotRun, "true")
 	serve.WriteError(w, http.StatusServiceUnavailable, detail)
@@ -183,6 +185,13 @@
 	return share > 0 && c.t.draw(fault, c.id) < share
 }
 
+// fail answers an error on command.
+func (c *call) fail(w http.ResponseWriter) {
+	time.Sleep(c.delay)
+	c.stamp(w)
+	serve.WriteError(w, http.StatusInternalServerError, "failed on command")
+}
+
 // answer is what a call is answered with.
 type answer struct {
 	id     string
--- a/stand/internal/server/complete.go
+++ b/stand/internal/server/complete.go
@@ -36,8 +36,7 @@
 		serve.Drop()
 	}
 	if c.hit("fail", c.faults.Fail) {
-		c.stamp(w)
-		serve.WriteError(w, http.StatusInternalServerError, "failed on command")
+		c.fail(w)
 		return
 	}
 	if sleep(c.ctx, c.faults.Late.Std()+c.delay) != nil {
--- a/stand/internal/server/faults.go
+++ b/stand/internal/server/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"chivepost/share/target"
 	"chivepost/share/units"
@@ -12,6 +13,8 @@
 type Faults struct {
 	// Down breaks each connection before any work.
 	Down bool `json:"down"`
+	// Cut breaks the connections of callers in these data centres.
+	Cut []string `json:"cut,omitempty"`
 	// Slow multiplies times; 0 and 1 change nothing.
 	Slow float64 `json:"slow"`
 	// Fail answers 500 in place of the result. A service has then not done the work.
@@ -37,6 +40,7 @@
 	// Restart ends all calls and starts the target anew, cold.
 	Restart     *bool           `json:"restart"`
 	Down        *bool           `json:"down"`
+	Cut         *[]string       `json:"cut"`
 	Slow        *float64        `json:"slow"`
 	Fail        *float64        `json:"fail"`
 	Refuse      *float64        `json:"refuse"`
@@ -51,6 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	set(&t.faults.Down, c.Down)
+	set(&t.faults.Cut, c.Cut)
 	set(&t.faults.Slow, c.Slow)
 	set(&t.faults.Fail, c.Fail)
 	set(&t.faults.Refuse, c.Refuse)
@@ -70,6 +75,12 @@
 	}
 }
 
+// cutOff reports whether the caller can't reach the target. The caller of cutOff
+// holds the lock.
+func (t *Target) cutOff(r *http.Request) bool {
+	return t.faults.Down || slices.Contains(t.faults.Cut, r.Header.Get(target.HeaderDataCentre))
+}
+
 func set[T any](to, from *T) {
 	if from != nil {
 		*to = *from
--- a/stand/internal/server/info.go
+++ b/stand/internal/server/info.go
@@ -80,7 +80,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.faults.Down {
+	if t.cutOff(r) {
 		serve.Drop()
 	}
 	w.Header().Set(target.HeaderState, string(t.state()))
--- a/stand/internal/server/run.go
+++ b/stand/internal/server/run.go
@@ -27,8 +27,7 @@
 		serve.Drop()
 	}
 	if c.hit("fail", c.faults.Fail) {
-		c.stamp(w)
-		serve.WriteError(w, http.StatusInternalServerError, "failed on command")
+		c.fail(w)
 		return
 	}
 	if t.opts.Spec.Kind == bundle.KindService {
--- a/stand/internal/server/state.go
+++ b/stand/internal/server/state.go
@@ -25,8 +25,9 @@
 	t.setCold(cold)
 }
 
-// bootID returns the id of this boot. The caller holds the lock.
-func (t *Target) bootID() string { return fmt.Sprintf("%s-%d", t.opts.Spec.Name, t.boots) }
+// bootID returns the id of this boot, which differs between processes too. The
+// caller holds the lock.
+func (t *Target) bootID() string { return fmt.Sprintf("%x-%d", t.started, t.boots) }
 
 // setCold turns the target cold, for the time of a cold start, or warm. The boot
 // stays the same. The caller holds the lock.
--- a/stand/internal/server/target.go
+++ b/stand/internal/server/target.go
@@ -47,6 +47,8 @@
 	cache  *prefix.Cache
 	ledger ledger
 
+	started int64 // Wall clock at the start, for boot ids only.
+
 	mu          sync.Mutex
 	boots       int
 	cold        bool
@@ -69,7 +71,10 @@
 // New returns a target in cold start, unless the options say otherwise.
 func New(opts Options) *Target {
 	s := opts.Spec
-	t := &Target{opts: opts, gate: gate.New(s.Limit, queueFactor*s.Limit), ledger: ledger{counts: map[string]int{}}}
+	t := &Target{
+		opts: opts, gate: gate.New(s.Limit, queueFactor*s.Limit),
+		ledger: ledger{counts: map[string]int{}}, started: time.Now().UnixNano(),
+	}
 	t.cache = prefix.New(prefix.Options{
 		Blocks:   s.Pace.CacheBlocks,
 		EventLag: s.Pace.EventLag.Std(),
