--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,10 @@
-// Command chive-entry is part of chivepost.
+// Command chive-entry is the daemon that runs on each entry host.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"chivepost/entry/cmd"
+)
+
+func main() { os.Exit(cmd.Execute(os.Args[1:])) }
