--- a/share/bundle/keys.go
+++ b/share/bundle/keys.go
@@ -15,10 +15,12 @@
 	Objective float64        `key:"objective" default:"0.99" check:"above=0,below=1" doc:"share of requests to answer within their deadline"`
 }
 
+// A home node counts an expired grant for as long as a call under it may run, so the
+// timeout has a bound of its own.
 type stageKeys struct {
 	Pool    string         `key:"pool" check:"required,name" doc:"pool whose targets run the stage"`
 	Model   string         `key:"model" doc:"model, adapter or version that the stage asks for"`
-	Timeout units.Duration `key:"timeout" check:"required,above=0s" doc:"bound of one attempt, at most the pipeline's deadline"`
+	Timeout units.Duration `key:"timeout" check:"required,above=0s,max=5s" doc:"bound of one attempt, at most the pipeline's deadline"`
 }
 
 // repeat has no default: a wrong guess either runs a call twice or claims every call.
@@ -38,7 +40,7 @@
 }
 
 type accountKeys struct {
-	Credential string `key:"credential" check:"required,sha256" doc:"hex SHA-256 of the account's secret"`
+	Credential string `key:"credential" check:"required,sha256,secret" doc:"hex SHA-256 of the account's secret"`
 	Share      int    `key:"share" default:"1" check:"min=1" doc:"weight against other accounts under load"`
 }
 
--- a/share/inicfg/scan.go
+++ b/share/inicfg/scan.go
@@ -91,8 +91,14 @@
 }
 
 func (s *scanner) read(line string) {
-	if bad := strings.IndexFunc(line, isControl); bad >= 0 || !utf8.ValidString(line) {
-		s.fault("", fmt.Sprintf("%q", line), "UTF-8 text without control characters")
+	// These two faults and the one of values on several lines do not show the line, which may
+	// hold a secret.
+	if !utf8.ValidString(line) {
+		s.fault("", "bytes that are not UTF-8", "UTF-8 text")
+		return
+	}
+	if i := strings.IndexFunc(line, isControl); i >= 0 {
+		s.fault("", fmt.Sprintf("a control character at byte %d", i+1), "text without control characters")
 		return
 	}
 	line = strings.TrimSpace(line)
@@ -128,7 +134,7 @@
 		s.fault("", fmt.Sprintf("%q", line), "a line such as key = value")
 		return
 	case strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
-		s.fault(key, fmt.Sprintf("%q", value), "a value on one line")
+		s.fault(key, "the start of a value on several lines", "a value on one line")
 		return
 	case len(s.file.Sections) == 0:
 		s.fault(key, "a key before the first section", "a section header such as [name] above it")
