Write documents back as service files and check quotes

An operator reads the configuration in force most easily in the form in which it was written. The INI library reads a value with an open quote on to the next line's quote and joins what follows a closing one; the scan reports both. Model names are words, so that they need no quotes.

--- a/share/bundle/bundle_suite_test.go
+++ b/share/bundle/bundle_suite_test.go
@@ -53,6 +53,14 @@
 		Expect(err).To(HaveOccurred())
 		Expect(err.Error() + "\n").To(golden.Match("testdata/bad.txt"))
 	})
+	It("are written back from a document", func() {
+		// Guards against config show printing another configuration than the one in force.
+		doc, err := bundle.ParseDir("testdata/good")
+		Expect(err).NotTo(HaveOccurred())
+		back, err := bundle.Parse(bundle.Source{Name: "shown", Data: []byte(bundle.Format(doc))})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(encode(back)).To(Equal(encode(doc)))
+	})
 	It("are missing", func() {
 		// Guards against publishing an empty configuration after a mistyped folder.
 		dir := GinkgoT().TempDir()
@@ -84,11 +92,13 @@
 	Entry("a credential of two accounts", account+strings.ReplaceAll(account, "kiosk", "market"), "found the value of account kiosk at f:2, want a credential of its own"),
 	Entry("cold_limit above limit", "[pool p]\nkind = engine\nrepeat = any\nlimit = 2\ncold_limit = 3\n", `f:5: [pool p] cold_limit: found "3", want at most limit = 2`),
 	Entry("a pool that says nothing of repeats", "[pool p]\nkind = engine\nlimit = 2\n", "[pool p] repeat: found nothing, want any or never"),
+	Entry("a model that could not be written back", "[stage p/a]\nmodel = \"m \\\" 1\"\n", `model: found "m \" 1", want text without spaces`),
 	Entry("a pool where there is none", "[target t]\npool = p\n", `unknown pool "p", want a section [pool p]`),
 )
 
 // FuzzParse guards against a crash on service files, and against a document that is
-// accepted here and refused by a host that reads it from the log.
+// accepted here and refused by a host that reads it from the log, or that is written
+// back in another form.
 func FuzzParse(f *testing.F) {
 	f.Add("[pool p]\nkind = stage\nrepeat = any\nlimit = 1\n")
 	f.Fuzz(func(t *testing.T, text string) {
@@ -106,5 +116,9 @@
 		if _, err := bundle.Decode(data); err != nil {
 			t.Fatalf("%q: %v", text, err)
 		}
+		back, err := bundle.Parse(bundle.Source{Name: "b", Data: []byte(bundle.Format(doc))})
+		if again, _ := json.Marshal(back); err != nil || string(again) != string(data) {
+			t.Fatalf("%q, written back as %q: %v", text, bundle.Format(doc), err)
+		}
 	})
 }
--- /dev/null
+++ b/share/bundle/format.go
@@ -0,0 +1,53 @@
+package bundle
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Format writes doc as one service file, which Parse reads back to an equal document
+// but for Out, which service files do not have.
+func Format(doc Doc) string {
+	var b strings.Builder
+	section := func(format string, args ...any) {
+		if b.Len() > 0 {
+			b.WriteString("\n")
+		}
+		fmt.Fprintf(&b, "["+format+"]\n", args...)
+	}
+	key := func(name string, value any) { fmt.Fprintf(&b, "%s = %v\n", name, value) }
+	for _, p := range doc.Pipelines {
+		section("pipeline %s", p.Name)
+		key("deadline", p.Deadline)
+		key("objective", p.Objective)
+		for _, s := range p.Stages {
+			section("stage %s/%s", p.Name, s.Name)
+			key("pool", s.Pool)
+			if s.Model != "" {
+				key("model", s.Model)
+			}
+			key("timeout", s.Timeout)
+		}
+	}
+	for _, p := range doc.Pools {
+		section("pool %s", p.Name)
+		key("kind", p.Kind)
+		key("repeat", map[bool]string{true: repeatAny, false: repeatNever}[p.Repeat])
+		key("checks_fence", p.ChecksFence)
+		key("limit", p.Limit)
+		key("cold_limit", p.ColdLimit)
+	}
+	for _, t := range doc.Targets {
+		section("target %s", t.Name)
+		key("pool", t.Pool)
+		key("data_centre", t.DataCentre)
+		key("region", t.Region)
+		key("address", t.Address)
+	}
+	for _, a := range doc.Accounts {
+		section("account %s", a.Name)
+		key("credential", a.Credential)
+		key("share", a.Share)
+	}
+	return b.String()
+}
--- a/share/bundle/keys.go
+++ b/share/bundle/keys.go
@@ -8,7 +8,10 @@
 	"chivepost/share/units"
 )
 
-const repeatAny = "any"
+const (
+	repeatAny   = "any"
+	repeatNever = "never"
+)
 
 type pipelineKeys struct {
 	Deadline  units.Duration `key:"deadline" check:"required,above=0s" doc:"longest deadline that a caller may ask for"`
@@ -19,7 +22,7 @@
 // timeout has a bound of its own.
 type stageKeys struct {
 	Pool    string         `key:"pool" check:"required,name" doc:"pool whose targets run the stage"`
-	Model   string         `key:"model" doc:"model, adapter or version that the stage asks for"`
+	Model   string         `key:"model" check:"word" doc:"model, adapter or version that the stage asks for"`
 	Timeout units.Duration `key:"timeout" check:"required,above=0s,max=5s" doc:"bound of one attempt, at most the pipeline's deadline"`
 }
 
--- a/share/inicfg/inicfg_suite_test.go
+++ b/share/inicfg/inicfg_suite_test.go
@@ -64,6 +64,7 @@
 	Entry("unknown names", "unknown", "[hots]\nname = a\n[host]\nname = a\naddrss = 127.0.0.1:1\n[timing]\nleese = 1s\n"),
 	Entry("names twice", "twice", "[host]\nname = a\nname = b\n[timing]\n[host]\nname = c\n"),
 	Entry("lines that are not INI", "lines", "name = a\n[host\nmode = fast\n[host] trailing\n[]\njust words\n= 3\n\"name\" = a\n- = x\n[host]\nname = \"\"\"a\nname = `a\naddress = a\x00b\nmode = \xff\n"),
+	Entry("quotes that do not match", "quotes", "[host]\nname = \"a\nmode = \"slack\" x\nlog_url = \"http://h\" ; \"c\"\n[peers]\nkey = \"a\\\"\n"),
 	Entry("a missing required key, and a secret not shown", "missing", "[peers]\nkey = hidden\n"),
 	Entry("a flag", "flag", "[host]\nname = a\n", inicfg.Override{Section: "timing", Key: "lease", Value: "1", From: "--lease"}),
 	Entry("a rule across keys", "across", "[host]\nname = a\n[timing]\n\nlease = 100ms\nmargin = 1s\n"),
@@ -74,11 +75,11 @@
 	// Guards against comments, quotes and special characters that change a value.
 	var s settings
 	_, err := inicfg.Parse("host.ini", []byte("\uFEFF# first\r\n[ host ] ; comment\r\nname=a.b-c_1 # comment\r\nlog_url = http://h/?a=b#c;d\r\n"+
-		"[peers]\nkey = \"  # ; = %(name)s \\ \"\nseeds = 127.0.0.1:1 ,127.0.0.1:2\n[limits]\nbody = 64 MiB\nshare = 2.5e-1\ntrace = true\n"), &s)
+		"[peers]\nkey = \"  # ; = %(name)s \\ \\\" \" ; \"c\"\nseeds = 127.0.0.1:1 ,127.0.0.1:2\n[limits]\nbody = 64 MiB\nshare = 2.5e-1\ntrace = true\n"), &s)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(s.Host.Name).To(Equal("a.b-c_1"))
 	Expect(s.Host.LogURL).To(Equal("http://h/?a=b#c;d"))
-	Expect(s.Peers.Key).To(Equal(`  # ; = %(name)s \ `))
+	Expect(s.Peers.Key).To(Equal(`  # ; = %(name)s \ " `))
 	Expect(s.Peers.Seeds).To(Equal([]string{"127.0.0.1:1", "127.0.0.1:2"}))
 	Expect(s.Limits.Body).To(Equal(64 * inicfg.Size(1<<20)))
 	Expect(s.Limits.Share).To(Equal(0.25))
--- a/share/inicfg/rule.go
+++ b/share/inicfg/rule.go
@@ -20,6 +20,7 @@
 
 var (
 	nameForm       = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	wordForm       = regexp.MustCompile("^[^\\s\"'`#;\\\\]+$")
 	credentialForm = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
@@ -35,6 +36,7 @@
 	"address": {accepts: "an ip:port such as 127.0.0.1:7000", holds: func(_ reflect.Value, text string) bool { return isAddress(text) }},
 	"url":     {accepts: "a URL such as http://127.0.0.1:7000", holds: func(_ reflect.Value, text string) bool { return isURL(text) }},
 	"sha256":  {accepts: "64 lower-case hex digits, the SHA-256 of the secret", holds: func(_ reflect.Value, text string) bool { return credentialForm.MatchString(text) }},
+	"word":    {accepts: "text without spaces, quotes, backslashes, '#' and ';'", holds: func(_ reflect.Value, text string) bool { return wordForm.MatchString(text) }},
 	"addresses": {accepts: "a list of ip:port separated by commas", holds: func(v reflect.Value, _ string) bool {
 		return !slices.ContainsFunc(v.Interface().([]string), func(a string) bool { return !isAddress(a) })
 	}},
--- a/share/inicfg/scan.go
+++ b/share/inicfg/scan.go
@@ -140,6 +140,11 @@
 		s.fault(key, "a key before the first section", "a section header such as [name] above it")
 		return
 	}
+	value, ok = unquotedTail(value)
+	if !ok {
+		s.fault(key, "a quoted value with no end or with text after it", `a value such as "text", with \" for a quote in it`)
+		return
+	}
 	section := &s.file.Sections[len(s.file.Sections)-1]
 	if first, ok := section.Entry(key); ok {
 		s.fault(key, fmt.Sprintf("the key a second time, first at %s:%d", s.file.Name, first.Line), "each key once")
@@ -149,6 +154,24 @@
 	fmt.Fprintf(&s.clean, "%s = %s\n", key, value)
 }
 
+// unquotedTail cuts the comment off a value in double quotes and reports whether nothing
+// else follows them. The library would read on, to the last quote of the line or the next.
+func unquotedTail(value string) (string, bool) {
+	if !strings.HasPrefix(value, `"`) {
+		return value, true
+	}
+	for i := 1; i < len(value); i++ {
+		switch value[i] {
+		case '\\':
+			i++
+		case '"':
+			rest := strings.TrimSpace(value[i+1:])
+			return value[:i+1], rest == "" || rest[0] == '#' || rest[0] == ';'
+		}
+	}
+	return value, false
+}
+
 func isWord(key string) bool {
 	return key != "" && strings.IndexFunc(key, func(r rune) bool {
 		return r != '_' && r != '-' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
--- a/share/inicfg/table.go
+++ b/share/inicfg/table.go
@@ -33,8 +33,8 @@
 // `key:"name"` and, as needed, `default:"..."`, `doc:"..."` and `check:"..."`.
 //
 // The checks, separated by commas, are required, secret (not printed), min=, max=,
-// above=, below= (numbers, durations, sizes), oneof=a|b, name, address, addresses,
-// url and sha256. Types are string, bool, int, int64, float64, []string,
+// above=, below= (numbers, durations, sizes), oneof=a|b, name, word, address,
+// addresses, url and sha256. Types are string, bool, int, int64, float64, []string,
 // time.Duration, units.Duration, Size and any encoding.TextUnmarshaler.
 // The error says which field of the struct is at fault.
 func Table(dst any) ([]Group, error) {
