--- a/share/inicfg/scan.go
+++ b/share/inicfg/scan.go
@@ -91,8 +91,14 @@
 }
 
 func (s *scanner) read(line string) {
-	if bad := strings.IndexFunc(line, isControl); bad >= 0 || !utf8.ValidString(line) {
-		s.fault("", fmt.Sprintf("%q", line), "UTF-8 text without control characters")
+	// These two faults and the one of values on several lines do not show the line, which may
+	// hold a secret.
+	if !utf8.ValidString(line) {
+		s.fault("", "bytes that are not UTF-8", "UTF-8 text")
+		return
+	}
+	if i := strings.IndexFunc(line, isControl); i >= 0 {
+		s.fault("", fmt.Sprintf("a control character at byte %d", i+1), "text without control characters")
 		return
 	}
 	line = strings.TrimSpace(line)
@@ -128,12 +134,17 @@
 		s.fault("", fmt.Sprintf("%q", line), "a line such as key = value")
 		return
 	case strings.HasPrefix(value, `"""`) || strings.HasPrefix(value, "`"):
-		s.fault(key, fmt.Sprintf("%q", value), "a value on one line")
+		s.fault(key, "the start of a value on several lines", "a value on one line")
 		return
 	case len(s.file.Sections) == 0:
 		s.fault(key, "a key before the first section", "a section header such as [name] above it")
 		return
 	}
+	value, ok = unquotedTail(value)
+	if !ok {
+		s.fault(key, "a quoted value with no end or with text after it", `a value such as "text", with \" for a quote in it`)
+		return
+	}
 	section := &s.file.Sections[len(s.file.Sections)-1]
 	if first, ok := section.Entry(key); ok {
 		s.fault(key, fmt.Sprintf("the key a second time, first at %s:%d", s.file.Name, first.Line), "each key once")
@@ -143,6 +154,24 @@
 	fmt.Fprintf(&s.clean, "%s = %s\n", key, value)
 }
 
+// unquotedTail cuts the comment off a value in double quotes and reports whether nothing
+// else follows them. The library would read on, to the last quote of the line or the next.
+func unquotedTail(value string) (string, bool) {
+	if !strings.HasPrefix(value, `"`) {
+		return value, true
+	}
+	for i := 1; i < len(value); i++ {
+		switch value[i] {
+		case '\\':
+			i++
+		case '"':
+			rest := strings.TrimSpace(value[i+1:])
+			return value[:i+1], rest == "" || rest[0] == '#' || rest[0] == ';'
+		}
+	}
+	return value, false
+}
+
 func isWord(key string) bool {
 	return key != "" && strings.IndexFunc(key, func(r rune) bool {
 		return r != '_' && r != '-' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
