--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -43,6 +43,11 @@
 	Add(pipeline, account string, good bool)
 }
 
+// Recorder takes events for an independent checker.
+type Recorder interface {
+	Add(e events.Event)
+}
+
 // Options bounds what callers may send.
 type Options struct {
 	Host       string
@@ -58,15 +63,15 @@
 	leaver Leaver
 	burner Burner
 	handle chain.Next
-	record *events.Log
+	record Recorder
 	log    logr.Logger
 	runs   runIDs
 	counts *counts
 }
 
-// NewCaller returns the handler for callers. handle runs a request; record may be nil.
+// NewCaller returns the handler for callers. handle runs a request.
 func NewCaller(opts Options, config Config, naming Naming, leaver Leaver, burner Burner, handle chain.Next,
-	record *events.Log, log logr.Logger,
+	record Recorder, log logr.Logger,
 ) *Caller {
 	if opts.MaxBody == 0 {
 		opts.MaxBody = 1 << 20
--- a/entry/internal/stage/stage.go
+++ b/entry/internal/stage/stage.go
@@ -32,6 +32,11 @@
 	Sent(target string)
 }
 
+// Recorder takes events for an independent checker.
+type Recorder interface {
+	Add(e events.Event)
+}
+
 // Ticket is the right to send a call that may run at most once.
 type Ticket interface {
 	Confirm() error
@@ -74,14 +79,14 @@
 	targets  target.Caller
 	observer Observer
 	budget   Budget
-	record   *events.Log
+	record   Recorder
 	host     string
 
 	opened, closed, open atomic.Int64
 }
 
-// New returns a Runner of the entry host called host. record may be nil.
-func New(host string, q Queue, targets target.Caller, observer Observer, budget Budget, record *events.Log) *Runner {
+// New returns a Runner of the entry host called host.
+func New(host string, q Queue, targets target.Caller, observer Observer, budget Budget, record Recorder) *Runner {
 	return &Runner{queue: q, targets: targets, observer: observer, budget: budget, record: record, host: host}
 }
 
