Admit by the queue's own wait and match free slots to prefixes

Cause: any waiting call of another account made the share rule refuse, so queues held calls for 30 ms while 1.7 s of slack stayed unused, and a free slot had no calls to choose from. Quantiles of past waits lag by the wait itself.

Among the lines with units left, a job whose prefix is cached at a free target goes first. A call leaves its region only for a target with an eighth of its slots free.

--- /dev/null
+++ b/entry/internal/bench/result.go
@@ -0,0 +1,227 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"chivepost/entry/internal/route"
+)
+
+// Count is what became of requests. Missed are those accepted and not wholly
+// answered in time.
+type Count struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Missed   int `json:"missed"`
+}
+
+// Attainment returns the part of the requests sent that were answered in time.
+func (c Count) Attainment() float64 { return ratio(float64(c.Answered), float64(c.Sent)) }
+
+func (c *Count) add(o Count) {
+	c.Sent += o.Sent
+	c.Answered += o.Answered
+	c.Refused += o.Refused
+	c.Missed += o.Missed
+}
+
+// Run is the result of one scenario with one policy and one seed, or the sum over
+// seeds. Busy and Wasted are accelerator seconds, of all requests and of those
+// missed.
+type Run struct {
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Seeds    int    `json:"seeds"`
+	Count
+	Busy       float64          `json:"busy_seconds"`
+	Wasted     float64          `json:"wasted_seconds"`
+	Recomputed int64            `json:"recomputed_tokens"`
+	CrossBytes int64            `json:"cross_region_bytes"`
+	FallOvers  int              `json:"fall_overs"`
+	Retries    int              `json:"retries"`
+	Accounts   map[string]Count `json:"accounts"`
+	// Seconds counts requests by the second of their arrival.
+	Seconds []Count `json:"seconds"`
+}
+
+// Add sums another seed's run into r.
+func (r *Run) Add(o Run) {
+	r.Scenario, r.Policy = o.Scenario, o.Policy
+	r.Seeds += o.Seeds
+	r.add(o.Count)
+	r.Busy += o.Busy
+	r.Wasted += o.Wasted
+	r.Recomputed += o.Recomputed
+	r.CrossBytes += o.CrossBytes
+	r.FallOvers += o.FallOvers
+	r.Retries += o.Retries
+	if r.Accounts == nil {
+		r.Accounts = map[string]Count{}
+	}
+	for name, c := range o.Accounts {
+		sum := r.Accounts[name]
+		sum.add(c)
+		r.Accounts[name] = sum
+	}
+	for len(r.Seconds) < len(o.Seconds) {
+		r.Seconds = append(r.Seconds, Count{})
+	}
+	for i, c := range o.Seconds {
+		r.Seconds[i].add(c)
+	}
+}
+
+// TokensPerAnswer returns the recomputed prefix tokens per answer in time.
+func (r *Run) TokensPerAnswer() float64 { return ratio(float64(r.Recomputed), float64(r.Answered)) }
+
+// BytesPerAnswer returns the bytes across regions per answer in time.
+func (r *Run) BytesPerAnswer() float64 { return ratio(float64(r.CrossBytes), float64(r.Answered)) }
+
+// between counts the requests that arrived from one time to another.
+func (r *Run) between(from, to time.Duration) Count {
+	var sum Count
+	for i := int(from / time.Second); i < int(to/time.Second) && i < len(r.Seconds); i++ {
+		sum.add(r.Seconds[i])
+	}
+	return sum
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Report is one comparison: all policies over the same scenarios and seeds.
+type Report struct {
+	Runs []Run `json:"runs"`
+	Aims []Aim `json:"aims"`
+}
+
+// Aim is a figure beside what it should be.
+type Aim struct {
+	Name   string  `json:"name"`
+	Want   string  `json:"want"`
+	Figure float64 `json:"figure"`
+	Met    bool    `json:"met"`
+}
+
+// WriteJSON writes the report as one JSON document.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
+
+// WriteTable writes the report as two tables.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.Debug)
+	header := "scenario policy sent attained refused missed wasted tokens/answer bytes/answer fall_overs retries"
+	_, _ = fmt.Fprintln(t, strings.ReplaceAll(header, " ", "\t "))
+	for _, u := range r.Runs {
+		_, _ = fmt.Fprintf(t, "%s\t %s\t %d\t %.1f%%\t %.1f%%\t %.1f%%\t %.1f%%\t %.0f\t %.0f\t %d\t %d\n",
+			u.Scenario, u.Policy, u.Sent, 100*u.Attainment(), 100*ratio(float64(u.Refused), float64(u.Sent)),
+			100*ratio(float64(u.Missed), float64(u.Sent)), 100*ratio(u.Wasted, u.Busy),
+			u.TokensPerAnswer(), u.BytesPerAnswer(), u.FallOvers, u.Retries)
+	}
+	_, _ = fmt.Fprintln(t)
+	_, _ = fmt.Fprintln(t, "aim\t want\t figure\t met")
+	for _, a := range r.Aims {
+		_, _ = fmt.Fprintf(t, "%s\t %s\t %.3f\t %t\n", a.Name, a.Want, a.Figure, a.Met)
+	}
+	return t.Flush()
+}
+
+// Judge fills in the aims whose scenarios were run.
+func (r *Report) Judge(pools []Pool) {
+	r.judgeOpening("", clientSuffix)
+	r.judgeOpening(", shared slots", "")
+	r.judgeWaste()
+	r.judgeCentre(pools)
+	r.judgeAccounts()
+}
+
+func (r *Report) find(scenario, policy string) *Run {
+	i := slices.IndexFunc(r.Runs, func(u Run) bool { return u.Scenario == scenario && u.Policy == policy })
+	if i < 0 {
+		return nil
+	}
+	return &r.Runs[i]
+}
+
+func (r *Report) aim(name, want string, figure float64, met bool) {
+	r.Aims = append(r.Aims, Aim{Name: name, Want: want, Figure: figure, Met: met})
+}
+
+// judgeOpening compares with the better baseline, for each aim the lower figure of
+// the two.
+func (r *Report) judgeOpening(kind, suffix string) {
+	own := r.find(OpeningHour, route.Chivepost)
+	rr, lo := r.find(OpeningHour, route.RoundRobin+suffix), r.find(OpeningHour, route.LeastOutstanding+suffix)
+	if own == nil || rr == nil || lo == nil {
+		return
+	}
+	missed := ratio(float64(own.Missed), float64(min(rr.Missed, lo.Missed)))
+	r.aim("misses at 1.3 times the capacity, part of the baseline's"+kind, "<= 0.200", missed, missed <= 0.2)
+	gain := 100 * (own.Attainment() - max(rr.Attainment(), lo.Attainment()))
+	r.aim("attainment above the baseline's, points"+kind, ">= 20", gain, gain >= 20)
+	tokens := ratio(own.TokensPerAnswer(), min(rr.TokensPerAnswer(), lo.TokensPerAnswer()))
+	r.aim("recomputed prefix tokens per answer, part of the baseline's"+kind, "<= 0.500", tokens, tokens <= 0.5)
+	total := ratio(float64(own.Recomputed), float64(min(rr.Recomputed, lo.Recomputed)))
+	r.aim("recomputed prefix tokens in all, part of the baseline's"+kind, "<= 0.500", total, total <= 0.5)
+	bytes := ratio(float64(own.CrossBytes), float64(min(rr.CrossBytes, lo.CrossBytes)))
+	r.aim("bytes across regions in all, part of the baseline's"+kind, "<= 1.000", bytes, bytes <= 1)
+}
+
+func (r *Report) judgeWaste() {
+	if own := r.find(OpeningHour, route.Chivepost); own != nil {
+		wasted := 100 * ratio(own.Wasted, own.Busy)
+		r.aim("accelerator seconds of requests that miss, per cent", "< 2", wasted, wasted < 2)
+	}
+}
+
+// judgeCentre measures the time with a data centre out against what the remaining
+// targets are rated for, and the return to the former level.
+func (r *Report) judgeCentre(pools []Pool) {
+	own := r.find(CentreOut, route.Chivepost)
+	if own == nil || len(own.Seconds) <= int(BackAt/time.Second) {
+		return
+	}
+	out := own.between(OutAt, BackAt)
+	bears := min(float64(out.Sent), float64(own.Seeds)*Capacity(pools, OutRegion)*(BackAt-OutAt).Seconds())
+	attained := 100 * ratio(float64(out.Answered), bears)
+	r.aim("answers with a data centre out, per cent of the remaining capacity", ">= 97", attained, attained >= 97)
+	before := own.between(5*time.Second, OutAt)
+	after := own.between(BackAt+10*time.Second, BackAt+15*time.Second)
+	level := 100 * (after.Attainment() - before.Attainment())
+	r.aim("attainment 10 s after the return against before, points", ">= -1", level, level >= -1)
+	r.aim("targets above their cold limit", "0", float64(own.FallOvers), own.FallOvers == 0)
+}
+
+// judgeAccounts compares the small accounts' attainment with large accounts that
+// send little and with ones that send too much.
+func (r *Report) judgeAccounts() {
+	quiet := r.find(OpeningQuiet, route.Chivepost)
+	if quiet == nil {
+		return
+	}
+	for _, name := range []string{OpeningHour, OneLarge} {
+		loud := r.find(name, route.Chivepost)
+		if loud == nil {
+			continue
+		}
+		var worst float64
+		for _, a := range accounts(1)[2:] {
+			loss := 100 * (quiet.Accounts[a.Name].Attainment() - loud.Accounts[a.Name].Attainment())
+			worst = max(worst, loss)
+		}
+		r.aim("points that large accounts cost a small one, "+name, "<= 2", worst, worst <= 2)
+	}
+}
--- a/entry/internal/queue/pool.go
+++ b/entry/internal/queue/pool.go
@@ -16,9 +16,12 @@
 	since time.Time
 	// latest is when service must start; zero means any time.
 	latest time.Time
-	ready  chan struct{}
-	slot   Slot
-	err    error
+	// home names the target that is likely to have the prefix, once it is known.
+	home      string
+	homeKnown bool
+	ready     chan struct{}
+	slot      Slot
+	err       error
 }
 
 func (w *waiter) finish(s Slot, err error) {
@@ -30,6 +33,13 @@
 	return !w.latest.IsZero() && now.After(w.latest)
 }
 
+// isUrgent reports whether the job must be served before others with a longer
+// slack.
+func (w *waiter) isUrgent(now time.Time) bool {
+	const margin = 100 * time.Millisecond
+	return !w.latest.IsZero() && w.latest.Sub(now) < margin
+}
+
 // before orders the jobs of one account: priority, then slack. The slack of all
 // jobs shrinks alike, so the order never changes while they wait.
 func before(a, b *waiter) int {
@@ -66,6 +76,79 @@
 	waiting int
 	wanted  int
 	view    []route.Target
+	// all and byAccount measure how many jobs are served.
+	all       meter
+	byAccount map[string]*meter
+}
+
+// meterSpan is the time over which a meter averages: long enough for some calls
+// of a slow pool, short against the deadline.
+const meterSpan = 2 * time.Second
+
+// meter measures a rate as an exponentially decaying count.
+type meter struct {
+	count float64
+	at    time.Time
+}
+
+func (m *meter) decay(now time.Time) {
+	m.count *= math.Exp(-now.Sub(m.at).Seconds() / meterSpan.Seconds())
+	m.at = now
+}
+
+// rate returns the events a second.
+func (m *meter) rate(now time.Time) float64 {
+	m.decay(now)
+	return m.count / meterSpan.Seconds()
+}
+
+// served counts one job of the account.
+func (p *pool) served(account string, now time.Time) {
+	m := p.byAccount[account]
+	if m == nil {
+		p.forgetIdle(now)
+		m = &meter{at: now}
+		p.byAccount[account] = m
+	}
+	m.decay(now)
+	m.count++
+	p.all.decay(now)
+	p.all.count++
+}
+
+// forgetIdle keeps the meters of accounts that no longer call from piling up.
+func (p *pool) forgetIdle(now time.Time) {
+	if len(p.byAccount) < 64+2*len(p.lines) {
+		return
+	}
+	for account, m := range p.byAccount {
+		if m.rate(now) < 0.01 {
+			delete(p.byAccount, account)
+		}
+	}
+}
+
+// wait estimates how long a new job of the account would wait: its line divided
+// by the rate at which the account is served. The rate is at least the account's
+// fair part of the pool's, which an account that begins to call will get.
+func (p *pool) wait(account string, share int, now time.Time) time.Duration {
+	l := p.lines[account]
+	if p.waiting == 0 || l == nil {
+		return 0
+	}
+	shares := 0.0
+	for _, o := range p.order {
+		shares += o.share
+	}
+	rate := p.all.rate(now) * float64(max(1, share)) / shares
+	if m := p.byAccount[account]; m != nil {
+		rate = max(rate, m.rate(now))
+	}
+	const most = time.Hour
+	if seconds := float64(len(l.jobs)) / rate; seconds < most.Seconds() {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return most
 }
 
 // add puts the job in line, or returns false when the pool or the line is full.
@@ -141,30 +224,35 @@
 }
 
 // next serves one job by deficit round robin, and returns false when no line can
-// be served. Each job costs one unit.
-func (p *pool) next(serve func(*line) bool) bool {
+// be served. Each job costs one unit. Among the lines with units left, one with a
+// job that prefers a free target goes first; the others keep their units.
+func (p *pool) next(prefers, serve func(*line) bool) bool {
 	for range 2 {
-		for k := range p.order {
-			at := (p.cursor + k) % len(p.order)
-			l := p.order[at]
-			if l.deficit < 1 {
-				continue
-			}
-			// The cursor is set first, since serve removes a line that becomes empty.
-			p.cursor = at
-			if serve(l) {
-				l.deficit--
-				if l.deficit < 1 && len(l.jobs) > 0 {
-					p.cursor = at + 1
-				}
-				return true
-			}
+		if p.nextOf(prefers) || p.nextOf(serve) {
+			return true
 		}
 		p.refill()
 	}
 	return false
 }
 
+func (p *pool) nextOf(serve func(*line) bool) bool {
+	for k := range p.order {
+		at := (p.cursor + k) % len(p.order)
+		l := p.order[at]
+		if l.deficit < 1 || !serve(l) {
+			continue
+		}
+		l.deficit--
+		p.cursor = at
+		if l.deficit < 1 && len(l.jobs) > 0 {
+			p.cursor = at + 1
+		}
+		return true
+	}
+	return false
+}
+
 // refill adds as many rounds as the first of the spent lines needs. A round gives
 // the largest account one unit and the others a part of it, so that large shares
 // don't make long bursts.
--- a/entry/internal/queue/queue.go
+++ b/entry/internal/queue/queue.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,7 @@
 	policy route.Policy
 	logger logr.Logger
 	spill  time.Duration
+	homes  homes
 
 	mu     sync.Mutex
 	pools  map[string]*pool
@@ -93,6 +95,11 @@
 	ended  sync.WaitGroup
 }
 
+// homes is a policy that knows where the prefix of a call is likely to be cached.
+type homes interface {
+	Home(req route.Request, targets []route.Target) int
+}
+
 // New returns a queue that is to be closed.
 func New(opts Options, slots Slots, policy route.Policy, logger logr.Logger) *Queue {
 	if opts.MaxPool == 0 {
@@ -108,6 +115,7 @@
 	if s, ok := policy.(interface{ SpillWait() time.Duration }); ok {
 		q.spill = s.SpillWait()
 	}
+	q.homes, _ = policy.(homes)
 	q.ended.Go(func() {
 		for {
 			// The channel is read before the dispatch, so that a change during the
@@ -157,7 +165,7 @@
 	}
 	p := q.pools[job.Pool]
 	if p == nil {
-		p = &pool{name: job.Pool, lines: map[string]*line{}, plain: q.opts.Plain}
+		p = &pool{name: job.Pool, lines: map[string]*line{}, byAccount: map[string]*meter{}, plain: q.opts.Plain}
 		q.pools[job.Pool] = p
 	}
 	if !p.add(w, q.opts) {
@@ -240,12 +248,29 @@
 	}
 	if p.waiting > 0 {
 		p.view = append(p.view[:0], q.slots.View(p.name)...)
-		for p.waiting > 0 && p.hasFree() && p.next(func(l *line) bool { return q.serve(p, l, now) }) {
+		for p.waiting > 0 && p.hasFree() && p.next(
+			func(l *line) bool { return q.serveHome(p, l, now) },
+			func(l *line) bool { return q.serve(p, l, now) }) {
 		}
 	}
 	q.want(p)
 }
 
+// serveHome places one of the first jobs of the line at the target where its prefix
+// is cached, unless the first job can't wait any longer.
+func (q *Queue) serveHome(p *pool, l *line, now time.Time) bool {
+	const window = 32
+	if q.homes == nil || l.jobs[0].isUrgent(now) {
+		return false
+	}
+	for _, w := range l.jobs[:min(window, len(l.jobs))] {
+		if q.isHomeFree(p, w) && q.place(p, w, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // serve places one of the first jobs of the line. A job that no target can take
 // now, since it was tried there before or may not leave the region yet, does not
 // hold up those behind it.
@@ -259,11 +284,26 @@
 	return false
 }
 
-func (q *Queue) place(p *pool, w *waiter, now time.Time) bool {
-	req := route.Request{
+// isHomeFree reports whether the target that has the job's prefix has a free slot.
+func (q *Queue) isHomeFree(p *pool, w *waiter) bool {
+	if !w.homeKnown {
+		w.homeKnown = true
+		if i := q.homes.Home(q.request(p, w, 0), p.view); i >= 0 {
+			w.home = p.view[i].Name
+		}
+	}
+	return w.home != "" && slices.ContainsFunc(p.view, func(t route.Target) bool { return t.Free > 0 && t.Name == w.home })
+}
+
+func (q *Queue) request(p *pool, w *waiter, wait time.Duration) route.Request {
+	return route.Request{
 		Pool: p.name, Prefix: w.job.Prefix, DataCentre: q.opts.DataCentre, Region: q.opts.Region,
-		Wait: now.Sub(w.since), Exclude: w.job.Exclude,
+		Wait: wait, Exclude: w.job.Exclude,
 	}
+}
+
+func (q *Queue) place(p *pool, w *waiter, now time.Time) bool {
+	req := q.request(p, w, now.Sub(w.since))
 	for {
 		i := q.policy.Pick(req, p.view)
 		if i < 0 {
@@ -278,6 +318,7 @@
 		p.view[i].Free--
 		p.view[i].InUse++
 		p.remove(w)
+		p.served(w.job.Account, now)
 		w.finish(Slot{Hold: hold, Target: p.view[i], Waited: req.Wait}, nil)
 		return true
 	}
@@ -304,3 +345,14 @@
 	}
 	return p.waiting, own
 }
+
+// ExpectedWait estimates how long a new call of the account would wait for a slot
+// of the pool.
+func (q *Queue) ExpectedWait(pool, account string, share int) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if p := q.pools[pool]; p != nil {
+		return p.wait(account, share, time.Now())
+	}
+	return 0
+}
--- a/entry/internal/route/prefix.go
+++ b/entry/internal/route/prefix.go
@@ -14,6 +14,11 @@
 	tiers
 )
 
+// spareParts sets how many slots of a target of another region must be free before
+// a call goes there: one of so many. With one free slot the target is busy with
+// calls of its own region, which would then go elsewhere in turn.
+const spareParts = 8
+
 // prefixPolicy keeps the calls of one prefix on one target while that target is
 // not loaded above a bound, and keeps calls in their data centre and region.
 type prefixPolicy struct {
@@ -27,6 +32,27 @@
 // SpillWait returns the wait after which a call may go to another region.
 func (p *prefixPolicy) SpillWait() time.Duration { return p.opts.LinkCost }
 
+// Home returns the index of the warm target on which the prefix is likely to be
+// cached: the one that ranks highest in the nearest tier, free or not. It returns
+// -1 for a call without a prefix.
+func (*prefixPolicy) Home(req Request, targets []Target) int {
+	best, bestTier, bestScore := -1, tiers, uint64(0)
+	if req.Prefix == 0 {
+		return best
+	}
+	for i := range targets {
+		t := &targets[i]
+		if !t.isWarm() {
+			continue
+		}
+		tier, score := tierOf(&req, t), t.score(req.Prefix)
+		if tier < bestTier || tier == bestTier && score > bestScore {
+			best, bestTier, bestScore = i, tier, score
+		}
+	}
+	return best
+}
+
 // choice is the best target of one tier so far.
 type choice struct {
 	within, least, cold int
@@ -58,6 +84,9 @@
 			continue
 		}
 		tier := tierOf(&req, t)
+		if tier == tierOther && near && t.Free*spareParts < t.Limit {
+			continue
+		}
 		best[tier].add(i, t, bounds[tier], t.score(prefix))
 	}
 	farthest := tierRegion
