--- /dev/null
+++ b/entry/internal/front/operator.go
@@ -0,0 +1,151 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"chivepost/entry/internal/chain"
+	"chivepost/entry/internal/config"
+	"chivepost/share/apiv1"
+	"chivepost/share/bundle"
+	"chivepost/share/burn"
+	"chivepost/share/units"
+)
+
+// Publisher is the configuration controller as operators use it.
+type Publisher interface {
+	Current() (*bundle.Bundle, int64)
+	Author() string
+	Publish(ctx context.Context, base int64, author, publishID string, doc bundle.Doc) config.PublishResult
+	Confirmations() []config.Confirmation
+}
+
+// Reporter describes this host.
+type Reporter interface {
+	Status() apiv1.Status
+	Snapshot() burn.Snapshot
+	// Hosts names the entry hosts that must confirm a configuration.
+	Hosts() []string
+}
+
+// confirmBound is the time within which an accepted configuration is in force
+// everywhere; a publish waits that long for the hosts to confirm.
+const confirmBound = 4 * time.Second
+
+// Operator serves operators on their own listener.
+type Operator struct {
+	host      string
+	publisher Publisher
+	reporter  Reporter
+	maxBody   int64
+}
+
+// NewOperator returns the handler for operators of the entry host called host.
+func NewOperator(host string, publisher Publisher, reporter Reporter, maxBody int64) *Operator {
+	return &Operator{host: host, publisher: publisher, reporter: reporter, maxBody: maxBody}
+}
+
+// Router returns the routes for operators.
+func (o *Operator) Router() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(apiv1.PathPublish, o.publish).Methods(http.MethodPost)
+	r.HandleFunc(apiv1.PathConfig, o.config).Methods(http.MethodGet)
+	r.HandleFunc(apiv1.PathConfirmations, o.confirmations).Methods(http.MethodGet)
+	r.HandleFunc(apiv1.PathStatus, o.status).Methods(http.MethodGet)
+	r.HandleFunc(apiv1.PathBurn, o.burn).Methods(http.MethodGet)
+	r.Handle("/debug/vars", expvar.Handler()).Methods(http.MethodGet)
+	return r
+}
+
+func (o *Operator) publish(w http.ResponseWriter, r *http.Request) {
+	var body apiv1.Publish
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, o.maxBody)).Decode(&body); err != nil {
+		writeProblem(w, chain.Refused("", apiv1.ProblemBadRequest, http.StatusBadRequest, err.Error()).Problem)
+		return
+	}
+	res := o.publisher.Publish(r.Context(), body.Base, body.Author, body.PublishID, body.Doc)
+	switch res.Kind {
+	case config.Accepted:
+		writeJSON(w, http.StatusOK, o.await(r, res.Version))
+	case config.Lost:
+		writeJSON(w, http.StatusConflict, apiv1.PublishConflict{
+			Current: res.Version, Author: res.Author, Reason: "another change was made from the same version and came first",
+		})
+	case config.Rejected:
+		writeProblem(w, chain.Refused("", apiv1.ProblemBadRequest, http.StatusBadRequest, errText(res.Err)).Problem)
+	case config.LogDown:
+		writeProblem(w, chain.Refused("", apiv1.ProblemLogDown, http.StatusServiceUnavailable, errText(res.Err)).Problem)
+	default:
+		writeProblem(w, chain.Unknown("", apiv1.ProblemLogDown, http.StatusServiceUnavailable, errText(res.Err)).Problem)
+	}
+}
+
+// await waits until every host has confirmed the version, at most confirmBound.
+func (o *Operator) await(r *http.Request, version int64) apiv1.Published {
+	const step = 50 * time.Millisecond
+	for end := time.Now().Add(confirmBound); ; {
+		out := o.confirmedBy(version)
+		if len(out.Unconfirmed) == 0 || time.Now().After(end) {
+			return out
+		}
+		select {
+		case <-r.Context().Done():
+			return out
+		case <-time.After(step):
+		}
+	}
+}
+
+func (o *Operator) confirmedBy(version int64) apiv1.Published {
+	out := apiv1.Published{Version: version, Accepted: true, Confirmed: []apiv1.HostVersion{}, Unconfirmed: []string{}}
+	known := map[string]int64{o.host: version}
+	for _, c := range o.publisher.Confirmations() {
+		known[c.Host] = c.Version
+	}
+	for _, host := range o.reporter.Hosts() {
+		if known[host] >= version {
+			out.Confirmed = append(out.Confirmed, apiv1.HostVersion{Host: host, Version: known[host]})
+		} else {
+			out.Unconfirmed = append(out.Unconfirmed, host)
+		}
+	}
+	return out
+}
+
+func (o *Operator) config(w http.ResponseWriter, _ *http.Request) {
+	b, version := o.publisher.Current()
+	out := apiv1.Config{Version: version, Author: o.publisher.Author()}
+	if b != nil {
+		out.Doc = b.Doc()
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (o *Operator) confirmations(w http.ResponseWriter, _ *http.Request) {
+	_, version := o.publisher.Current()
+	out := apiv1.Confirmations{Version: version, Hosts: []apiv1.Confirmation{{Host: o.host, Version: version}}}
+	for _, c := range o.publisher.Confirmations() {
+		out.Hosts = append(out.Hosts, apiv1.Confirmation{Host: c.Host, Version: c.Version, Age: units.Duration(c.Age)})
+	}
+	writeJSON(w, http.StatusOK, out)
+}
+
+func (o *Operator) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.reporter.Status())
+}
+
+func (o *Operator) burn(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, apiv1.Burn{Host: o.host, Snapshot: o.reporter.Snapshot()})
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/entry/internal/node/history_test.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"chivepost/entry/internal/logfk"
+	"chivepost/share/apiv1"
+	"chivepost/share/bundle"
+	"chivepost/share/events"
+	"chivepost/share/hosts"
+	"chivepost/share/target"
+	"chivepost/share/units"
+)
+
+var (
+	histories = flag.Int("histories", 200, "number of randomised histories")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first history")
+	verbose   = flag.Bool("show-history", false, "print faults and sums of each history")
+)
+
+var suite *testing.T
+
+func TestNode(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+// fault is one thing that goes wrong in a history, for a while.
+type fault struct {
+	name  string
+	begin func(w *world, h *history)
+	end   func(w *world, h *history)
+}
+
+// history is one randomised run: its faults, callers and operators draw from
+// generators of their own, so that one does not change the others' numbers.
+type history struct {
+	seed  uint64
+	rng   *rand.Rand
+	names []string
+	// undo ends what a fault began.
+	undo []func()
+}
+
+func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
+
+// faults lists all faults. Each begins, lasts 1 to 12 s and ends.
+func faultList() []func(w *world, h *history) (name string, end func()) {
+	return []func(w *world, h *history) (string, func()){
+		func(w *world, h *history) (string, func()) {
+			name := pick(h.rng, w.entryNames())
+			p := w.proc(name)
+			if p == nil {
+				return "kill nobody", func() {}
+			}
+			w.kill(name)
+			return "kill " + name, func() { w.start(p.self) }
+		},
+		func(w *world, h *history) (string, func()) {
+			p := w.proc(pick(h.rng, w.entryNames()))
+			if p == nil {
+				return "pause nobody", func() {}
+			}
+			p.gate.pause()
+			return "pause " + p.self.Name, p.gate.resume
+		},
+		func(w *world, h *history) (string, func()) {
+			a, b := pick(h.rng, dataCentres), pick(h.rng, dataCentres)
+			w.cuts.set(a, b, a != b)
+			return "cut " + a + " to " + b, func() { w.cuts.set(a, b, false) }
+		},
+		func(w *world, h *history) (string, func()) {
+			a := pick(h.rng, dataCentres)
+			for _, b := range dataCentres {
+				w.cuts.set(a, b, a != b)
+				w.cuts.set(b, a, a != b)
+			}
+			var cut []*proc
+			for _, p := range w.live() {
+				if p.self.DataCentre == a {
+					p.log.SetCut(true)
+					cut = append(cut, p)
+				}
+			}
+			return "region " + a + " cut off, without the log", func() {
+				for _, b := range dataCentres {
+					w.cuts.set(a, b, false)
+					w.cuts.set(b, a, false)
+				}
+				for _, p := range cut {
+					p.log.SetCut(false)
+				}
+			}
+		},
+		func(w *world, _ *history) (string, func()) {
+			w.log.SetDown(true)
+			return "log down", func() { w.log.SetDown(false) }
+		},
+		func(w *world, h *history) (string, func()) {
+			d := time.Duration(100+h.rng.IntN(900)) * time.Millisecond
+			w.log.SetDelay(d)
+			return fmt.Sprintf("log slow by %s", d), func() { w.log.SetDelay(time.Millisecond) }
+		},
+		func(w *world, h *history) (string, func()) {
+			var faults []logfk.Fault
+			for range 5 + h.rng.IntN(20) {
+				faults = append(faults, logfk.Fault(h.rng.IntN(4)))
+			}
+			w.log.Inject(faults...)
+			return "log loses answers", func() {}
+		},
+		func(w *world, _ *history) (string, func()) {
+			w.list.mu.Lock()
+			w.list.down = true
+			w.list.mu.Unlock()
+			return "host list down", func() {
+				w.list.mu.Lock()
+				w.list.down = false
+				w.list.mu.Unlock()
+			}
+		},
+		func(w *world, h *history) (string, func()) {
+			t := pick(h.rng, w.doc.Targets)
+			w.byName[t.Name].set(target.StateCold, h.rng.IntN(2) == 0, w.record)
+			return t.Name + " cold", func() { w.byName[t.Name].set(target.StateWarm, false, w.record) }
+		},
+		func(w *world, h *history) (string, func()) {
+			t := pick(h.rng, w.doc.Targets)
+			w.setListed(t.Name, hosts.StateLeaving)
+			w.byName[t.Name].set(target.StateLeaving, false, w.record)
+			return t.Name + " leaving", func() {
+				w.setListed(t.Name, hosts.StateLive)
+				w.byName[t.Name].set(target.StateCold, true, w.record)
+				time.Sleep(3 * time.Second)
+				w.byName[t.Name].set(target.StateWarm, false, w.record)
+			}
+		},
+		func(w *world, h *history) (string, func()) {
+			dc := pick(h.rng, dataCentres)
+			w.race(h.rng, dc, true)
+			return dc + " taken out", func() { w.race(h.rng, dc, false) }
+		},
+	}
+}
+
+func (w *world) setListed(name string, state hosts.State) {
+	w.list.change(func(list []hosts.Host) []hosts.Host {
+		for i := range list {
+			if list[i].Name == name {
+				list[i].State = state
+			}
+		}
+		return list
+	})
+}
+
+// race lets two operators change the same data centre's state at two hosts from
+// one base version. At most one may win.
+func (w *world) race(rng *rand.Rand, dc string, out bool) {
+	procs := w.live()
+	if len(procs) < 2 {
+		return
+	}
+	rng.Shuffle(len(procs), func(i, j int) { procs[i], procs[j] = procs[j], procs[i] })
+	for i, p := range procs[:2] {
+		w.wait.Go(func() {
+			current, base := p.node.Config().Current()
+			if current == nil {
+				return
+			}
+			next, err := current.WithOut(dc, out)
+			if err != nil {
+				panic(err)
+			}
+			res, _ := w.publish(p, fmt.Sprintf("operator-%d", i), base, next.Doc())
+			if res.Accepted {
+				w.noteAccepted(res.Version, next)
+			}
+		})
+	}
+}
+
+// noteAccepted records a version that an operator has been told is accepted.
+func (w *world) noteAccepted(version int64, b *bundle.Bundle) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if version <= w.version {
+		return
+	}
+	w.version = version
+	out := ""
+	for _, dc := range b.Doc().Out {
+		out += dc + " "
+	}
+	w.record.Add(events.Event{Kind: events.Published, Version: version, Detail: out})
+}
+
+// caller sends one request to the end: it goes to another host after a refusal, a
+// failure or a broken connection, always with the same id.
+func (w *world) caller(rng *rand.Rand, n int, counts *counter) {
+	account := pick(rng, []string{"alpha", "beta", "gamma"})
+	pipelineName := pick(rng, []string{"letter", "booking", "booking"})
+	procs := w.live()
+	if len(procs) == 0 {
+		return
+	}
+	position, _ := pick(rng, procs).node.claims.Position()
+	body := apiv1.Request{ID: fmt.Sprintf("%d-%s%08d", position, account, n), Deadline: units.Duration(5 * time.Second)}
+	body.Input = target.NewInput("prefix", body.ID, fmt.Sprintf("question %d", n))
+	twice := rng.IntN(5) == 0
+	for range 4 {
+		p := pick(rng, procs)
+		if twice {
+			other := pick(rng, procs)
+			w.wait.Go(func() { w.sendOnce(other, account, pipelineName, body) })
+		}
+		outcome, answer, _ := w.sendOnce(p, account, pipelineName, body)
+		counts.add(outcome)
+		if outcome == apiv1.Answered {
+			if !answer.IsWhole() || answer.ID != body.ID || answer.Output != w.expected(pipelineName, body.Input) {
+				w.record.Add(events.Event{Kind: events.Got, Request: body.ID, Outcome: "wrong", Detail: answer.Output})
+			}
+			return
+		}
+		if outcome == apiv1.Unknown {
+			return
+		}
+		time.Sleep(time.Duration(100+rng.IntN(400)) * time.Millisecond)
+		if procs = w.live(); len(procs) == 0 {
+			return
+		}
+	}
+}
+
+// runHistory runs one history and returns what the audit found.
+func runHistory(seed uint64) (faults, names []string, sums map[apiv1.Outcome]int) {
+	w := newWorld(seed, 3)
+	h := &history{seed: seed, rng: rand.New(rand.NewPCG(seed, 2))}
+	counts := newCounter()
+	time.Sleep(3 * time.Second)
+	res, _ := w.publish(w.live()[0], "first", 0, w.doc)
+	first, err := bundle.New(w.doc)
+	if err != nil {
+		panic(err)
+	}
+	w.noteAccepted(res.Version, first)
+	time.Sleep(3 * time.Second)
+
+	load := rand.New(rand.NewPCG(seed, 3))
+	w.wait.Go(func() {
+		for n := range 150 {
+			rng := rand.New(rand.NewPCG(seed, uint64(100+n)))
+			w.wait.Go(func() { w.caller(rng, n, counts) })
+			time.Sleep(time.Duration(load.IntN(300)) * time.Millisecond)
+		}
+	})
+	kinds := faultList()
+	for range 2 + h.rng.IntN(3) {
+		start := time.Duration(h.rng.IntN(8000)) * time.Millisecond
+		lasts := time.Duration(1000+h.rng.IntN(11000)) * time.Millisecond
+		kind := h.rng.IntN(len(kinds))
+		own := &history{rng: rand.New(rand.NewPCG(h.rng.Uint64(), 4))}
+		w.wait.Go(func() {
+			time.Sleep(start)
+			name, end := kinds[kind](w, own)
+			w.mu.Lock()
+			h.names = append(h.names, fmt.Sprintf("%s at %s for %s", name, start, lasts))
+			w.mu.Unlock()
+			time.Sleep(lasts)
+			end()
+		})
+	}
+	w.wait.Wait()
+	time.Sleep(10 * time.Second)
+	w.stop()
+	a := &audit{lines: w.lines(), once: map[string]bool{"booking": true}, cold: map[string]int{}}
+	for _, t := range w.doc.Targets {
+		a.cold[t.Name] = poolOf(w.doc, t.Pool).ColdLimit
+	}
+	faults = a.run()
+	for _, e := range a.lines {
+		if e.Kind == events.Got {
+			faults = append(faults, "wrong answer to "+e.Request)
+		}
+	}
+	return faults, h.names, counts.sums()
+}
+
+// These histories guard against every breach that audit knows, under two to four
+// faults at once.
+var _ = It("keeps its promises in randomised histories", func() {
+	total := map[apiv1.Outcome]int{}
+	for i := range *histories {
+		seed := *firstSeed + uint64(i)
+		synctest.Test(suite, func(*testing.T) {
+			faults, names, sums := runHistory(seed)
+			for k, v := range sums {
+				total[k] += v
+			}
+			if *verbose {
+				fmt.Printf("seed %d: %v %v\n", seed, names, sums)
+			}
+			slices.Sort(names)
+			Expect(faults).To(BeEmpty(), "seed %d: %v", seed, names)
+		})
+	}
+	GinkgoWriter.Println("outcomes of all sends:", total)
+	Expect(total[apiv1.Answered]).To(BeNumerically(">", 100**histories), "most requests must be answered for the run to prove anything: %v", total)
+})
--- /dev/null
+++ b/entry/internal/node/node.go
@@ -0,0 +1,216 @@
+// Package node puts the controllers and the filter chain of one entry host
+// together from interfaces, so that many hosts can run in one process.
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/admit"
+	"chivepost/entry/internal/chain"
+	"chivepost/entry/internal/claims"
+	"chivepost/entry/internal/conf"
+	"chivepost/entry/internal/config"
+	"chivepost/entry/internal/ctrl"
+	"chivepost/entry/internal/drain"
+	"chivepost/entry/internal/front"
+	"chivepost/entry/internal/member"
+	"chivepost/entry/internal/pipe"
+	"chivepost/entry/internal/queue"
+	"chivepost/entry/internal/retry"
+	"chivepost/entry/internal/route"
+	"chivepost/entry/internal/slots"
+	"chivepost/entry/internal/stage"
+	"chivepost/share/bundle"
+	"chivepost/share/burn"
+	"chivepost/share/hosts"
+	"chivepost/share/logsvc"
+	"chivepost/share/target"
+)
+
+// Log is the platform's log service.
+type Log interface {
+	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
+	Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error)
+}
+
+// Lister is the platform's host list.
+type Lister interface {
+	Hosts(ctx context.Context) (hosts.List, error)
+}
+
+// Handler answers a message of a peer.
+type Handler func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)
+
+// Bus carries messages between entry hosts.
+type Bus interface {
+	Call(ctx context.Context, to hosts.Host, kind string, body, reply any) error
+	Handle(kind string, h func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error))
+}
+
+// Deps are what a node gets from outside.
+type Deps struct {
+	Settings    conf.Settings
+	Incarnation uint64
+	Seed        uint64
+	Log         Log
+	List        Lister
+	Bus         Bus
+	Targets     target.Caller
+	Record      stage.Recorder
+	Logger      logr.Logger
+}
+
+// Node is one entry host.
+type Node struct {
+	deps Deps
+	self hosts.Host
+
+	drain     *drain.Controller
+	members   *member.Controller
+	config    *config.Controller
+	claims    *claims.Controller
+	slots     *slots.Controller
+	queue     *queue.Queue
+	estimator *admit.Estimator
+	burn      *burn.Counter
+	run       chain.Next
+
+	// controllers in the order in which they are made; closed in reverse.
+	controllers []ctrl.Controller
+	ctx         context.Context
+	cancel      context.CancelFunc
+	ended       chan struct{}
+}
+
+// New builds and starts a node. It takes requests once its controllers are ready.
+func New(deps Deps) (*Node, error) {
+	s := deps.Settings
+	n := &Node{deps: deps, self: s.Host.Self(), burn: burn.New(time.Now), ended: make(chan struct{})}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	log := deps.Logger.WithValues("host", s.Host.Name)
+
+	n.drain = drain.New(drain.Options{Hold: s.Timing.Hold, Spread: s.Timing.Spread}, log.WithName("drain"))
+	n.members = member.New(member.Options{
+		Self: n.self, Incarnation: deps.Incarnation, ListLag: s.Timing.ListLag, ViewMax: s.Timing.ViewMax,
+		Poll: s.Timing.Poll, BeatEvery: s.Timing.Beat, Seed: deps.Seed,
+	}, deps.List, beater{deps.Bus}, n.beat, log.WithName("member"))
+	n.config = config.New(config.Options{
+		Host: s.Host.Name, ConfigMax: s.Timing.ConfigMax, Retention: s.Timing.Retention, Seed: deps.Seed,
+	}, deps.Log, puller{bus: deps.Bus, members: n.members}, n.members, log.WithName("config"))
+	n.claims = claims.New(claims.Options{Host: s.Host.Name, Incarnation: deps.Incarnation}, deps.Log, log.WithName("claims"))
+	n.slots = slots.New(slots.Options{
+		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Region: s.Host.Region,
+		Lease: s.Timing.Lease, Margin: s.Timing.Margin, AttemptBound: s.Timing.AttemptBound,
+		ListLag: s.Timing.ListLag, ViewMax: s.Timing.ViewMax,
+	}, n.members, granter{bus: deps.Bus, members: n.members}, deps.Targets, n.current, log.WithName("slots"))
+	n.controllers = []ctrl.Controller{n.drain, n.members, n.config, n.claims, n.slots}
+
+	if err := n.buildChain(log); err != nil {
+		n.closeControllers()
+		return nil, err
+	}
+	n.members.OnBeat(func(b member.Beat) { n.config.Observe(b.Host, b.ConfigVersion, b.LogAge) })
+	n.handlePeers()
+	go func() {
+		defer close(n.ended)
+		n.becomeReady()
+	}()
+	return n, nil
+}
+
+// buildChain lists the filters in the order in which a request passes them.
+func (n *Node) buildChain(log logr.Logger) error {
+	s := n.deps.Settings
+	policy, err := route.New(s.Routing.Policy, route.Options{})
+	if err != nil {
+		return err
+	}
+	plain := s.Routing.Policy != route.Chivepost
+	n.estimator = admit.NewEstimator()
+	n.queue = queue.New(queue.Options{
+		DataCentre: s.Host.DataCentre, Region: s.Host.Region, MaxPool: s.Limits.MaxQueue, Plain: plain,
+	}, holdSlots{n.slots}, policy, log.WithName("queue"))
+	budgets := retry.New(retry.Options{
+		P95: func(pool string) (time.Duration, bool) {
+			q := n.estimator.Service(pool)
+			return q.P95, q.Count > 0
+		},
+		Repeatable: func(pool string) bool {
+			p, ok := n.current().Pool(pool)
+			return ok && p.Repeat
+		},
+	})
+	attempts := stage.New(s.Host.Name, n.queue, n.deps.Targets, n.estimator, budgets, n.deps.Record)
+	runner := pipe.New(attempts, n.estimator, n.claims, budgets)
+	filters := []chain.Filter{
+		front.NewReady(n.drain, n.config, n),
+		front.NewDeadline(),
+		front.NewRepeat(),
+	}
+	if s.Routing.Admission && !plain {
+		filters = append(filters, admit.NewFilter(admit.Options{}, n.estimator, n.queue, log.WithName("admit")))
+	}
+	n.run = chain.New(filters, runner.Run)
+	return nil
+}
+
+// becomeReady moves the node to serving once there is a configuration.
+func (n *Node) becomeReady() {
+	for {
+		changed := n.config.Changed()
+		if b, _ := n.config.Current(); b != nil {
+			n.drain.Serve()
+			return
+		}
+		select {
+		case <-changed:
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
+// Run takes a request through the filter chain.
+func (n *Node) Run(ctx context.Context, req *chain.Request) chain.Outcome { return n.run(ctx, req) }
+
+// Config returns the configuration controller.
+func (n *Node) Config() *config.Controller { return n.config }
+
+// Burn returns the counter of good and bad outcomes.
+func (n *Node) Burn() *burn.Counter { return n.burn }
+
+// Drain returns the controller of the node's own state.
+func (n *Node) Drain() *drain.Controller { return n.drain }
+
+// Leave takes the node through a graceful shutdown and returns when no request
+// is in flight or ctx ends. Close is to be called after it.
+func (n *Node) Leave(ctx context.Context) error {
+	n.members.SetLeaving()
+	n.slots.Leave(ctx)
+	return n.drain.Leave(ctx)
+}
+
+// Close stops the node at once.
+func (n *Node) Close() {
+	n.cancel()
+	n.queue.Close()
+	n.closeControllers()
+	<-n.ended
+}
+
+func (n *Node) closeControllers() {
+	for i := len(n.controllers) - 1; i >= 0; i-- {
+		n.controllers[i].Close()
+	}
+}
+
+func (n *Node) current() *bundle.Bundle {
+	if n.config == nil {
+		return nil
+	}
+	b, _ := n.config.Current()
+	return b
+}
--- /dev/null
+++ b/entry/internal/node/report.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"math/rand/v2"
+
+	"chivepost/entry/internal/queue"
+	"chivepost/entry/internal/slots"
+	"chivepost/share/apiv1"
+	"chivepost/share/burn"
+	"chivepost/share/hosts"
+	"chivepost/share/units"
+)
+
+// maxAddresses bounds the addresses in one answer; a caller needs a few to try.
+const maxAddresses = 4
+
+// Addresses names the entry hosts that a caller of the account should use: in a
+// random order, so that a large account does not land on one host, those of this
+// region first.
+func (n *Node) Addresses(string) apiv1.Address {
+	position, _ := n.claims.Position()
+	return apiv1.Address{
+		Addresses: n.usable(""),
+		Hold:      units.Duration(n.deps.Settings.Timing.Hold),
+		Position:  position,
+	}
+}
+
+// Others names the entry hosts to use instead of this one.
+func (n *Node) Others() []string { return n.usable(n.self.Name) }
+
+// IsOut reports whether this host's data centre has been taken out.
+func (n *Node) IsOut() bool {
+	b := n.current()
+	return b != nil && b.IsOut(n.self.DataCentre)
+}
+
+func (n *Node) usable(except string) []string {
+	var near, far []string
+	b := n.current()
+	for _, h := range n.members.Entries() {
+		switch {
+		case h.Name == except, b != nil && b.IsOut(h.DataCentre):
+		case h.Region == n.self.Region:
+			near = append(near, h.Address)
+		default:
+			far = append(far, h.Address)
+		}
+	}
+	shuffle(near)
+	shuffle(far)
+	all := append(near, far...)
+	return all[:min(len(all), maxAddresses)]
+}
+
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// Hosts names the entry hosts that must confirm a configuration.
+func (n *Node) Hosts() []string {
+	var names []string
+	for _, h := range n.members.Entries() {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
+// Snapshot returns this host's part of the burn report.
+func (n *Node) Snapshot() burn.Snapshot { return n.burn.Snapshot() }
+
+// Status describes this host for operators.
+func (n *Node) Status() apiv1.Status {
+	_, version := n.config.Current()
+	out := apiv1.Status{
+		Host: n.self.Name, DataCentre: n.self.DataCentre, State: string(n.drain.State()), Ready: true,
+		Reasons: []string{}, Version: version, Controllers: map[string]apiv1.ControllerStatus{},
+	}
+	for _, c := range n.controllers {
+		s := c.Status()
+		out.Controllers[c.Name()] = apiv1.ControllerStatus{Ready: s.Ready, Reason: s.Reason, Detail: s.Detail}
+		if !s.Ready {
+			out.Ready = false
+			out.Reasons = append(out.Reasons, c.Name()+": "+s.Reason)
+		}
+	}
+	for _, t := range n.slots.Targets() {
+		out.Targets = append(out.Targets, targetStatus(t))
+	}
+	for _, h := range n.members.Peers() {
+		out.Hosts = append(out.Hosts, n.hostStatus(h))
+	}
+	return out
+}
+
+func targetStatus(t slots.TargetStatus) apiv1.TargetStatus {
+	return apiv1.TargetStatus{
+		Name: t.Name, Pool: t.Pool, DataCentre: t.DataCentre, State: string(t.State),
+		Limit: t.Limit, Granted: t.Granted, InUse: t.InUse, Home: t.Home,
+	}
+}
+
+func (n *Node) hostStatus(h hosts.Host) apiv1.HostStatus {
+	s := apiv1.HostStatus{Name: h.Name, DataCentre: h.DataCentre, Region: h.Region, State: string(h.State)}
+	for _, c := range n.config.Confirmations() {
+		if c.Host == h.Name {
+			s.Version, s.Age = c.Version, units.Duration(c.Age)
+		}
+	}
+	return s
+}
+
+// holdSlots gives the queue the slots controller's holds as its own interface.
+type holdSlots struct{ *slots.Controller }
+
+// Take takes a slot of the target.
+func (h holdSlots) Take(name string) (queue.Hold, bool) {
+	hold, ok := h.Controller.Take(name)
+	if !ok {
+		return nil, false
+	}
+	return hold, true
+}
--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,76 @@
+# Functions for starting a whole deployment of real processes on loopback.
+# Sourced by other scripts. OUT is the folder of the run; DEPLOYMENT names a
+# folder below deploy/.
+
+PIDS=()
+
+# start NAME COMMAND...: runs a program in the background with its output in OUT/log.
+start() {
+  local name=$1
+  shift
+  "$@" >"$OUT/log/$name.out" 2>"$OUT/log/$name.err" &
+  PIDS+=($!)
+  echo $! >"$OUT/pid/$name"
+}
+
+# stop_all ends everything that start began: first politely, then for good.
+# A stopped process must be continued before it can end.
+stop_all() {
+  local pid
+  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; done
+  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  PIDS=()
+}
+
+# wait_for SECONDS COMMAND...: repeats the command until it succeeds.
+wait_for() {
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    if [ "$SECONDS" -ge "$end" ]; then
+      echo "gave up waiting for: $*" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+# plan: picks free ports and writes all settings below OUT.
+plan() {
+  rm -rf "$OUT"
+  mkdir -p "$OUT/log" "$OUT/pid" "$OUT/events"
+  bin/chive-stand plan --deployment "deploy/$DEPLOYMENT" --out "$OUT"
+  # shellcheck disable=SC1091
+  . "$OUT/env"
+}
+
+# start_platform: the log service, the host list and the weight store.
+start_platform() {
+  start log bin/chive-stand log --listen "$LOG_ADDRESS" "$@"
+  start hosts bin/chive-stand hosts --listen "$HOSTS_ADDRESS" --file "$OUT/hosts.json"
+  start weights bin/chive-stand weights --listen "$WEIGHTS_ADDRESS"
+}
+
+# start_targets: one process for the targets of each data centre.
+start_targets() {
+  local dc
+  for dc in ${DATA_CENTRES//,/ }; do
+    start "targets-$dc" bin/chive-stand targets --file "$OUT/targets-$dc.json" \
+      --events "$OUT/events/targets-$dc.jsonl" --seed "${SEED:-1}" "$@"
+  done
+}
+
+# start_entry NAME: one entry host.
+start_entry() {
+  start "$1" bin/chive-entry serve "$OUT/entry-$1.ini"
+}
+
+# entry_names: the names of all entry hosts of the deployment.
+entry_names() {
+  local f
+  for f in "$OUT"/entry-*.ini; do
+    f=${f##*/entry-}
+    echo "${f%.ini}"
+  done
+}
