Add chivectl

Operators need to check service files, see what a publish would change, publish it against a base version, and take data centres out and back in. A publish is sent to the first host that takes a connection and never again once it may have been sent; the publish id in the configuration in force then tells what became of it.

--- /dev/null
+++ b/admin/cmd/dc.go
@@ -0,0 +1,98 @@
+package cmd
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"chivepost/admin/internal/delta"
+	"chivepost/admin/internal/exits"
+	"chivepost/admin/internal/oper"
+	"chivepost/share/apiv1"
+	"chivepost/share/bundle"
+	"chivepost/share/inicfg"
+)
+
+type dcCmd struct {
+	Out dcOutCmd `cmd:"" help:"Publish the configuration in force with the data centre out: it receives no new work." exits:"unreachable,conflict,refused,unknown,unconfirmed"`
+	In  dcInCmd  `cmd:"" help:"Publish the configuration in force with the data centre back in." exits:"unreachable,conflict,refused,unknown,unconfirmed"`
+}
+
+type dcArgs struct {
+	Name   string `arg:"" help:"Name of the data centre."`
+	Author string `name:"author" placeholder:"NAME" help:"Author of the change; the setting or user@host if not given."`
+}
+
+type (
+	dcOutCmd struct{ dcArgs }
+	dcInCmd  struct{ dcArgs }
+)
+
+// Run takes the data centre out.
+func (c *dcOutCmd) Run(r *run) error { return c.set(r, true) }
+
+// Run takes the data centre back in.
+func (c *dcInCmd) Run(r *run) error { return c.set(r, false) }
+
+func (a dcArgs) set(r *run, out bool) error {
+	current, err := r.client.Config(r.ctx)
+	if err != nil {
+		return err
+	}
+	if current.Version == 0 {
+		return oops.Code(exits.Refused).Errorf("there is no configuration to change")
+	}
+	if slices.Contains(current.Doc.Out, a.Name) == out {
+		return r.print(unchanged(current))
+	}
+	if out {
+		if err := a.known(r, current); err != nil {
+			return err
+		}
+	}
+	doc := current.Doc
+	doc.Out = slices.DeleteFunc(slices.Clone(doc.Out), func(dc string) bool { return dc == a.Name })
+	if out {
+		doc.Out = append(doc.Out, a.Name)
+		slices.Sort(doc.Out)
+	}
+	if _, err := bundle.New(doc); err != nil {
+		return oops.Code(exits.Invalid).Wrapf(err, "check configuration")
+	}
+	changes, err := delta.Between(current.Doc, doc)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	return r.publish(oper.Change{Base: current.Version, Author: r.author(a.Author), Doc: doc}, changes)
+}
+
+// known reports a name that neither a target nor an entry host has: a mistyped name would
+// leave the data centre in service without a word.
+func (a dcArgs) known(r *run, current apiv1.Config) error {
+	names := map[string]bool{}
+	for _, t := range current.Doc.Targets {
+		names[t.DataCentre] = true
+	}
+	if names[a.Name] {
+		return nil
+	}
+	answers, err := r.client.Status(r.ctx)
+	if err != nil {
+		return err
+	}
+	for _, answer := range answers {
+		names[answer.Value.DataCentre] = true
+		for _, h := range answer.Value.Hosts {
+			names[h.DataCentre] = true
+		}
+	}
+	delete(names, "")
+	if names[a.Name] {
+		return nil
+	}
+	all := slices.Sorted(maps.Keys(names))
+	return oops.Code(exits.Usage).Errorf("unknown data centre %q, want %q, the nearest of %s",
+		a.Name, inicfg.Nearest(a.Name, all), strings.Join(all, ", "))
+}
--- /dev/null
+++ b/admin/internal/oper/oper_suite_test.go
@@ -0,0 +1,101 @@
+package oper_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"chivepost/admin/internal/exits"
+	"chivepost/admin/internal/oper"
+)
+
+// doer answers in the place of the network.
+type doer func(req *http.Request) (*http.Response, error)
+
+func (d doer) Do(req *http.Request) (*http.Response, error) { return d(req) }
+
+func reply(body string) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+func hang(req *http.Request) (*http.Response, error) {
+	<-req.Context().Done()
+	return nil, req.Context().Err()
+}
+
+// TestWait guards against a wait for confirmations that ends before its bound while a host
+// is behind, goes on after it, or is held up by a host that accepts connections and hangs.
+func TestWait(t *testing.T) {
+	confirmations := func(behindUntil time.Duration) doer {
+		start := time.Now()
+		return func(*http.Request) (*http.Response, error) {
+			version := 41
+			if time.Since(start) >= behindUntil {
+				version = 42
+			}
+			return reply(fmt.Sprintf(`{"version":42,"hosts":[{"host":"a","version":42,"age":"0s"},{"host":"b","version":%d,"age":"1s"}]}`, version))
+		}
+	}
+	for name, c := range map[string]struct {
+		doer        func() doer
+		waited      time.Duration
+		unconfirmed int
+		code        exits.Name
+	}{
+		"at once":         {func() doer { return confirmations(0) }, 0, 0, exits.OK},
+		"within bound":    {func() doer { return confirmations(3 * time.Second) }, 3 * time.Second, 0, exits.OK},
+		"past the bound":  {func() doer { return confirmations(time.Minute) }, 4 * time.Second, 1, exits.OK},
+		"every read hung": {func() doer { return hang }, 4 * time.Second, 0, exits.Unreachable},
+		"one host hangs": {func() doer {
+			next := confirmations(0)
+			return func(req *http.Request) (*http.Response, error) {
+				if req.URL.Host == "127.0.0.1:1" {
+					return hang(req)
+				}
+				return next(req)
+			}
+		}, 2 * time.Second, 0, exits.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				client := oper.New([]string{"127.0.0.1:1", "127.0.0.1:2"}, c.doer(), 2*time.Second, logr.Discard())
+				start := time.Now()
+				got, err := client.Wait(context.Background(), 42, 4*time.Second, 100*time.Millisecond)
+				g.Expect(exits.Of(err)).To(Equal(c.code))
+				g.Expect(time.Since(start)).To(Equal(c.waited))
+				g.Expect(got.Unconfirmed).To(HaveLen(c.unconfirmed))
+			})
+		})
+	}
+}
+
+// TestPublishOnce guards against a publish call that is sent again after its first sending
+// may have taken effect, and against one that is given up while no host has seen it.
+func TestPublishOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		posts := 0
+		client := oper.New([]string{"127.0.0.1:1", "127.0.0.1:2"}, doer(func(req *http.Request) (*http.Response, error) {
+			if req.Method == http.MethodGet {
+				return reply(`{"version":41,"author":"ada","publish_id":"x","doc":{}}`)
+			}
+			posts++
+			return hang(req)
+		}), 2*time.Second, logr.Discard())
+		start := time.Now()
+		_, err := client.Publish(context.Background(), oper.Change{Base: 41, Author: "bo"},
+			oper.Bounds{Call: 10 * time.Second, Settle: 4 * time.Second, Poll: 100 * time.Millisecond})
+		g.Expect(exits.Of(err)).To(Equal(exits.Unknown))
+		g.Expect(posts).To(Equal(1))
+		g.Expect(time.Since(start)).To(Equal(14 * time.Second))
+	})
+}
--- a/admin/main.go
+++ b/admin/main.go
@@ -1,4 +1,18 @@
-// Command chivectl is part of chivepost.
+// Command chivectl is the operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chivepost/admin/cmd"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cmd.Main(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
