--- a/entry/internal/claims/reader.go
+++ b/entry/internal/claims/reader.go
@@ -28,10 +28,14 @@
 	c.mu.Lock()
 	c.reads.started++
 	number, from := c.reads.started, c.index.next
+	wait := c.opts.ReadWait
+	if !c.reads.synced || c.reads.failing {
+		wait = 0 // The end of the stream is not known yet, or not any more.
+	}
 	c.mu.Unlock()
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, c.opts.ReadWait+c.opts.CallTimeout)
-	page, err := c.log.Read(ctx, logsvc.StreamClaims, from, readLimit, c.opts.ReadWait)
+	ctx, cancel := context.WithTimeout(c.ctx, wait+c.opts.CallTimeout)
+	page, err := c.log.Read(ctx, logsvc.StreamClaims, from, readLimit, wait)
 	cancel()
 	if c.ctx.Err() != nil {
 		return
--- a/entry/internal/config/reader.go
+++ b/entry/internal/config/reader.go
@@ -26,11 +26,14 @@
 // readOnce reads one page and applies it.
 func (c *Controller) readOnce() {
 	c.mu.Lock()
-	from := c.track.read + 1
+	from, wait := c.track.read+1, c.opts.ReadWait
+	if !c.reads.synced || c.reads.failing {
+		wait = 0 // The end of the stream is not known yet, or not any more.
+	}
 	c.mu.Unlock()
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(c.ctx, c.opts.ReadWait+c.opts.CallTimeout)
-	page, err := c.log.Read(ctx, logsvc.StreamConfig, from, readLimit, c.opts.ReadWait)
+	ctx, cancel := context.WithTimeout(c.ctx, wait+c.opts.CallTimeout)
+	page, err := c.log.Read(ctx, logsvc.StreamConfig, from, readLimit, wait)
 	cancel()
 	if c.ctx.Err() != nil {
 		return
