--- /dev/null
+++ b/entry/internal/retry/retry_test.go
@@ -0,0 +1,78 @@
+package retry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chivepost/entry/internal/retry"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var suite *testing.T
+
+func TestRetry(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "retry")
+}
+
+var _ = Describe("the budgets", func() {
+	// Guards against retries that multiply the load on a pool that fails by overload.
+	It("allow a tenth of a target's calls, within the window", func() {
+		synctest.Test(suite, func(*testing.T) {
+			b := retry.New(retry.Options{})
+			allowed := func(n int) (sum int) {
+				for range n {
+					if b.Request().Allow("t", "s") {
+						sum++
+					}
+				}
+				return sum
+			}
+			for range 200 {
+				b.Sent("t")
+			}
+			Expect(allowed(100)).To(Equal(20))
+			time.Sleep(5 * time.Second)
+			Expect(allowed(100)).To(BeZero())
+			time.Sleep(6 * time.Second)
+			Expect(allowed(100)).To(Equal(1), "the floor of a target without calls")
+		})
+	})
+
+	// Guards against one request that uses up what others need.
+	It("allow one per stage and two per request", func() {
+		b := retry.New(retry.Options{})
+		for i := range 9 {
+			b.Sent(fmt.Sprint("t", i%3))
+		}
+		r := b.Request()
+		Expect(r.Allow("t0", "a")).To(BeTrue())
+		Expect(r.Allow("t1", "a")).To(BeFalse())
+		Expect(b.Request().Allow("t1", "a")).To(BeTrue(), "a refusal spends nothing")
+		Expect(r.Allow("t2", "b")).To(BeTrue())
+		Expect(r.Allow("t3", "c")).To(BeFalse())
+	})
+
+	// Guards against a second call where the first one may not be repeated.
+	DescribeTable("hedge only repeatable calls with a known P95",
+		func(repeatable, known, want bool) {
+			b := retry.New(retry.Options{
+				P95:        func(string) (time.Duration, bool) { return time.Second, known },
+				Repeatable: func(string) bool { return repeatable },
+			})
+			after, ok := b.HedgeAfter("p")
+			Expect(ok).To(Equal(want))
+			if want {
+				Expect(after).To(Equal(time.Second))
+			}
+		},
+		Entry("repeatable", true, true, true),
+		Entry("at most once", false, true, false),
+		Entry("without observations", true, false, false),
+	)
+})
