Wire the entry host and run the whole path as processes

Cause: the packages stood alone; a request must go from a caller through an entry host, its stages and a plain service as separate processes. A first version left processes behind, since a failed kill ended the clean-up under set -e.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -17,9 +17,9 @@
 # A stopped process must be continued before it can end.
 stop_all() {
   local pid
-  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; done
-  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
-  wait 2>/dev/null
+  for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null || true; done
+  for pid in "${PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
   PIDS=()
 }
 
@@ -43,6 +43,10 @@
   bin/chive-stand plan --deployment "deploy/$DEPLOYMENT" --out "$OUT"
   # shellcheck disable=SC1091
   . "$OUT/env"
+  local name
+  for name in $(entry_names); do
+    printf '\n[output]\nevents = %s\n' "$OUT/events/entry-$name.jsonl" >>"$OUT/entry-$name.ini"
+  done
 }
 
 # start_platform: the log service, the host list and the weight store.
--- a/stand/internal/plan/write.go
+++ b/stand/internal/plan/write.go
@@ -85,7 +85,6 @@
 		}},
 		{"platform", [][2]string{{"log_url", "http://" + p.Log}, {"hosts_url", "http://" + p.Hosts}}},
 		{"peers", [][2]string{{"key", p.PeerKey}}},
-		{"claims", nil},
 		{"timing", nil},
 	})
 }
