Add thin membership, slots and peer transport

Cause: the glue of the entry host needs the interfaces of the three packages. Change: member reads the host list, exchanges heartbeats and names homes; slots has the home and the holder as separate state machines and a controller around them; peers carries CBOR frames over WebSocket. Transport and membership have no tests of their own yet.

--- /dev/null
+++ b/entry/internal/member/beat.go
@@ -0,0 +1,95 @@
+// Package member keeps an entry host's view of the other hosts: the platform's
+// host list, which peers are heard, and which host is home of which group.
+package member
+
+import (
+	"context"
+	"time"
+
+	"chivepost/share/hosts"
+)
+
+// State is what an entry host says of itself.
+type State string
+
+// The states of entry hosts.
+const (
+	StateStarting State = "starting"
+	StateServing  State = "serving"
+	StateLeaving  State = "leaving"
+	StateStopped  State = "stopped"
+)
+
+// Beat is a heartbeat. Interval is the time until the sender's next one to the
+// same peer. LogAge is the time since the sender last reached the log service;
+// it is negative if it never has.
+type Beat struct {
+	Host          string        `cbor:"host"`
+	Incarnation   uint64        `cbor:"incarnation"`
+	State         State         `cbor:"state"`
+	Interval      time.Duration `cbor:"interval"`
+	ConfigVersion int64         `cbor:"config_version"`
+	ListVersion   int64         `cbor:"list_version"`
+	LogAge        time.Duration `cbor:"log_age"`
+}
+
+// Lister reads the platform's host list.
+type Lister interface {
+	Hosts(ctx context.Context) (hosts.List, error)
+}
+
+// Beater sends this host's heartbeat to a peer and returns the peer's.
+type Beater interface {
+	Beat(ctx context.Context, to hosts.Host, b Beat) (Beat, error)
+}
+
+// SuspectAfter is the number of a peer's own published intervals without a
+// heartbeat after which it is suspected. Six lost in a row have a probability of
+// 1e-6 on a link that loses a tenth, and a garbage collection or a reconnection
+// ends well within six intervals of a second.
+const SuspectAfter = 6
+
+// wholeRound is the number of entry hosts up to which each round of heartbeats
+// goes to every peer.
+const wholeRound = 9
+
+// Options sets up a Controller. Zero values select the defaults given.
+type Options struct {
+	Self        hosts.Host
+	Incarnation uint64
+	// ListLag bounds the lag of the host list (2 s).
+	ListLag time.Duration
+	// ViewMax is the age up to which the view is fresh (3 s).
+	ViewMax time.Duration
+	// Poll is the time between two readings of the host list (500 ms).
+	Poll time.Duration
+	// BeatEvery is the time between two rounds of heartbeats (1 s).
+	BeatEvery time.Duration
+	// StartUp is the time for which a peer that was never heard isn't suspected (10 s).
+	StartUp time.Duration
+	// FanOut is the number of peers per round above nine hosts (4).
+	FanOut int
+	// Seed makes the choice of peers repeatable.
+	Seed uint64
+}
+
+func (o Options) withDefaults() Options {
+	for _, d := range []struct {
+		at    *time.Duration
+		value time.Duration
+	}{
+		{&o.ListLag, 2 * time.Second},
+		{&o.ViewMax, 3 * time.Second},
+		{&o.Poll, 500 * time.Millisecond},
+		{&o.BeatEvery, time.Second},
+		{&o.StartUp, 10 * time.Second},
+	} {
+		if *d.at == 0 {
+			*d.at = d.value
+		}
+	}
+	if o.FanOut == 0 {
+		o.FanOut = 4
+	}
+	return o
+}
--- /dev/null
+++ b/entry/internal/member/query.go
@@ -0,0 +1,105 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"chivepost/share/hosts"
+)
+
+// Entries returns the live entry hosts of the view, sorted by name. Hosts that
+// said by heartbeat that they are leaving are left out, this one too.
+func (c *Controller) Entries() []hosts.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refresh(time.Now())
+	return slices.Clone(c.candidates.all)
+}
+
+// Peers returns all other entry hosts of the view, leaving ones too.
+func (c *Controller) Peers() []hosts.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.others()
+}
+
+func (c *Controller) others() []hosts.Host {
+	return slices.DeleteFunc(slices.Clone(c.view.entries), func(h hosts.Host) bool { return h.Name == c.opts.Self.Name })
+}
+
+// ListVersion returns the version of the host list in the view, -1 before the
+// first reading.
+func (c *Controller) ListVersion() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view.version
+}
+
+// TargetState returns the state of a target in the host list. A target that is
+// absent from a list with other targets is leaving; if the list names no
+// targets at all, the state is empty.
+func (c *Controller) TargetState(name string) hosts.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s, ok := c.view.targets[name]; ok {
+		return s
+	}
+	if len(c.view.targets) > 0 {
+		return hosts.StateLeaving
+	}
+	return ""
+}
+
+// IsFresh reports whether the view may be acted on: the host list was read
+// within ViewMax, or a majority of the view has been heard and none of the
+// peers has a higher list version.
+func (c *Controller) IsFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.refresh(now)
+	return c.isFresh(now)
+}
+
+// HasMajority reports whether a majority of the entry hosts in the view, this
+// one included, has been heard within the given time.
+func (c *Controller) HasMajority(within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasMajority(time.Now(), within)
+}
+
+// Home returns the home of a group: the host with the highest rendezvous score
+// in the data centre, else in the region, else of all. The result is false if
+// there is none, or if it is suspected and must not be asked.
+func (c *Controller) Home(key, dataCentre, region string) (hosts.Host, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.refresh(now)
+	h, ok := c.candidates.winner(key, dataCentre, region)
+	if p := c.peers[h.Name]; p != nil && p.isSuspected(now, c.opts.StartUp) {
+		return h, false
+	}
+	return h, ok
+}
+
+// WonSince returns for how long this host has been home of a group without a
+// break in a fresh view. The time counts from the first call for the group.
+func (c *Controller) WonSince(key, dataCentre, region string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.refresh(now)
+	k := groupKey{key, dataCentre, region}
+	if !c.isFresh(now) || !c.isWinner(k) {
+		delete(c.wins, k)
+		return 0, false
+	}
+	since, ok := c.wins[k]
+	if !ok {
+		since = now
+		c.wins[k] = now
+	}
+	return now.Sub(since), true
+}
--- /dev/null
+++ b/entry/internal/member/rounds.go
@@ -0,0 +1,144 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"chivepost/share/hosts"
+)
+
+// HandleBeat records a peer's heartbeat and returns this host's own.
+func (c *Controller) HandleBeat(b Beat) Beat {
+	c.hear(b)
+	return c.ownBeat()
+}
+
+// OnBeat has f called for each heartbeat heard. Calls may be concurrent.
+func (c *Controller) OnBeat(f func(Beat)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onBeat = append(c.onBeat, f)
+}
+
+// SetLeaving takes this host out of its own view as a home and tells all peers
+// at once.
+func (c *Controller) SetLeaving() {
+	c.mu.Lock()
+	c.leaving, c.changed = true, true
+	c.refresh(time.Now())
+	c.mu.Unlock()
+	select {
+	case c.now <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) hear(b Beat) {
+	c.mu.Lock()
+	p, ok := c.peers[b.Host]
+	// A heartbeat of an earlier incarnation was delayed and says nothing any more.
+	if !ok || b.Incarnation < p.beat.Incarnation || b.Interval <= 0 {
+		c.mu.Unlock()
+		return
+	}
+	now := time.Now()
+	c.refresh(now)
+	// A host that has said it is leaving doesn't return in the same incarnation,
+	// so a later "serving" was overtaken on the way.
+	if b.Incarnation == p.beat.Incarnation && p.beat.State == StateLeaving && b.State == StateServing {
+		b.State = StateLeaving
+	}
+	c.changed = c.changed || p.beat.State != b.State || b.State == StateLeaving
+	p.beat, p.heard = b, now
+	c.refresh(now)
+	calls := c.onBeat
+	c.mu.Unlock()
+	for _, f := range calls {
+		f(b)
+	}
+}
+
+// ownBeat returns this host's heartbeat. What is said of logs, configuration and
+// state comes from local.
+func (c *Controller) ownBeat() Beat {
+	b := c.local()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b.Host, b.Incarnation = c.opts.Self.Name, c.opts.Incarnation
+	b.ListVersion = c.view.version
+	b.Interval = c.interval()
+	if c.leaving && b.State != StateStopped {
+		b.State = StateLeaving
+	}
+	return b
+}
+
+// interval returns the time between two heartbeats to the same peer. Peers are
+// taken in turn, so it is the length of a cycle.
+func (c *Controller) interval() time.Duration {
+	n := len(c.peers)
+	if n+1 <= wholeRound {
+		return c.opts.BeatEvery
+	}
+	rounds := (n + c.opts.FanOut - 1) / c.opts.FanOut
+	return time.Duration(rounds) * c.opts.BeatEvery
+}
+
+func (c *Controller) beatLoop(ctx context.Context) {
+	// The first round waits for the host list, which names the peers.
+	timer := time.NewTimer(c.opts.BeatEvery / 10)
+	defer timer.Stop()
+	for {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.now:
+			all = true
+		case <-timer.C:
+			timer.Reset(c.opts.BeatEvery)
+		}
+		for _, h := range c.round(all) {
+			c.wait.Go(func() { c.beat(ctx, h) })
+		}
+	}
+}
+
+// beat exchanges heartbeats with one peer. A failure isn't logged: silence is
+// what suspicion is made of, and Status shows it.
+func (c *Controller) beat(ctx context.Context, to hosts.Host) {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.BeatEvery)
+	defer cancel()
+	if b, err := c.beats.Beat(ctx, to, c.ownBeat()); err == nil {
+		c.hear(b)
+	}
+}
+
+// round returns the peers that get a heartbeat now. Above nine hosts they are
+// drawn from a shuffled cycle, so that the time between two is bounded.
+func (c *Controller) round(all bool) []hosts.Host {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	others := c.others()
+	if all || len(others)+1 <= wholeRound {
+		return others
+	}
+	byName := make(map[string]hosts.Host, len(others))
+	for _, h := range others {
+		byName[h.Name] = h
+	}
+	var picked []hosts.Host
+	for len(picked) < c.opts.FanOut {
+		if len(c.cycle) == 0 {
+			for _, h := range others {
+				c.cycle = append(c.cycle, h.Name)
+			}
+			c.random.Shuffle(len(c.cycle), func(i, j int) { c.cycle[i], c.cycle[j] = c.cycle[j], c.cycle[i] })
+		}
+		if h, ok := byName[c.cycle[0]]; ok {
+			picked = append(picked, h)
+		}
+		c.cycle = c.cycle[1:]
+	}
+	return picked
+}
--- /dev/null
+++ b/entry/internal/peers/transport.go
@@ -0,0 +1,331 @@
+package peers
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
+
+	"chivepost/share/hosts"
+)
+
+var (
+	bytesByKind = expvar.NewMap("peer_bytes")
+	lateReplies = expvar.NewInt("peer_late_replies_count")
+	badFrames   = expvar.NewInt("peer_bad_frames_count")
+	heldFrames  = expvar.NewInt("peer_held_frames_count")
+)
+
+// Handler answers a call, or takes a message for which the result is dropped.
+type Handler func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)
+
+// Options sets up a Transport. Zero values select the defaults given.
+type Options struct {
+	Host        string
+	Incarnation uint64
+	// Key is the secret that peers share.
+	Key string
+	// MaxFrame is the size of the largest frame taken (4 MiB, for configurations).
+	MaxFrame int64
+	// RatePerSecond and Burst limit the frames taken from one connection (2000 of
+	// each). A peer that sends more is read more slowly.
+	RatePerSecond int
+	Burst         int
+	// Handlers is the number of calls of one connection handled at once (64).
+	Handlers int
+	// WriteTimeout bounds the writing of a frame (2 s).
+	WriteTimeout time.Duration
+	// Redial is the time after a failed dial during which calls fail at once (100 ms).
+	Redial time.Duration
+	// Client makes the connections.
+	Client *http.Client
+}
+
+func (o Options) withDefaults() Options {
+	if o.MaxFrame == 0 {
+		o.MaxFrame = 4 << 20
+	}
+	if o.RatePerSecond == 0 {
+		o.RatePerSecond = 2000
+	}
+	if o.Burst == 0 {
+		o.Burst = o.RatePerSecond
+	}
+	if o.Handlers == 0 {
+		o.Handlers = 64
+	}
+	if o.WriteTimeout == 0 {
+		o.WriteTimeout = 2 * time.Second
+	}
+	if o.Redial == 0 {
+		o.Redial = 100 * time.Millisecond
+	}
+	if o.Client == nil {
+		o.Client = &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: false}}
+	}
+	return o
+}
+
+// Transport is one entry host's end of the connections to its peers. Calls go
+// out over one connection per peer, made on demand; the calls of peers come in
+// over theirs.
+type Transport struct {
+	opts   Options
+	logger logr.Logger
+	lines  *rate.Limiter // log lines that peers can cause
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	seq    atomic.Uint64
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	links    map[string]*link // by peer address
+	closed   bool
+}
+
+// New returns a transport. It uses the network only when called or served.
+func New(opts Options, logger logr.Logger) *Transport {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Transport{
+		opts: opts.withDefaults(), logger: logger, lines: rate.NewLimiter(rate.Every(time.Second), 5),
+		ctx: ctx, cancel: cancel, handlers: map[string]Handler{}, links: map[string]*link{},
+	}
+}
+
+// Handle sets the handler of a kind of message.
+func (t *Transport) Handle(kind string, h func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handlers[kind] = h
+}
+
+// Close ends all connections and waits for handlers to return.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.cancel()
+	t.wait.Wait()
+}
+
+// start runs f unless the transport is closed.
+func (t *Transport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.wait.Go(f)
+	return true
+}
+
+// ServeHTTP upgrades a peer's connection and serves it until it ends.
+func (t *Transport) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !t.isAuthorized(r) {
+		http.Error(w, "the peer key is missing or wrong", http.StatusUnauthorized)
+		t.logPeer("connection refused: wrong peer key", "remote", r.RemoteAddr)
+		return
+	}
+	if !offers(r, Subprotocol) {
+		http.Error(w, fmt.Sprintf("subprotocol %q not offered; want %s", r.Header.Get("Sec-WebSocket-Protocol"), Subprotocol), http.StatusBadRequest)
+		t.logPeer("connection refused: wrong subprotocol", "remote", r.RemoteAddr)
+		return
+	}
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Subprotocol}})
+	if err != nil {
+		return // Accept has answered
+	}
+	done := make(chan struct{})
+	if !t.start(func() {
+		defer close(done)
+		_ = t.read(conn, nil) // how a peer's connection ends is logged where it is a fault
+	}) {
+		_ = conn.CloseNow()
+		return
+	}
+	<-done
+}
+
+func (t *Transport) isAuthorized(r *http.Request) bool {
+	// Hashes have equal lengths, so that the comparison doesn't show the key's.
+	got := sha256.Sum256([]byte(r.Header.Get("Authorization")))
+	want := sha256.Sum256([]byte("Bearer " + t.opts.Key))
+	return subtle.ConstantTimeCompare(got[:], want[:]) == 1 && t.opts.Key != ""
+}
+
+func offers(r *http.Request, protocol string) bool {
+	for _, line := range r.Header.Values("Sec-WebSocket-Protocol") {
+		if slices.ContainsFunc(strings.Split(line, ","), func(p string) bool { return strings.TrimSpace(p) == protocol }) {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Transport) logPeer(line string, pairs ...any) {
+	if t.lines.Allow() {
+		t.logger.Info(line, pairs...)
+	}
+}
+
+// read takes frames from a connection until it ends. Replies are matched by l,
+// which is nil on connections that a peer has made.
+func (t *Transport) read(conn *websocket.Conn, l *link) error {
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	defer func() { _ = conn.CloseNow() }()
+	conn.SetReadLimit(t.opts.MaxFrame)
+	limit := rate.NewLimiter(rate.Limit(t.opts.RatePerSecond), t.opts.Burst)
+	slots := make(chan struct{}, t.opts.Handlers)
+	for {
+		kind, data, err := conn.Read(ctx)
+		if err != nil {
+			if websocket.CloseStatus(err) == websocket.StatusMessageTooBig || errors.Is(err, websocket.ErrMessageTooBig) {
+				badFrames.Add(1)
+				t.logPeer("connection closed: frame too large", "max_bytes", t.opts.MaxFrame)
+			}
+			return err
+		}
+		if !limit.Allow() {
+			heldFrames.Add(1)
+			if err := limit.Wait(ctx); err != nil {
+				return err
+			}
+		}
+		e, err := decodeFrame(data)
+		if err == nil && kind != websocket.MessageBinary {
+			err = errFrame
+		}
+		if err != nil {
+			badFrames.Add(1)
+			t.logPeer("connection closed: bad frame", "err", err.Error())
+			_ = conn.Close(websocket.StatusPolicyViolation, cut(err.Error()))
+			return err
+		}
+		bytesByKind.Add("in_"+t.known(e.Kind), int64(len(data)))
+		if e.ReplyTo != 0 {
+			if l == nil || !l.reply(e) {
+				lateReplies.Add(1)
+			}
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if !t.start(func() {
+			defer func() { <-slots }()
+			t.serve(ctx, conn, e)
+		}) {
+			return context.Canceled
+		}
+	}
+}
+
+// known returns the kind if it has a handler or is that of errors, so that a
+// peer can't make the map of counters grow.
+func (t *Transport) known(kind string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.handlers[kind]; ok || kind == kindError {
+		return kind
+	}
+	return "other"
+}
+
+// cut shortens a reason to what a close frame can carry.
+func cut(s string) string { return s[:min(len(s), 120)] }
+
+// serve handles one frame and answers it if a reply is wanted.
+func (t *Transport) serve(ctx context.Context, conn *websocket.Conn, e envelope) {
+	t.mu.Lock()
+	h := t.handlers[e.Kind]
+	t.mu.Unlock()
+	var reply any
+	err := fmt.Errorf("unknown kind %q", e.Kind)
+	if h != nil {
+		reply, err = h(ctx, e.From, e.Incarnation, e.Body)
+	}
+	if e.Seq == 0 {
+		if err != nil {
+			t.logPeer("message not handled", "kind", e.Kind, "from", e.From, "err", err.Error())
+		}
+		return
+	}
+	kind := e.Kind
+	if err != nil {
+		kind, reply = kindError, errorBody{Message: err.Error()}
+	}
+	if err := t.write(ctx, conn, envelope{Kind: kind, ReplyTo: e.Seq}, reply); err != nil && ctx.Err() == nil {
+		t.logPeer("reply not sent", "kind", e.Kind, "to", e.From, "err", err.Error())
+	}
+}
+
+// write encodes and writes one frame. An error of encoding leaves the
+// connection usable.
+func (t *Transport) write(ctx context.Context, conn *websocket.Conn, e envelope, body any) error {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode body: %w", err)
+	}
+	e.Version, e.From, e.Incarnation, e.Body = Version, t.opts.Host, t.opts.Incarnation, raw
+	data, err := cbor.Marshal(e)
+	if err != nil {
+		return fmt.Errorf("encode frame: %w", err)
+	}
+	if int64(len(data)) > t.opts.MaxFrame {
+		return fmt.Errorf("frame of %d bytes, want at most %d", len(data), t.opts.MaxFrame)
+	}
+	// The caller's context must not end in the middle of a frame: that would break
+	// the connection for all calls.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.opts.WriteTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	bytesByKind.Add("out_"+e.Kind, int64(len(data)))
+	return nil
+}
+
+// Call sends body to a peer and decodes its answer into reply, unless that is
+// nil. An error of the peer's handler is a *RemoteError.
+func (t *Transport) Call(ctx context.Context, to hosts.Host, kind string, body, reply any) error {
+	return t.linkTo(to.PeerAddress).call(ctx, to.Name, kind, body, reply)
+}
+
+// Send sends body to a peer without waiting for an answer.
+func (t *Transport) Send(ctx context.Context, to hosts.Host, kind string, body any) error {
+	l := t.linkTo(to.PeerAddress)
+	conn, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return t.write(ctx, conn, envelope{Kind: kind}, body)
+}
+
+func (t *Transport) linkTo(address string) *link {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.links[address]
+	if l == nil {
+		l = &link{t: t, address: address, pending: map[uint64]pendingCall{}}
+		t.links[address] = l
+	}
+	return l
+}
--- /dev/null
+++ b/entry/internal/slots/fleet_spec_test.go
@@ -0,0 +1,210 @@
+package slots_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"chivepost/share/target"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// become changes a target's state under the lock.
+func (f *fleet) become(i int, state target.State, boot string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backends[fmt.Sprintf("t%d:1", i)].become(state, boot)
+}
+
+func (f *fleet) backend(i int) backend {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *f.backends[fmt.Sprintf("t%d:1", i)]
+}
+
+func (f *fleet) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.started
+}
+
+func (f *fleet) expectSound() {
+	GinkgoHelper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	Expect(f.breaches).To(BeEmpty())
+}
+
+var _ = Describe("a fleet", func() {
+	// Guards against a first request that waits for renewals instead of asking at once.
+	It("gives a first request its slot after the wait of a new home and a round trip", func() {
+		inBubble(func() {
+			f := newFleet(5, 1, 8)
+			defer f.close()
+			time.Sleep(4 * time.Second)
+			began := time.Now()
+			(&waiters{n: f.nodes["n0"], pool: "pool0"}).one()
+			Expect(time.Since(began)).To(BeNumerically("<", callTime+20*time.Millisecond))
+		})
+	})
+
+	// Guards against grants beyond the limit and against holders that starve.
+	DescribeTable("shares targets among all that want them", func(limit int) {
+		inBubble(func() {
+			f := newFleet(5, 1, limit)
+			defer f.close()
+			time.Sleep(4 * time.Second)
+			for _, name := range f.names() {
+				f.nodes[name].work("pool0", 4, 0)
+			}
+			time.Sleep(30 * time.Second)
+			total, least := 0, 1<<30
+			for _, name := range f.names() {
+				total += f.done(name)
+				least = min(least, f.done(name))
+			}
+			Expect(f.backend(0).highest).To(BeNumerically("<=", limit))
+			Expect(least).To(BeNumerically(">=", total/5*7/10), "calls of the least served of five hosts, of %d", total)
+			full := limit * int(30*time.Second/callTime)
+			Expect(total).To(BeNumerically(">=", full*6/10), "of %d possible", full)
+		})
+	},
+		Entry("one slot among five holders", 1),
+		Entry("two slots", 2),
+		Entry("eight slots", 8),
+	)
+
+	// Guards against calls beyond the cold limit once a target has turned cold.
+	It("closes a target to its cold limit at the first sign and opens it step by step", func() {
+		inBubble(func() {
+			f := newFleet(5, 1, 8)
+			defer f.close()
+			time.Sleep(4 * time.Second)
+			for _, name := range f.names() {
+				f.nodes[name].work("pool0", 4, 0)
+			}
+			time.Sleep(5 * time.Second)
+			f.become(0, target.StateCold, "boot1")
+			time.Sleep(callTime + 100*time.Millisecond)
+			for range 100 {
+				time.Sleep(50 * time.Millisecond)
+				Expect(f.backend(0).running).To(BeNumerically("<=", 1))
+			}
+			before := f.calls()
+			time.Sleep(5 * time.Second)
+			Expect(f.calls()-before).To(BeNumerically(">=", 10), "calls in 5 s at the cold limit of one")
+			f.become(0, target.StateWarm, "boot1")
+			time.Sleep(time.Second)
+			Expect(f.backend(0).running).To(BeNumerically("<", 4), "one second after the target was warm again")
+			time.Sleep(8 * time.Second)
+			Expect(f.backend(0).running).To(BeNumerically(">", 6))
+			f.expectSound()
+		})
+	})
+
+	// Guards against lost or doubled slots while hosts, links, lists and targets fail.
+	DescribeTable("keeps cold limits through random faults", func(nodes int, seed uint64) {
+		inBubble(func() { randomFaults(nodes, seed) })
+	},
+		Entry("5 hosts, seed 1", 5, uint64(1)),
+		Entry("6 hosts, seed 2", 6, uint64(2)),
+		Entry("7 hosts, seed 3", 7, uint64(3)),
+		Entry("8 hosts, seed 4", 8, uint64(4)),
+		Entry("9 hosts, seed 5", 9, uint64(5)),
+	)
+})
+
+// randomFaults runs a fleet under faults drawn from seed, then heals it and
+// expects every host to make calls again.
+func randomFaults(nodes int, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	f := newFleet(nodes, 1, 1, 2, 8)
+	defer f.close()
+	start := func(name string) {
+		for i := range 3 {
+			f.nodes[name].work(fmt.Sprintf("pool%d", i), 3, 10*time.Millisecond)
+		}
+	}
+	var all []string
+	for _, name := range f.names() {
+		all = append(all, name)
+		start(name)
+	}
+	boots := 0
+	for range 60 {
+		time.Sleep(time.Duration(200+r.IntN(1800)) * time.Millisecond)
+		name, other := all[r.IntN(nodes)], all[r.IntN(nodes)]
+		switch r.IntN(9) {
+		case 0: // restart under the same name
+			f.kill(name)
+			f.boot(name)
+			start(name)
+		case 1: // a pause beyond every lease
+			n := f.nodes[name]
+			n.pause()
+			wait := time.Duration(3+r.IntN(12)) * time.Second
+			f.wait.Go(func() { time.Sleep(wait); n.resume() })
+		case 2: // cut off, one way or both
+			f.setCut(name, other, true)
+			if r.IntN(2) == 0 {
+				f.setCut(other, name, true)
+			}
+		case 3:
+			f.heal()
+		case 4: // a host leaves the list for a while; readers lag by different times
+			f.mu.Lock()
+			f.lag[name] = time.Duration(r.IntN(2000)) * time.Millisecond
+			f.setHosts(without(all, other)...)
+			f.mu.Unlock()
+		case 5:
+			f.mu.Lock()
+			f.setHosts(all...)
+			f.mu.Unlock()
+		case 6, 7: // cold without notice, with the old boot id or a new one
+			boots += r.IntN(2)
+			f.become(r.IntN(3), target.StateCold, fmt.Sprintf("boot%d", boots))
+		case 8:
+			i := r.IntN(3)
+			f.become(i, target.StateWarm, f.backend(i).boot)
+		}
+		f.expectSound()
+	}
+	f.heal()
+	f.mu.Lock()
+	f.setHosts(all...)
+	f.mu.Unlock()
+	time.Sleep(40 * time.Second)
+	before := map[string]int{}
+	for _, name := range all {
+		before[name] = f.done(name)
+	}
+	time.Sleep(20 * time.Second)
+	for _, name := range all {
+		Expect(f.done(name)).To(BeNumerically(">", before[name]+5), "calls of %s after all faults have ended", name)
+	}
+	f.expectSound()
+}
+
+func (f *fleet) setCut(from, to string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{from, to}] = cut
+}
+
+func (f *fleet) heal() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.cut)
+}
+
+func without(all []string, name string) []string {
+	var rest []string
+	for _, n := range all {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/entry/internal/slots/fleet_test.go
@@ -0,0 +1,414 @@
+package slots_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/member"
+	"chivepost/entry/internal/slots"
+	"chivepost/share/bundle"
+	"chivepost/share/hosts"
+	"chivepost/share/target"
+	"chivepost/share/units"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	latency  = time.Millisecond
+	callTime = 200 * time.Millisecond
+	// closing is the time after the first sign of cold in which calls of earlier
+	// grants may still start and end: lease, margin and attempt bound.
+	closing = 2*time.Second + 250*time.Millisecond + 5*time.Second
+)
+
+var errCut = errors.New("cut off")
+
+// backend is a fake target.
+type backend struct {
+	doc       bundle.TargetDoc
+	coldLimit int
+	state     target.State
+	boot      string
+	running   int
+	highest   int       // of running
+	seen      time.Time // first sign of cold that anyone saw; zero: none
+	history   []backendState
+}
+
+type backendState struct {
+	at    time.Time
+	state target.State
+	boot  string
+}
+
+// version is a host list as of a time.
+type version struct {
+	at   time.Time
+	list hosts.List
+}
+
+// fleet is entry hosts and targets in one process, with faults.
+type fleet struct {
+	mu        sync.Mutex
+	bundle    *bundle.Bundle
+	backends  map[string]*backend
+	nodes     map[string]*node
+	cut       map[[2]string]bool
+	versions  []version
+	lag       map[string]time.Duration // of the host list, by reader
+	listDown  bool
+	loadLag   time.Duration
+	breaches  []string
+	completed map[string]int
+	started   int
+	next      uint64
+	wait      sync.WaitGroup
+}
+
+// newFleet makes a fleet of n entry hosts in one data centre and one target per
+// limit; all targets are warm.
+func newFleet(n, coldLimit int, limits ...int) *fleet {
+	f := &fleet{
+		backends: map[string]*backend{}, nodes: map[string]*node{}, cut: map[[2]string]bool{},
+		lag: map[string]time.Duration{}, completed: map[string]int{}, loadLag: 200 * time.Millisecond,
+	}
+	doc := bundle.Doc{}
+	for i, limit := range limits {
+		pool := fmt.Sprintf("pool%d", i)
+		doc.Pools = append(doc.Pools, bundle.PoolDoc{Name: pool, Limit: limit, ColdLimit: min(limit, coldLimit)})
+		td := bundle.TargetDoc{Name: fmt.Sprintf("t%d", i), Pool: pool, DataCentre: "kolkata", Region: "east", Address: fmt.Sprintf("t%d:1", i)}
+		doc.Targets = append(doc.Targets, td)
+		f.backends[td.Address] = &backend{doc: td, coldLimit: min(limit, coldLimit)}
+		f.backends[td.Address].become(target.StateWarm, "boot0")
+	}
+	var err error
+	f.bundle, err = bundle.New(doc)
+	Expect(err).NotTo(HaveOccurred())
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("n%d", i))
+	}
+	f.setHosts(names...)
+	for _, name := range names {
+		f.boot(name)
+	}
+	return f
+}
+
+func host(name string) hosts.Host {
+	return hosts.Host{
+		Name: name, PeerAddress: name, DataCentre: "kolkata", Region: "east",
+		Role: hosts.RoleEntry, State: hosts.StateLive,
+	}
+}
+
+func (f *fleet) setHosts(names ...string) {
+	list := hosts.List{Version: int64(len(f.versions) + 1)}
+	for _, name := range names {
+		list.Hosts = append(list.Hosts, host(name))
+	}
+	f.versions = append(f.versions, version{at: time.Now(), list: list})
+}
+
+// node is one run of an entry host.
+type node struct {
+	f      *fleet
+	name   string
+	inc    uint64
+	member *member.Controller
+	slots  *slots.Controller
+	ctx    context.Context
+	cancel context.CancelFunc
+	paused chan struct{}
+	dead   bool
+}
+
+func (f *fleet) boot(name string) *node {
+	f.next++
+	n := &node{f: f, name: name, inc: f.next}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.member = member.New(member.Options{Self: host(name), Incarnation: n.inc, Seed: n.inc},
+		n, n, func() member.Beat { return member.Beat{State: member.StateServing} }, logr.Discard())
+	n.slots = slots.New(slots.Options{Host: name, DataCentre: "kolkata", Region: "east", Incarnation: n.inc},
+		n.member, n, n, func() *bundle.Bundle { return f.bundle }, logr.Discard())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name] = n
+	return n
+}
+
+// kill ends a node at once; its calls go on at the targets.
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	n := f.nodes[name]
+	delete(f.nodes, name)
+	n.dead = true
+	f.mu.Unlock()
+	n.resume()
+	n.cancel()
+	n.slots.Close()
+	n.member.Close()
+}
+
+func (f *fleet) close() {
+	for _, name := range f.names() {
+		f.kill(name)
+	}
+	f.wait.Wait()
+}
+
+func (f *fleet) names() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (n *node) pause() {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	if n.paused == nil {
+		n.paused = make(chan struct{})
+	}
+}
+
+func (n *node) resume() {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	if n.paused != nil {
+		close(n.paused)
+		n.paused = nil
+	}
+}
+
+// gate blocks while the node is paused. It is false if the node has died.
+func (n *node) gate() bool {
+	for {
+		n.f.mu.Lock()
+		p, dead := n.paused, n.dead
+		n.f.mu.Unlock()
+		if p == nil || dead {
+			return !dead
+		}
+		<-p
+	}
+}
+
+// deliver carries a message to a peer; the receiver is nil if it is lost.
+func (n *node) deliver(to string) *node {
+	if !n.gate() {
+		return nil
+	}
+	time.Sleep(latency)
+	n.f.mu.Lock()
+	peer, cut := n.f.nodes[to], n.f.cut[[2]string{n.name, to}]
+	n.f.mu.Unlock()
+	if cut || peer == nil || !peer.gate() {
+		return nil
+	}
+	return peer
+}
+
+// call makes f at a peer and carries the answer back. It returns when ctx ends,
+// while the message may still arrive.
+func call[T any](ctx context.Context, n *node, to string, do func(*node) T) (T, error) {
+	type answer struct {
+		value T
+		ok    bool
+	}
+	done := make(chan answer, 1)
+	n.f.wait.Go(func() {
+		peer := n.deliver(to)
+		if peer == nil {
+			done <- answer{}
+			return
+		}
+		v := do(peer)
+		done <- answer{v, peer.deliver(n.name) != nil}
+	})
+	var zero T
+	select {
+	case a := <-done:
+		if a.ok {
+			return a.value, nil
+		}
+		return zero, errCut
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+func (n *node) Beat(ctx context.Context, to hosts.Host, b member.Beat) (member.Beat, error) {
+	return call(ctx, n, to.Name, func(p *node) member.Beat { return p.member.HandleBeat(b) })
+}
+
+func (n *node) Ask(ctx context.Context, to hosts.Host, a slots.Ask) (slots.Give, error) {
+	return call(ctx, n, to.Name, func(p *node) slots.Give { return p.slots.HandleAsk(n.name, n.inc, a) })
+}
+
+func (n *node) Revoke(ctx context.Context, to string, r slots.Revoke) error {
+	_, err := call(ctx, n, to, func(p *node) bool { p.slots.HandleRevoke(r); return true })
+	return err
+}
+
+func (n *node) Handover(ctx context.Context, to hosts.Host, h slots.Handover) error {
+	_, err := call(ctx, n, to.Name, func(p *node) bool { p.slots.HandleHandover(n.name, h); return true })
+	return err
+}
+
+// Hosts reads the host list with the node's lag.
+func (n *node) Hosts(context.Context) (hosts.List, error) {
+	if !n.gate() {
+		return hosts.List{}, errCut
+	}
+	time.Sleep(latency)
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	if n.f.listDown {
+		return hosts.List{}, errCut
+	}
+	list := n.f.versions[0].list
+	for _, v := range n.f.versions {
+		if time.Since(v.at) >= n.f.lag[n.name] {
+			list = v.list
+		}
+	}
+	return list, nil
+}
+
+// Load reports a target's state as it was before the lag.
+func (n *node) Load(_ context.Context, address string) (target.Load, error) {
+	if !n.gate() {
+		return target.Load{}, errCut
+	}
+	time.Sleep(latency)
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	b := n.f.backends[address]
+	was := b.history[0]
+	for _, s := range b.history {
+		if time.Since(s.at) >= n.f.loadLag {
+			was = s
+		}
+	}
+	b.sign(was.state, was.boot)
+	return target.Load{State: was.state, Boot: was.boot, AsOf: units.Duration(n.f.loadLag)}, nil
+}
+
+func (b *backend) become(state target.State, boot string) {
+	b.state, b.boot, b.seen = state, boot, time.Time{}
+	b.history = append(b.history, backendState{time.Now(), state, boot})
+}
+
+// sign notes that someone has seen the target cold.
+func (b *backend) sign(state target.State, boot string) {
+	if state == target.StateCold && b.state == state && boot == b.boot && b.seen.IsZero() {
+		b.seen = time.Now()
+	}
+}
+
+// work has a node make calls to a pool until its end, several at once.
+func (n *node) work(pool string, workers int, pausing time.Duration) {
+	w := &waiters{n: n, pool: pool}
+	for range workers {
+		n.f.wait.Go(func() {
+			for n.ctx.Err() == nil {
+				w.one()
+				time.Sleep(pausing)
+			}
+		})
+	}
+}
+
+// waiters counts the calls of a node that wait for a pool.
+type waiters struct {
+	n       *node
+	pool    string
+	mu      sync.Mutex
+	waiting int
+}
+
+func (w *waiters) add(d int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting += d
+	w.n.slots.Want(w.pool, w.waiting)
+}
+
+// one waits for a slot and makes one call.
+func (w *waiters) one() {
+	n := w.n
+	w.add(1)
+	var hold *slots.Hold
+	var doc route
+	for hold == nil && n.ctx.Err() == nil {
+		changed := n.slots.Changed()
+		for _, t := range n.slots.View(w.pool) {
+			if t.Free > 0 && hold == nil && n.gate() {
+				if h, ok := n.slots.Take(t.Name); ok {
+					hold, doc = h, route{t.Address}
+				}
+			}
+		}
+		if hold == nil {
+			select {
+			case <-changed:
+			case <-time.After(50 * time.Millisecond):
+			case <-n.ctx.Done():
+			}
+		}
+	}
+	w.add(-1)
+	if hold == nil {
+		return
+	}
+	time.Sleep(latency)
+	if !n.gate() || hold.Check() != nil {
+		hold.Done(target.Result{Err: errCut}, 0)
+		return
+	}
+	began := time.Now()
+	hold.Done(n.f.run(n, doc.address), time.Since(began))
+}
+
+type route struct{ address string }
+
+// run is a call at a target. It checks the limit while the target is cold.
+func (f *fleet) run(n *node, address string) target.Result {
+	b := f.backends[address]
+	f.mu.Lock()
+	f.started++
+	b.running++
+	b.highest = max(b.highest, b.running)
+	if b.state == target.StateCold && !b.seen.IsZero() && time.Since(b.seen) > closing && b.running > b.coldLimit {
+		f.breaches = append(f.breaches, fmt.Sprintf("%s: %d calls at the cold target %s, limit %d, %s after the first sign",
+			n.name, b.running, b.doc.Name, b.coldLimit, time.Since(b.seen)))
+	}
+	f.mu.Unlock()
+	time.Sleep(callTime)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.running--
+	if !n.dead {
+		b.sign(b.state, b.boot)
+	}
+	f.completed[n.name]++
+	return target.Result{State: b.state, Boot: b.boot, Sent: target.SentYes}
+}
+
+func (f *fleet) done(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.completed[name]
+}
