--- /dev/null
+++ b/entry/internal/slots/hold_spec_test.go
@@ -0,0 +1,179 @@
+package slots_test
+
+import (
+	"context"
+	"time"
+
+	"chivepost/entry/internal/slots"
+	"chivepost/share/hosts"
+	"chivepost/share/target"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// takeOne waits until the node has a slot of target 0.
+func takeOne(n *node) *slots.Hold {
+	GinkgoHelper()
+	n.slots.Want("pool0", 1)
+	defer n.slots.Want("pool0", 0)
+	for range 100 {
+		if h, ok := n.slots.Take("t0"); ok {
+			return h
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	Fail("no slot within a second")
+	return nil
+}
+
+var _ = Describe("a slot in use", func() {
+	// Guards against a send by a host that was paused, or whose slot has gone.
+	DescribeTable("is refused immediately before the send", func(fault func(f *fleet, n *node), want error) {
+		inBubble(func() {
+			f := newFleet(3, 1, 8)
+			defer f.close()
+			time.Sleep(4 * time.Second)
+			n := f.nodes[without(f.names(), f.homeOf())[0]]
+			h := takeOne(n)
+			Expect(h.Check()).To(Succeed())
+			fault(f, n)
+			Expect(h.Check()).To(MatchError(want))
+			_, ok := n.slots.Take("t0")
+			Expect(ok).To(BeFalse(), "another slot was given")
+			h.Done(target.Result{Err: want}, 0)
+		})
+	},
+		Entry("when the lease has expired", func(f *fleet, n *node) {
+			for _, other := range f.names() {
+				f.setCut(n.name, other, true)
+				f.nodes[other].pause()
+			}
+			time.Sleep(2100 * time.Millisecond)
+		}, slots.ErrExpired),
+		Entry("when the home has revoked it", func(f *fleet, n *node) {
+			n.slots.HandleRevoke(slots.Revoke{Target: "t0", Reason: target.StateCold, Fence: 1 << 40})
+		}, slots.ErrRevoked),
+		Entry("when its data centre was taken out", func(f *fleet, _ *node) {
+			b, err := f.bundle.WithOut("kolkata", true)
+			Expect(err).NotTo(HaveOccurred())
+			f.setBundle(b)
+		}, slots.ErrOut),
+		Entry("when the target is leaving by the host list", func(f *fleet, _ *node) {
+			f.mu.Lock()
+			list := f.versions[0].list
+			leaving := host("t0")
+			leaving.Role, leaving.State = hosts.RoleTarget, hosts.StateLeaving
+			list.Hosts = append(list.Hosts[:len(list.Hosts):len(list.Hosts)], leaving)
+			list.Version = 2
+			f.versions = append(f.versions, version{at: time.Now(), list: list})
+			f.mu.Unlock()
+			time.Sleep(600 * time.Millisecond)
+		}, slots.ErrLeaving),
+	)
+
+	// Guards against a warm slot used on after the target has said that it is cold.
+	It("is refused once another answer has shown the target cold", func() {
+		inBubble(func() {
+			f := newFleet(3, 1, 8)
+			defer f.close()
+			time.Sleep(4 * time.Second)
+			n := f.nodes["n0"]
+			n.slots.Want("pool0", 2)
+			time.Sleep(100 * time.Millisecond)
+			a, ok := n.slots.Take("t0")
+			Expect(ok).To(BeTrue())
+			b, ok := n.slots.Take("t0")
+			Expect(ok).To(BeTrue())
+			a.Done(target.Result{State: target.StateCold, Boot: "boot0", Sent: target.SentYes}, callTime)
+			Expect(b.Check()).To(MatchError(slots.ErrRevoked))
+			b.Done(target.Result{Err: slots.ErrRevoked}, 0)
+		})
+	})
+})
+
+// homeOf returns the home of target 0.
+func (f *fleet) homeOf() string { return f.nodes["n0"].slots.Targets()[0].Home }
+
+// firstSlot returns how long a node that asks now waits for a slot of target 0.
+func firstSlot(n *node) time.Duration {
+	began := time.Now()
+	n.slots.Want("pool0", 1)
+	for time.Since(began) < time.Minute {
+		if h, ok := n.slots.Take("t0"); ok {
+			n.slots.Want("pool0", 0)
+			h.Done(target.Result{Sent: target.SentYes, State: target.StateCold, Boot: "boot0"}, callTime)
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+var _ = Describe("a change of home", func() {
+	other := func(f *fleet, home string) *node { return f.nodes[without(f.names(), home)[0]] }
+
+	// Guards against cold slots granted while calls of the home before still run.
+	It("keeps cold slots back for the whole wait when the home was killed", func() {
+		inBubble(func() {
+			f := newFleet(4, 1, 8)
+			defer f.close()
+			f.become(0, target.StateCold, "boot0")
+			time.Sleep(20 * time.Second)
+			home := f.homeOf()
+			n := other(f, home)
+			Expect(firstSlot(n)).To(BeNumerically("<", 50*time.Millisecond))
+			time.Sleep(time.Second) // idle slots are returned
+			f.kill(home)
+			f.setHosts(f.names()...)
+			Expect(firstSlot(n)).To(BeNumerically("~", 12500*time.Millisecond, 600*time.Millisecond))
+		})
+	})
+
+	// Guards against a wait that a graceful shutdown makes needless.
+	It("has no wait when the home hands over", func() {
+		inBubble(func() {
+			f := newFleet(4, 1, 8)
+			defer f.close()
+			f.become(0, target.StateCold, "boot0")
+			time.Sleep(20 * time.Second)
+			home := f.homeOf()
+			n := other(f, home)
+			f.nodes[home].member.SetLeaving()
+			f.nodes[home].slots.Leave(context.Background())
+			time.Sleep(100 * time.Millisecond)
+			Expect(f.homeOf()).NotTo(Equal(home))
+			Expect(firstSlot(n)).To(BeNumerically("<", 100*time.Millisecond))
+		})
+	})
+
+	// Guards against a handover that counts for less than was granted: the slot in
+	// use at the time must keep the limit of one taken.
+	It("hands over the slots in use", func() {
+		inBubble(func() {
+			f := newFleet(4, 1, 1)
+			defer f.close()
+			time.Sleep(20 * time.Second)
+			home := f.homeOf()
+			n := other(f, home)
+			h := takeOne(n)
+			f.setCut(n.name, home, true) // its renewals fail, so that only the handover tells
+			f.nodes[home].member.SetLeaving()
+			f.nodes[home].slots.Leave(context.Background())
+			for _, name := range f.names() {
+				f.setCut(n.name, name, true)
+			}
+			for _, name := range without(without(f.names(), home), n.name) {
+				f.nodes[name].slots.Want("pool0", 1)
+			}
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				for _, name := range without(f.names(), n.name) {
+					_, ok := f.nodes[name].slots.Take("t0")
+					Expect(ok).To(BeFalse(), "%s has the slot too", name)
+				}
+			}
+			h.Done(target.Result{Sent: target.SentYes}, time.Second)
+		})
+	})
+})
--- a/entry/internal/slots/holder.go
+++ b/entry/internal/slots/holder.go
@@ -148,13 +148,16 @@
 	defer h.mu.Unlock()
 	h.sync(l)
 	t := hold.target
+	if err := h.barred(t); err != nil {
+		return err
+	}
 	switch {
 	case hold.done || hold.revoked != t.revoked || h.targets[t.doc.Name] != t:
 		return ErrRevoked
 	case !time.Now().Before(t.until):
 		return ErrExpired
 	default:
-		return h.barred(t)
+		return nil
 	}
 }
 
