--- /dev/null
+++ b/entry/internal/member/member_spec_test.go
@@ -0,0 +1,242 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"chivepost/entry/internal/member"
+	"chivepost/share/hosts"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func names(all []hosts.Host) []string {
+	var names []string
+	for _, h := range all {
+		names = append(names, h.Name)
+	}
+	return names
+}
+
+var three = []string{"a", "b", "c"}
+
+// keyOf returns a group key whose home is the host called name.
+func keyOf(c *member.Controller, name string) string {
+	for i := range 1000 {
+		key := fmt.Sprint("group", i)
+		if h, _ := c.Home(key, "thies", "west"); h.Name == name {
+			return key
+		}
+	}
+	return ""
+}
+
+var _ = Describe("the view", func() {
+	// Guards against grants in a view that another host's may have overtaken.
+	It("is stale once neither the list nor a majority is heard", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			Expect(a.IsFresh()).To(BeTrue())
+			w.silence("a", "b")
+			w.silence("a", "c")
+			w.setDown("a")
+			time.Sleep(2 * time.Second)
+			Expect(a.IsFresh()).To(BeTrue(), "2 s after the last reading")
+			time.Sleep(1600 * time.Millisecond)
+			Expect(a.IsFresh()).To(BeFalse(), "3.6 s after the last reading")
+			Expect(a.HasMajority(3 * time.Second)).To(BeFalse())
+		})
+	})
+
+	// Guards against homes that move because the host list is down for all.
+	It("stays fresh without the host list while a majority agrees", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			key := keyOf(a, "a")
+			a.WonSince(key, "thies", "west")
+			w.setDown(three...)
+			w.silence("a", "c")
+			time.Sleep(20 * time.Second)
+			Expect(a.IsFresh()).To(BeTrue())
+			won, ok := a.WonSince(key, "thies", "west")
+			Expect(ok).To(BeTrue())
+			Expect(won).To(BeNumerically(">=", 20*time.Second))
+		})
+	})
+
+	// Guards against a host that keeps an old view because its peers answer.
+	It("is stale without the host list when a peer has a higher version", func() {
+		inWorld(three, func(w *world) {
+			w.setDown("a")
+			w.change(func(*hosts.List) {})
+			time.Sleep(5 * time.Second)
+			Expect(w.nodes["a"].IsFresh()).To(BeFalse())
+			Expect(w.nodes["b"].IsFresh()).To(BeTrue())
+		})
+	})
+
+	// Guards against a win that spans a time in which another host may have been home.
+	It("counts a win anew after a break", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			key := keyOf(a, "a")
+			a.WonSince(key, "thies", "west")
+			w.silence("a", "b")
+			w.silence("a", "c")
+			w.setDown("a")
+			time.Sleep(5 * time.Second)
+			w.mu.Lock()
+			clear(w.down)
+			w.mu.Unlock()
+			time.Sleep(time.Second)
+			won, ok := a.WonSince(key, "thies", "west")
+			Expect(ok).To(BeTrue())
+			Expect(won).To(BeNumerically("<", time.Second))
+		})
+	})
+
+	// Guards against a copy of the list that lags behind one read before.
+	It("never goes back to a lower version", func() {
+		inWorld(three, func(w *world) {
+			w.change(func(l *hosts.List) { l.Version, l.Hosts = 0, nil })
+			time.Sleep(time.Second)
+			Expect(w.nodes["a"].ListVersion()).To(Equal(int64(1)))
+			Expect(names(w.nodes["a"].Entries())).To(Equal(three))
+		})
+	})
+
+	// Guards against work for a target that has been removed from the list.
+	It("takes a target that is missing among others for leaving", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			Expect(a.TargetState("t")).To(BeEmpty())
+			w.change(func(l *hosts.List) {
+				l.Hosts = append(l.Hosts, hosts.Host{Name: "t", Role: hosts.RoleTarget, State: hosts.StateLive})
+			})
+			time.Sleep(time.Second)
+			Expect(a.TargetState("t")).To(Equal(hosts.StateLive))
+			Expect(a.TargetState("u")).To(Equal(hosts.StateLeaving))
+		})
+	})
+})
+
+var _ = Describe("a home", func() {
+	// Guards against hosts that disagree, and groups that lose their fate sharing.
+	It("is the same for all, near its targets, and moves only from a host that goes", func() {
+		inWorld(three, func(w *world) {
+			a, b := w.nodes["a"], w.nodes["b"]
+			w.change(func(l *hosts.List) {
+				l.Hosts = append(l.Hosts, entry("d", "kaolack", "south"), entry("e", "mbour", "west"))
+			})
+			time.Sleep(time.Second)
+			moved := 0
+			homes := map[string]string{}
+			for i := range 300 {
+				key := fmt.Sprint(i)
+				h, _ := a.Home(key, "thies", "west")
+				other, _ := b.Home(key, "thies", "west")
+				Expect(other).To(Equal(h))
+				Expect(h.DataCentre).To(Equal("thies"))
+				homes[key] = h.Name
+			}
+			south, _ := a.Home("1", "nowhere", "south")
+			Expect(south.Name).To(Equal("d"))
+			anywhere, ok := a.Home("1", "nowhere", "nowhere")
+			Expect(ok).To(BeTrue())
+			Expect(anywhere.Name).NotTo(BeEmpty())
+			w.change(func(l *hosts.List) {
+				l.Hosts = slices.DeleteFunc(l.Hosts, func(h hosts.Host) bool { return h.Name == "c" })
+			})
+			time.Sleep(time.Second)
+			for key, name := range homes {
+				h, _ := a.Home(key, "thies", "west")
+				if name != "c" {
+					Expect(h.Name).To(Equal(name))
+				} else {
+					moved++
+				}
+			}
+			Expect(moved).To(BeNumerically("~", 100, 40))
+		})
+	})
+
+	// Guards against asks to a dead home, and against taking a slow start for death.
+	It("isn't asked while suspected, but stays the home", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			key := keyOf(a, "b")
+			w.silence("a", "b")
+			time.Sleep(5 * time.Second)
+			_, ok := a.Home(key, "thies", "west")
+			Expect(ok).To(BeTrue(), "within six intervals")
+			time.Sleep(3 * time.Second)
+			h, ok := a.Home(key, "thies", "west")
+			Expect(ok).To(BeFalse(), "after six intervals")
+			Expect(h.Name).To(Equal("b"))
+			Expect(names(a.Entries())).To(ContainElement("b"))
+			w.change(func(l *hosts.List) { l.Hosts = append(l.Hosts, entry("late", "mbour", "north")) })
+			time.Sleep(9 * time.Second)
+			_, ok = a.Home("1", "mbour", "north")
+			Expect(ok).To(BeTrue(), "not heard yet")
+			time.Sleep(3 * time.Second)
+			_, ok = a.Home("1", "mbour", "north")
+			Expect(ok).To(BeFalse(), "never heard in the start-up period")
+		})
+	})
+
+	// Guards against addresses of a host that is about to go, and against a host
+	// that stays left out after it has started again.
+	It("isn't a host that says it is leaving, until it starts again", func() {
+		inWorld(three, func(w *world) {
+			a := w.nodes["a"]
+			w.nodes["b"].SetLeaving()
+			time.Sleep(10 * time.Millisecond)
+			Expect(names(a.Entries())).To(Equal([]string{"a", "c"}))
+			Expect(names(w.nodes["b"].Entries())).To(Equal([]string{"a", "c"}))
+			Expect(names(a.Peers())).To(Equal([]string{"b", "c"}))
+			a.HandleBeat(member.Beat{Host: "b", Incarnation: 2, State: member.StateServing, Interval: time.Second})
+			Expect(names(a.Entries())).NotTo(ContainElement("b"), "an overtaken heartbeat")
+			w.nodes["b"].Close()
+			w.start("b", 9)
+			time.Sleep(1100 * time.Millisecond)
+			Expect(names(a.Entries())).To(Equal(three))
+		})
+	})
+
+	// Guards against a host that was restarted out of reach and is home in its own
+	// view, while another still leaves it out.
+	It("is left out for a bounded time only", func() {
+		inWorld(three, func(w *world) {
+			w.silence("a", "b")
+			a := w.nodes["a"]
+			a.HandleBeat(member.Beat{Host: "b", Incarnation: 2, State: member.StateLeaving, Interval: time.Second})
+			time.Sleep(4900 * time.Millisecond)
+			Expect(names(a.Entries())).NotTo(ContainElement("b"))
+			time.Sleep(200 * time.Millisecond)
+			Expect(names(a.Entries())).To(ContainElement("b"))
+		})
+	})
+})
+
+// Guards against peers that are never told in a large fleet, and against traffic
+// that grows with its square.
+var _ = It("sends heartbeats to a few peers in turn above nine hosts", func() {
+	var many []string
+	for i := range 21 {
+		many = append(many, fmt.Sprintf("h%02d", i))
+	}
+	inWorld(many, func(w *world) {
+		var heard atomic.Int64
+		w.nodes["h00"].OnBeat(func(b member.Beat) {
+			heard.Add(1)
+			Expect(b.Interval).To(Equal(5 * time.Second))
+		})
+		time.Sleep(20 * time.Second)
+		// Four a second sent, as many received, each with an answer.
+		Expect(heard.Load()).To(BeNumerically("~", 160, 25))
+		Expect(w.nodes["h00"].Status().Detail.(member.Detail).Suspected).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/entry/internal/member/member_suite_test.go
@@ -0,0 +1,122 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/member"
+	"chivepost/share/hosts"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var suite *testing.T
+
+func TestMember(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "member")
+}
+
+var errDown = errors.New("down")
+
+// world is a host list and hosts that send heartbeats.
+type world struct {
+	mu    sync.Mutex
+	list  hosts.List
+	down  map[string]bool // readers that can't read the host list
+	mute  map[[2]string]bool
+	nodes map[string]*member.Controller
+}
+
+func entry(name, dataCentre, region string) hosts.Host {
+	return hosts.Host{Name: name, DataCentre: dataCentre, Region: region, Role: hosts.RoleEntry, State: hosts.StateLive}
+}
+
+// inWorld runs f in virtual time with a host of each name in one data centre.
+func inWorld(names []string, f func(w *world)) {
+	GinkgoHelper()
+	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
+		w := &world{down: map[string]bool{}, mute: map[[2]string]bool{}, nodes: map[string]*member.Controller{}}
+		for _, name := range names {
+			w.list.Hosts = append(w.list.Hosts, entry(name, "thies", "west"))
+		}
+		w.list.Version = 1
+		for i, name := range names {
+			w.start(name, uint64(i+1))
+		}
+		defer func() {
+			for _, c := range w.nodes {
+				c.Close()
+			}
+		}()
+		time.Sleep(1500 * time.Millisecond)
+		f(w)
+	})
+}
+
+func (w *world) start(name string, incarnation uint64) {
+	p := port{w, name}
+	c := member.New(member.Options{Self: entry(name, "thies", "west"), Incarnation: incarnation, Seed: 1}, p, p,
+		func() member.Beat { return member.Beat{State: member.StateServing} }, logr.Discard())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[name] = c
+}
+
+// change sets the host list anew.
+func (w *world) change(f func(l *hosts.List)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := hosts.List{Version: w.list.Version + 1, Hosts: append([]hosts.Host(nil), w.list.Hosts...)}
+	f(&l)
+	w.list = l
+}
+
+func (w *world) setDown(names ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		w.down[name] = true
+	}
+}
+
+// silence ends the heartbeats between two hosts, both ways.
+func (w *world) silence(a, b string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute[[2]string{a, b}], w.mute[[2]string{b, a}] = true, true
+}
+
+// port is one host's access to the world.
+type port struct {
+	w    *world
+	name string
+}
+
+func (p port) Hosts(context.Context) (hosts.List, error) {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if p.w.down[p.name] {
+		return hosts.List{}, errDown
+	}
+	return p.w.list, nil
+}
+
+func (p port) Beat(_ context.Context, to hosts.Host, b member.Beat) (member.Beat, error) {
+	p.w.mu.Lock()
+	peer, mute := p.w.nodes[to.Name], p.w.mute[[2]string{p.name, to.Name}]
+	p.w.mu.Unlock()
+	if mute || peer == nil {
+		return member.Beat{}, errDown
+	}
+	return peer.HandleBeat(b), nil
+}
