Bound the dial of a publish call and follow no redirect

A host whose address drops packets held a publish call up to its whole bound, after which the outcome had to be called unknown; the dial now has the bound of a read, so that the next address is tried. A redirect could have sent the call a second time. Some names say more plainly what they are.

The dial bound has no test of its own: loopback has no address that drops packets.

--- a/admin/cmd/burn.go
+++ b/admin/cmd/burn.go
@@ -17,7 +17,7 @@
 // shownBurn is what burn prints.
 type shownBurn struct {
 	burn.Report
-	Silent []silent `json:"silent"`
+	Unreachable []unreachable `json:"unreachable"`
 }
 
 // Run adds up the counters of all operator addresses.
@@ -42,7 +42,7 @@
 			return err
 		}
 	}
-	if err := r.print(shownBurn{Report: report, Silent: none}); err != nil {
+	if err := r.print(shownBurn{Report: report, Unreachable: none}); err != nil {
 		return oops.Wrapf(err, "print report")
 	}
 	return partial(none)
--- a/admin/cmd/publish.go
+++ b/admin/cmd/publish.go
@@ -53,7 +53,7 @@
 // publish sends the change, waits for confirmations and prints what became of it.
 func (r *run) publish(change oper.Change, changes delta.Changes) error {
 	settings := r.prefs.Publish
-	accepted, err := r.client.Publish(r.ctx, change, oper.Bounds{Call: settings.Timeout, Settle: settings.Confirm, Poll: settings.Poll})
+	accepted, err := r.client.Publish(r.ctx, change, oper.Bounds{Call: settings.Timeout, Lookup: settings.Confirm, Poll: settings.Poll})
 	if err != nil {
 		return err
 	}
--- a/admin/cmd/run.go
+++ b/admin/cmd/run.go
@@ -42,9 +42,13 @@
 	if c.Verbose {
 		log = newLog(stderr)
 	}
-	// Each call has a connection of its own, so that a failed one is known to be unsent
-	// exactly if no connection was obtained.
-	doer := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	// Each call has a connection of its own and follows no redirect, so that a publish call is
+	// sent at most once. The dialer's own bound lets a publish go on to the next address.
+	dialer := &net.Dialer{Timeout: settings.Operator.Timeout}
+	doer := &http.Client{
+		Transport:     &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	client := oper.New(settings.Operator.Addresses, doer, settings.Operator.Timeout, log)
 	return &run{ctx: ctx, prefs: settings, client: client, out: stdout, flags: flags}, nil
 }
--- a/admin/cmd/status.go
+++ b/admin/cmd/status.go
@@ -19,12 +19,12 @@
 
 // shownStatus is what status prints.
 type shownStatus struct {
-	Hosts  []apiv1.Status `json:"hosts"`
-	Silent []silent       `json:"silent"`
+	Hosts       []apiv1.Status `json:"hosts"`
+	Unreachable []unreachable  `json:"unreachable"`
 }
 
-// silent is an operator address that did not answer.
-type silent struct {
+// unreachable is an operator address that did not answer.
+type unreachable struct {
 	Address string `json:"address"`
 	Error   string `json:"error"`
 }
@@ -36,19 +36,19 @@
 		return err
 	}
 	result := shownStatus{Hosts: []apiv1.Status{}}
-	result.Silent = split(answers, func(s apiv1.Status) { result.Hosts = append(result.Hosts, s) })
+	result.Unreachable = split(answers, func(s apiv1.Status) { result.Hosts = append(result.Hosts, s) })
 	if err := r.print(result); err != nil {
 		return oops.Wrapf(err, "print status")
 	}
-	return partial(result.Silent)
+	return partial(result.Unreachable)
 }
 
 // split passes the answers to take and returns the addresses without one.
-func split[T any](answers []oper.Answer[T], take func(T)) []silent {
-	none := []silent{}
+func split[T any](answers []oper.Answer[T], take func(T)) []unreachable {
+	none := []unreachable{}
 	for _, a := range answers {
 		if a.Err != nil {
-			none = append(none, silent{Address: a.Address, Error: a.Err.Error()})
+			none = append(none, unreachable{Address: a.Address, Error: a.Err.Error()})
 			continue
 		}
 		take(a.Value)
@@ -56,7 +56,7 @@
 	return none
 }
 
-func partial(none []silent) error {
+func partial(none []unreachable) error {
 	if len(none) == 0 {
 		return nil
 	}
--- a/admin/internal/oper/oper_suite_test.go
+++ b/admin/internal/oper/oper_suite_test.go
@@ -93,7 +93,7 @@
 		}), 2*time.Second, logr.Discard())
 		start := time.Now()
 		_, err := client.Publish(context.Background(), oper.Change{Base: 41, Author: "bo"},
-			oper.Bounds{Call: 10 * time.Second, Settle: 4 * time.Second, Poll: 100 * time.Millisecond})
+			oper.Bounds{Call: 10 * time.Second, Lookup: 4 * time.Second, Poll: 100 * time.Millisecond})
 		g.Expect(exits.Of(err)).To(Equal(exits.Unknown))
 		g.Expect(posts).To(Equal(1))
 		g.Expect(time.Since(start)).To(Equal(14 * time.Second))
--- a/admin/internal/oper/publish.go
+++ b/admin/internal/oper/publish.go
@@ -22,11 +22,11 @@
 	Doc    bundle.Doc
 }
 
-// Bounds are the times that a publish call may take: Call until the answer, and Settle
+// Bounds are the times that a publish call may take: Call until the answer, and Lookup
 // to look for the change, every Poll, in the configuration in force if there is none.
 type Bounds struct {
 	Call   time.Duration
-	Settle time.Duration
+	Lookup time.Duration
 	Poll   time.Duration
 }
 
@@ -53,19 +53,19 @@
 			continue
 		}
 		if err != nil {
-			return c.settle(ctx, id, bounds, oops.Code(exits.Unknown).Wrapf(err, "no answer to the publish call"))
+			return c.lookUp(ctx, id, bounds, oops.Code(exits.Unknown).Wrapf(err, "no answer to the publish call"))
 		}
-		published, err := judge(status, answer)
+		published, err := publishResult(status, answer)
 		if exits.Of(err) == exits.Unknown {
-			return c.settle(ctx, id, bounds, err)
+			return c.lookUp(ctx, id, bounds, err)
 		}
 		return published, err
 	}
 	return apiv1.Published{}, oops.Code(exits.Unreachable).Wrapf(flat(errs), "no operator address answered")
 }
 
-// judge returns what an answer to a publish call says.
-func judge(status int, body []byte) (apiv1.Published, error) {
+// publishResult returns what an answer to a publish call says.
+func publishResult(status int, body []byte) (apiv1.Published, error) {
 	var published apiv1.Published
 	switch status {
 	case http.StatusOK:
@@ -86,10 +86,10 @@
 	return published, oops.Code(exits.Unknown).Errorf("%s", problemText(status, body))
 }
 
-// settle looks for the change in the configuration in force and returns cause if it does
+// lookUp looks for the change in the configuration in force and returns cause if it does
 // not appear: it may still be accepted, or have been followed by another change.
-func (c *Client) settle(ctx context.Context, id string, bounds Bounds, cause error) (apiv1.Published, error) {
-	ctx, cancel := context.WithTimeout(ctx, bounds.Settle)
+func (c *Client) lookUp(ctx context.Context, id string, bounds Bounds, cause error) (apiv1.Published, error) {
+	ctx, cancel := context.WithTimeout(ctx, bounds.Lookup)
 	defer cancel()
 	for {
 		config, err := c.Config(ctx)
--- a/share/inicfg/load.go
+++ b/share/inicfg/load.go
@@ -59,7 +59,7 @@
 		return nil, err
 	}
 	l := loader{file: file, groups: groups, problems: problems, sections: map[string]Section{}}
-	l.place()
+	l.matchSections()
 	settings := &Settings{}
 	for _, g := range groups {
 		for _, k := range g.Keys {
@@ -72,7 +72,7 @@
 		}
 	}
 	if c, ok := dst.(Checker); ok && len(l.problems) == 0 {
-		c.Check(func(section, key, want string) { l.broken(settings, section, key, want) })
+		c.Check(func(section, key, want string) { l.ruleBroken(settings, section, key, want) })
 	}
 	return settings, l.problems.Err()
 }
@@ -84,8 +84,8 @@
 	problems Problems
 }
 
-// place finds the section of each group and reports unknown and repeated ones.
-func (l *loader) place() {
+// matchSections finds the section of each group and reports unknown and repeated ones.
+func (l *loader) matchSections() {
 	known := make([]string, len(l.groups))
 	for i, g := range l.groups {
 		known[i] = g.Section
@@ -157,8 +157,8 @@
 	return Origin{Section: k.Section, Key: k.Name, Value: k.shown(), From: from}
 }
 
-// broken adds the problem of a rule across keys.
-func (l *loader) broken(s *Settings, section, key, want string) {
+// ruleBroken adds the problem of a rule across keys.
+func (l *loader) ruleBroken(s *Settings, section, key, want string) {
 	for _, o := range s.origins {
 		if o.Section != section || o.Key != key {
 			continue
--- a/share/inicfg/scan.go
+++ b/share/inicfg/scan.go
@@ -140,7 +140,7 @@
 		s.fault(key, "a key before the first section", "a section header such as [name] above it")
 		return
 	}
-	value, ok = unquotedTail(value)
+	value, ok = cutComment(value)
 	if !ok {
 		s.fault(key, "a quoted value with no end or with text after it", `a value such as "text", with \" for a quote in it`)
 		return
@@ -154,9 +154,9 @@
 	fmt.Fprintf(&s.clean, "%s = %s\n", key, value)
 }
 
-// unquotedTail cuts the comment off a value in double quotes and reports whether nothing
+// cutComment cuts the comment off a value in double quotes and reports whether nothing
 // else follows them. The library would read on, to the last quote of the line or the next.
-func unquotedTail(value string) (string, bool) {
+func cutComment(value string) (string, bool) {
 	if !strings.HasPrefix(value, `"`) {
 		return value, true
 	}
