--- a/share/bundle/bundle_suite_test.go
+++ b/share/bundle/bundle_suite_test.go
@@ -36,22 +36,22 @@
 	It("give equal bytes in any order of sections", func() {
 		// Guards against a change of configuration that only moves sections about.
 		files := map[string]string{}
-		for _, name := range []string{"union", "sundarban"} {
+		for _, name := range []string{"union", "ledger"} {
 			data, err := os.ReadFile("testdata/good/" + name + "/service.ini")
 			Expect(err).NotTo(HaveOccurred())
 			files[name] = string(data)
 		}
-		forth, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["union"])}, bundle.Source{Name: "b", Data: []byte(files["sundarban"])})
+		forth, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["union"])}, bundle.Source{Name: "b", Data: []byte(files["ledger"])})
 		Expect(err).NotTo(HaveOccurred())
-		back, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["sundarban"] + files["union"])})
+		back, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["ledger"] + files["union"])})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(encode(back)).To(Equal(encode(forth)))
 	})
 	It("are reported with all that is wrong in all files", func() {
 		// Guards against a fault that is hidden behind another, or has no place.
-		_, err := bundle.ParseDir("testdata/bad")
+		_, err := bundle.ParseDir("testdata/wrong")
 		Expect(err).To(HaveOccurred())
-		Expect(err.Error() + "\n").To(golden.Match("testdata/bad.txt"))
+		Expect(err.Error() + "\n").To(golden.Match("testdata/wrong.txt"))
 	})
 	It("are written back from a document", func() {
 		// Guards against config show printing another configuration than the one in force.
