--- a/share/bundle/bundle_suite_test.go
+++ b/share/bundle/bundle_suite_test.go
@@ -36,22 +36,22 @@
 	It("give equal bytes in any order of sections", func() {
 		// Guards against a change of configuration that only moves sections about.
 		files := map[string]string{}
-		for _, name := range []string{"union", "sundarban"} {
+		for _, name := range []string{"union", "ledger"} {
 			data, err := os.ReadFile("testdata/good/" + name + "/service.ini")
 			Expect(err).NotTo(HaveOccurred())
 			files[name] = string(data)
 		}
-		forth, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["union"])}, bundle.Source{Name: "b", Data: []byte(files["sundarban"])})
+		forth, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["union"])}, bundle.Source{Name: "b", Data: []byte(files["ledger"])})
 		Expect(err).NotTo(HaveOccurred())
-		back, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["sundarban"] + files["union"])})
+		back, err := bundle.Parse(bundle.Source{Name: "a", Data: []byte(files["ledger"] + files["union"])})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(encode(back)).To(Equal(encode(forth)))
 	})
 	It("are reported with all that is wrong in all files", func() {
 		// Guards against a fault that is hidden behind another, or has no place.
-		_, err := bundle.ParseDir("testdata/bad")
+		_, err := bundle.ParseDir("testdata/wrong")
 		Expect(err).To(HaveOccurred())
-		Expect(err.Error() + "\n").To(golden.Match("testdata/bad.txt"))
+		Expect(err.Error() + "\n").To(golden.Match("testdata/wrong.txt"))
 	})
 	It("are written back from a document", func() {
 		// Guards against config show printing another configuration than the one in force.
@@ -96,6 +96,32 @@
 	Entry("a pool where there is none", "[target t]\npool = p\n", `unknown pool "p", want a section [pool p]`),
 )
 
+var _ = DescribeTable("a document from elsewhere is verified by the same rules",
+	// Guards against a publish call that brings into force what no service file could say.
+	func(change func(d *bundle.Doc), want string) {
+		doc, err := bundle.ParseDir("testdata/good")
+		Expect(err).NotTo(HaveOccurred())
+		change(&doc)
+		if want == "" {
+			Expect(bundle.Verify(doc)).To(Succeed())
+			return
+		}
+		Expect(bundle.Verify(doc)).To(MatchError(ContainSubstring(want)))
+	},
+	Entry("sound", func(*bundle.Doc) {}, ""),
+	Entry("sound in another order, with a data centre out", func(d *bundle.Doc) {
+		d.Targets[0], d.Targets[1] = d.Targets[1], d.Targets[0]
+		d.Out = []string{"thies-1", "kaolack-1"}
+	}, ""),
+	Entry("empty", func(d *bundle.Doc) { *d = bundle.Doc{} }, ""),
+	Entry("address", func(d *bundle.Doc) { d.Targets[0].Address = "10.1.0.11" }, "address: found"),
+	Entry("kind", func(d *bundle.Doc) { d.Pools[0].Kind = "" }, "kind: found"),
+	Entry("timeout above the deadline", func(d *bundle.Doc) { d.Pipelines[0].Deadline = 1 }, "timeout: found"),
+	Entry("name with a section in it", func(d *bundle.Doc) { d.Accounts[0].Name = "a]\n[pool x" }, "found"),
+	Entry("model with a key in it", func(d *bundle.Doc) { d.Pipelines[0].Stages[0].Model = "m ; x" }, "a value that service files cannot have"),
+	Entry("data centre out twice", func(d *bundle.Doc) { d.Out = []string{"a", "a"} }, `out: found "a"`),
+)
+
 // FuzzParse guards against a crash on service files, and against a document that is
 // accepted here and refused by a host that reads it from the log, or that is written
 // back in another form.
