--- a/entry/internal/config/track.go
+++ b/entry/internal/config/track.go
@@ -134,16 +134,20 @@
 }
 
 // copied applies a copy record at offset. It has an effect only while the version is
-// not settled: otherwise every change up to it has been judged.
+// not settled: otherwise every change up to it has been judged. A copy from before
+// the missing records settles nothing.
 func (t *track) copied(offset int64, r record) error {
 	if r.AsOf >= offset {
 		return fmt.Errorf("%w: as of %d at offset %d", errCopy, r.AsOf, offset)
 	}
-	if !t.settled {
+	switch {
+	case !t.settled && r.AsOf < t.gapFirst-1:
+		return nil
+	case !t.settled:
 		if err := t.adopt(Offer{Version: r.Copied, Author: r.Author, Through: r.AsOf, Data: r.Bundle}); err != nil {
 			return err
 		}
-	} else if r.Copied > t.force.version {
+	case r.Copied > t.force.version:
 		return fmt.Errorf("%w: version %d, in force %d", errCopy, r.Copied, t.force.version)
 	}
 	t.checkDigest(r.Copied, r.Bundle)
