Base copies on the last copy and refuse pages without records

Cause: a change also reset the time of the next copy. With a change more often than a third of the retention no copy was ever written, and after a restart of all nodes none could have judged the changes kept. A page that leaves out the records due was read again without a pause. Change: only copies reset the time; a copy counts as about to lose its use by its as_of. Such a page is an error like other contradictions. Without the page check the new specs of both packages fail.

--- a/entry/internal/claims/claims_test.go
+++ b/entry/internal/claims/claims_test.go
@@ -20,7 +20,7 @@
 	stream = logsvc.StreamClaims
 )
 
-func unreadableCount() int64 { return expvar.Get("claims_unreadable_count").(*expvar.Int).Value() }
+func counter(name string) int64 { return expvar.Get(name).(*expvar.Int).Value() }
 
 // breach returns the panic of a broken invariant that f raises, else nil.
 func breach(f func()) (value any) {
@@ -283,14 +283,23 @@
 		Entry("that holds the own claim too", int64(3)),
 	)
 
+	// Guards against a reader that asks again without a pause.
+	It("pages without the records due are refused", virtual(func(w *world, _, _ *claims.Controller) {
+		before := counter("claims_bad_pages_count")
+		w.log.SetHollow(true)
+		w.log.Put(stream, nil)
+		time.Sleep(2 * time.Second)
+		Expect(counter("claims_bad_pages_count")-before).To(BeNumerically("~", 40, 4), "two nodes, each at RetryPause")
+	}))
+
 	It("unreadable records are skipped and a stream that starts again is refused", virtual(func(w *world, a, b *claims.Controller) {
 		b.Close() // The count is that of the whole process.
-		before := unreadableCount()
+		before := counter("claims_unreadable_count")
 		w.log.Put(stream, []byte("{}"), nil, []byte{0xa1})
 		req := request(id(a, random))
 		d := acquire(a, req)
 		Expect(d.Kind).To(Equal(claims.Granted))
-		Expect(unreadableCount()-before).To(BeEquivalentTo(3), "counted")
+		Expect(counter("claims_unreadable_count")-before).To(BeEquivalentTo(3), "counted")
 		w.log.Reset(stream)
 		time.Sleep(3 * time.Second)
 		Expect(acquire(a, request("1-ijklmnop")).Kind).To(Equal(claims.LogDown))
--- a/entry/internal/claims/reader.go
+++ b/entry/internal/claims/reader.go
@@ -63,7 +63,7 @@
 func (c *Controller) apply(number uint64, page logsvc.Page, began time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	x := c.index
+	x, before := c.index, c.index.next
 	if page.Next < x.next || page.First > page.Next || page.First < 1 {
 		badPages.Add(1)
 		return fmt.Errorf("%w: first %d, next %d, but %d was to be read", errStream, page.First, page.Next, x.next)
@@ -86,11 +86,15 @@
 		c.applyRecord(r)
 	}
 	x.raise(page.First)
-	if x.next == page.Next {
+	switch x.next {
+	case page.Next:
 		c.reads.synced = true
 		c.reads.last = began
 		c.refuseAhead(number)
 		c.requeueMissing(number)
+	case before:
+		badPages.Add(1)
+		return fmt.Errorf("%w: the records from %d to %d are missing from a page", errStream, x.next, page.Next-1)
 	}
 	c.advanceParked()
 	return nil
--- a/entry/internal/config/config_test.go
+++ b/entry/internal/config/config_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"chivepost/entry/internal/invar"
@@ -134,6 +135,15 @@
 		Expect(a.name()).To(Equal("x"))
 		Expect(a.LogAge()).To(BeNumerically(">", 3*time.Second))
 	}))
+
+	// Guards against a reader that asks again without a pause.
+	It("refuses pages without the records due", virtual(func(w *world, _, _, _ *node) {
+		before := badPages.Value()
+		w.log.SetHollow(true)
+		w.log.Put(stream, change(0, "x"))
+		time.Sleep(2 * time.Second)
+		Expect(badPages.Value()-before).To(BeNumerically("~", 30, 3), "three nodes, each at RetryPause")
+	}))
 })
 
 var _ = Describe("a peer's offer", func() {
@@ -268,27 +278,39 @@
 })
 
 var _ = Describe("copies", func() {
-	// Guards against a version whose records expire, and against a copy from each node.
-	It("are written by one node at a time, in time, also after an outage", virtualWith(9,
-		Options{ReadWait: 20 * time.Second, ConfigMax: time.Minute}, func(w *world) {
-			Expect(w.nodes[0].publish(0, "x").Kind).To(Equal(Accepted))
+	// Guards against a state that fresh readers can't settle, be it that records expire
+	// or that only changes are kept, and against a copy from each node.
+	DescribeTable("are written by one node at a time, in time, also after an outage", func(every int) {
+		virtualWith(9, Options{ReadWait: 20 * time.Second, ConfigMax: time.Minute}, func(w *world) {
+			first := w.nodes[0]
+			Expect(first.publish(0, "x").Kind).To(Equal(Accepted))
+			changes := 1
 			for minute := range 12 * 60 {
 				w.log.SetDown(minute >= 300 && minute < 330)
 				time.Sleep(time.Minute)
 				w.log.Expire(stream, time.Hour)
 				if minute == 600 {
-					w.nodes[0].restart(0)
+					first.restart(0)
+					time.Sleep(time.Second)
+				}
+				if minute%every == 0 && first.publish(first.version(), fmt.Sprint(minute)).Kind == Accepted {
+					changes++
 				}
 			}
-			Expect(w.log.Appends(stream)-1).To(BeNumerically("~", 32, 4), "one in 20 to 25 min for all nodes")
+			Expect(w.log.Appends(stream)-changes).To(BeNumerically("~", 32, 4), "one in 20 to 25 min for all nodes")
+			version := first.version()
 			for i, n := range w.nodes {
 				n.restart(i)
 			}
 			time.Sleep(time.Second)
 			for _, n := range w.nodes {
-				Expect([]any{n.version(), n.MayServe()}).To(Equal([]any{int64(1), nil}))
+				Expect([]any{n.version(), n.MayServe()}).To(Equal([]any{version, nil}))
 			}
-		}))
+		})()
+	},
+		Entry("with few changes", 500),
+		Entry("with a change each 8 min", 8),
+	)
 
 	// Guards against a version that is lost when all nodes restart more often than copies are due.
 	It("are written early when the last one is the next record to expire", virtual(func(w *world, a, b, c *node) {
--- a/entry/internal/config/copy.go
+++ b/entry/internal/config/copy.go
@@ -14,9 +14,8 @@
 // copyState says when the next copy is due. A zero time means never.
 type copyState struct {
 	due time.Time
-	// carrier and version are those for which due was set.
-	carrier int64
-	version int64
+	// after is the as_of of the copy for which due was set, 0 for none.
+	after   int64
 	hurried bool
 }
 
@@ -24,22 +23,20 @@
 	return time.Duration(c.random.Int64N(int64(c.opts.Retention/spreadShare) + 1))
 }
 
-// scheduleCopy moves the next copy after each record read that holds the version in
-// force. If that record is the next to expire, as after a restart of all nodes, the
-// copy is due at once. The mutex is held.
+// scheduleCopy sets when the next copy is due after each copy read. Changes do not
+// move it: a fresh reader can't judge a change without the version before it, so it
+// needs a copy however many changes are kept. If the last copy is about to lose its
+// use, as after a restart of all nodes, the next one is due at once. The mutex is held.
 func (c *Controller) scheduleCopy(first int64) {
 	t, s := c.track, &c.copying
 	if t.force.version == 0 {
 		return
 	}
-	if s.due.IsZero() || s.carrier != t.carrier || s.version != t.force.version {
-		*s = copyState{
-			due:     time.Now().Add(c.opts.Retention/copyShare + c.spread()),
-			carrier: t.carrier, version: t.force.version,
-		}
+	if s.due.IsZero() || s.after != t.copyAsOf {
+		*s = copyState{due: time.Now().Add(c.opts.Retention/copyShare + c.spread()), after: t.copyAsOf}
 		signal(c.copyWake)
 	}
-	if first > 1 && t.carrier <= first && !s.hurried {
+	if first > 1 && t.copyAsOf < first && !s.hurried {
 		s.hurried = true
 		s.due = time.Now().Add(c.spread())
 		signal(c.copyWake)
--- a/entry/internal/config/reader.go
+++ b/entry/internal/config/reader.go
@@ -73,6 +73,7 @@
 	if page.First > t.read+1 {
 		c.skipTo(page.First)
 	}
+	before := t.read
 	for _, raw := range page.Records {
 		if raw.Offset <= t.read {
 			continue
@@ -84,9 +85,13 @@
 		c.applyRecord(raw)
 		t.passed(raw.Offset)
 	}
-	if t.read == page.Next-1 {
+	switch t.read {
+	case page.Next - 1:
 		c.reads.synced = true
 		c.reads.last = began
+	case before:
+		badPages.Add(1)
+		return fmt.Errorf("%w: the records from %d to %d are missing from a page", errStream, t.read+1, page.Next-1)
 	}
 	c.publishState()
 	c.scheduleCopy(page.First)
--- a/entry/internal/config/track.go
+++ b/entry/internal/config/track.go
@@ -50,9 +50,10 @@
 	gapFirst int64
 	held     []heldChange
 	force    inForce
-	// carrier is the offset of the last record read that holds the version in force.
-	carrier int64
-	digests map[int64][sha256.Size]byte
+	// copyAsOf is the highest as_of of the copies read. A fresh reader can start from
+	// that copy as long as the records after copyAsOf are kept.
+	copyAsOf int64
+	digests  map[int64][sha256.Size]byte
 	// onJudged is told the outcome of each change.
 	onJudged func(r record, accepted bool, offset int64)
 }
@@ -111,9 +112,6 @@
 				offset, t.force.version, t.force.through)
 			t.setForce(inForce{version: offset, through: offset, author: r.Author, data: r.Bundle, bundle: b})
 		}
-		if offset == t.force.version {
-			t.carrier = offset
-		}
 	}
 	t.passed(offset)
 	t.onJudged(r, accepted, offset)
@@ -151,9 +149,7 @@
 		return fmt.Errorf("%w: version %d, in force %d", errCopy, r.Copied, t.force.version)
 	}
 	t.checkDigest(r.Copied, r.Bundle)
-	if r.Copied == t.force.version {
-		t.carrier = offset
-	}
+	t.copyAsOf = max(t.copyAsOf, r.AsOf)
 	return nil
 }
 
@@ -191,7 +187,6 @@
 func (t *track) setForce(f inForce) {
 	invar.Check(f.version > t.force.version, "config: version %d would revert to %d", t.force.version, f.version)
 	t.force = f
-	t.carrier = 0
 }
 
 // checkDigest asserts that a version always has the same bytes.
--- a/entry/internal/logfk/testlog.go
+++ b/entry/internal/logfk/testlog.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	down    bool
+	hollow  bool
 	delay   time.Duration
 	faults  []Fault
 }
@@ -60,6 +61,9 @@
 // SetDown starts or ends an outage.
 func (s *Service) SetDown(down bool) { s.mu.Lock(); defer s.mu.Unlock(); s.down = down }
 
+// SetHollow makes pages leave out their records, which no real service does.
+func (s *Service) SetHollow(hollow bool) { s.mu.Lock(); defer s.mu.Unlock(); s.hollow = hollow }
+
 // SetDelay sets the time that each call takes.
 func (s *Service) SetDelay(d time.Duration) { s.mu.Lock(); defer s.mu.Unlock(); s.delay = d }
 
@@ -244,7 +248,7 @@
 	defer s.mu.Unlock()
 	st := s.stream(name)
 	page := logsvc.Page{First: st.first, Next: st.next()}
-	if i := max(from, st.first) - st.first; i < int64(len(st.records)) {
+	if i := max(from, st.first) - st.first; i < int64(len(st.records)) && !s.hollow {
 		page.Records = append(page.Records, st.records[i:min(i+int64(limit), int64(len(st.records)))]...)
 	}
 	return page, st.grown
