--- a/entry/internal/config/track.go
+++ b/entry/internal/config/track.go
@@ -50,9 +50,10 @@
 	gapFirst int64
 	held     []heldChange
 	force    inForce
-	// carrier is the offset of the last record read that holds the version in force.
-	carrier int64
-	digests map[int64][sha256.Size]byte
+	// copyAsOf is the highest as_of of the copies read. A fresh reader can start from
+	// that copy as long as the records after copyAsOf are kept.
+	copyAsOf int64
+	digests  map[int64][sha256.Size]byte
 	// onJudged is told the outcome of each change.
 	onJudged func(r record, accepted bool, offset int64)
 }
@@ -111,9 +112,6 @@
 				offset, t.force.version, t.force.through)
 			t.setForce(inForce{version: offset, through: offset, author: r.Author, data: r.Bundle, bundle: b})
 		}
-		if offset == t.force.version {
-			t.carrier = offset
-		}
 	}
 	t.passed(offset)
 	t.onJudged(r, accepted, offset)
@@ -134,22 +132,24 @@
 }
 
 // copied applies a copy record at offset. It has an effect only while the version is
-// not settled: otherwise every change up to it has been judged.
+// not settled: otherwise every change up to it has been judged. A copy from before
+// the missing records settles nothing.
 func (t *track) copied(offset int64, r record) error {
 	if r.AsOf >= offset {
 		return fmt.Errorf("%w: as of %d at offset %d", errCopy, r.AsOf, offset)
 	}
-	if !t.settled {
+	switch {
+	case !t.settled && r.AsOf < t.gapFirst-1:
+		return nil
+	case !t.settled:
 		if err := t.adopt(Offer{Version: r.Copied, Author: r.Author, Through: r.AsOf, Data: r.Bundle}); err != nil {
 			return err
 		}
-	} else if r.Copied > t.force.version {
+	case r.Copied > t.force.version:
 		return fmt.Errorf("%w: version %d, in force %d", errCopy, r.Copied, t.force.version)
 	}
 	t.checkDigest(r.Copied, r.Bundle)
-	if r.Copied == t.force.version {
-		t.carrier = offset
-	}
+	t.copyAsOf = max(t.copyAsOf, r.AsOf)
 	return nil
 }
 
@@ -187,7 +187,6 @@
 func (t *track) setForce(f inForce) {
 	invar.Check(f.version > t.force.version, "config: version %d would revert to %d", t.force.version, f.version)
 	t.force = f
-	t.carrier = 0
 }
 
 // checkDigest asserts that a version always has the same bytes.
