Run histories several at once and let late calls end

Change: the history waits for calls on their way; publish ids come from a counter; histories run on all cores but two.

--- a/entry/internal/node/history_test.go
+++ b/entry/internal/node/history_test.go
@@ -4,8 +4,10 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -249,7 +251,7 @@
 
 // runHistory runs one history and returns what the audit found.
 func runHistory(seed uint64) (faults, names []string, sums map[apiv1.Outcome]int) {
-	w := newWorld(seed, 3)
+	w := newWorld(3)
 	h := &history{seed: seed, rng: rand.New(rand.NewPCG(seed, 2))}
 	counts := newCounter()
 	time.Sleep(3 * time.Second)
@@ -288,6 +290,8 @@
 	w.wait.Wait()
 	time.Sleep(10 * time.Second)
 	w.stop()
+	// Time stands still once this goroutine ends, so calls on their way end first.
+	time.Sleep(callTime + 5*time.Second)
 
 	a := &audit{lines: w.lines(), once: map[string]bool{"booking": true}, cold: map[string]int{}}
 	for _, t := range w.doc.Targets {
@@ -305,24 +309,40 @@
 // These histories guard against every breach that audit knows, under two to four
 // faults at once.
 var _ = It("keeps its promises in randomised histories", func() {
-	total := map[apiv1.Outcome]int{}
-	var broken []string
-	for i := range *histories {
-		seed := *firstSeed + uint64(i)
-		synctest.Test(suite, func(*testing.T) {
-			faults, names, sums := runHistory(seed)
-			for k, v := range sums {
-				total[k] += v
-			}
-			slices.Sort(names)
-			if *verbose {
-				fmt.Printf("seed %d: %v %v\n", seed, names, sums)
-			}
-			for _, f := range faults[:min(len(faults), 5)] {
-				broken = append(broken, fmt.Sprintf("seed %d, %v: %s", seed, names, f))
+	var (
+		mu     sync.Mutex
+		total  = map[apiv1.Outcome]int{}
+		broken []string
+		wait   sync.WaitGroup
+		seeds  = make(chan uint64)
+	)
+	// Each history has a bubble of its own, so several can run at once.
+	for range max(1, runtime.GOMAXPROCS(0)-2) {
+		wait.Go(func() {
+			for seed := range seeds {
+				synctest.Test(suite, func(*testing.T) {
+					faults, names, sums := runHistory(seed)
+					slices.Sort(names)
+					mu.Lock()
+					defer mu.Unlock()
+					for k, v := range sums {
+						total[k] += v
+					}
+					if *verbose {
+						fmt.Printf("seed %d: %v %v\n", seed, names, sums)
+					}
+					for _, f := range faults[:min(len(faults), 5)] {
+						broken = append(broken, fmt.Sprintf("seed %d, %v: %s", seed, names, f))
+					}
+				})
 			}
 		})
 	}
+	for i := range *histories {
+		seeds <- *firstSeed + uint64(i)
+	}
+	close(seeds)
+	wait.Wait()
 	Expect(broken).To(BeEmpty(), strings.Join(broken, "\n"))
 	GinkgoWriter.Println("outcomes of all sends:", total)
 	Expect(total[apiv1.Answered]).To(BeNumerically(">", 100**histories), "most requests must be answered for the run to prove anything: %v", total)
--- a/entry/internal/node/world_test.go
+++ b/entry/internal/node/world_test.go
@@ -5,11 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -28,7 +28,6 @@
 // world is a whole deployment in one process: hosts joined by fakes at the
 // interfaces, in the virtual time of a synctest bubble.
 type world struct {
-	rng     *rand.Rand
 	cuts    *cuts
 	net     *network
 	log     *logfk.Service
@@ -37,13 +36,14 @@
 	byName  map[string]*fakeTarget
 	doc     bundle.Doc
 
-	mu      sync.Mutex
-	buffer  bytes.Buffer
-	record  *events.Log
-	procs   map[string]*proc
-	started int
-	version int64
-	wait    sync.WaitGroup
+	mu        sync.Mutex
+	buffer    bytes.Buffer
+	record    *events.Log
+	procs     map[string]*proc
+	started   int
+	publishes atomic.Uint64
+	version   int64
+	wait      sync.WaitGroup
 }
 
 // proc is one process of an entry host.
@@ -78,9 +78,9 @@
 	}
 }
 
-func newWorld(seed uint64, hostsPerDC int) *world {
+func newWorld(hostsPerDC int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), cuts: &cuts{}, log: logfk.New(), list: &hostList{},
+		cuts: &cuts{}, log: logfk.New(), list: &hostList{},
 		targets: map[string]*fakeTarget{}, byName: map[string]*fakeTarget{}, procs: map[string]*proc{},
 	}
 	w.net = &network{cuts: w.cuts, bus: map[string]*bus{}}
@@ -273,7 +273,7 @@
 
 // publish sends a configuration to a host and records its acceptance.
 func (w *world) publish(p *proc, author string, base int64, doc bundle.Doc) (apiv1.Published, int) {
-	body, _ := json.Marshal(apiv1.Publish{Base: base, Author: author, PublishID: fmt.Sprintf("%s-%d", author, w.rng.Uint32()), Doc: doc})
+	body, _ := json.Marshal(apiv1.Publish{Base: base, Author: author, PublishID: fmt.Sprintf("%s-%d", author, w.publishes.Add(1)), Doc: doc})
 	ctx, cancel := context.WithTimeout(p.ctx, 8*time.Second)
 	defer cancel()
 	rec := httptest.NewRecorder()
