Rate-limit the log lines about failing log service calls

Cause: at the append rate limit calls fail and work again several times a second, and each change wrote a line. Change: one line for the start and one for the end of a failure, at most once in 10 s; smaller pages for configurations; the unused delay leaves the test log service.

--- a/entry/internal/claims/append.go
+++ b/entry/internal/claims/append.go
@@ -94,10 +94,7 @@
 func (c *Controller) settleBatch(batch []*item, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ok := err == nil; ok != c.appendOK {
-		c.appendOK = ok
-		c.logger.Info("append state changed", "ok", ok, "error", errText(err))
-	}
+	c.writing.note(c.logger, "append", err)
 	switch {
 	case err == nil:
 		for _, it := range batch {
@@ -134,10 +131,3 @@
 		}
 	}
 }
-
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/entry/internal/claims/claims.go
+++ b/entry/internal/claims/claims.go
@@ -95,17 +95,18 @@
 	group  sync.WaitGroup
 	wake   chan struct{}
 
-	mu       sync.Mutex
-	closed   bool
-	index    *index
-	open     map[string]*claim
-	byKey    map[requestKey][]*claim
-	parked   []*claim
-	queue    []*item
-	pending  map[itemKey]*item
-	lastID   uint64
-	reads    readState
-	appendOK bool
+	mu      sync.Mutex
+	closed  bool
+	index   *index
+	open    map[string]*claim
+	byKey   map[requestKey][]*claim
+	parked  []*claim
+	queue   []*item
+	pending map[itemKey]*item
+	lastID  uint64
+	reads   readState
+	reading callState
+	writing callState
 }
 
 // readState is what the reader knows about its own progress.
@@ -114,9 +115,8 @@
 	// began after it started to wait.
 	started uint64
 	// synced is set once a read has reached the end of the stream.
-	synced  bool
-	last    time.Time
-	failing bool
+	synced bool
+	last   time.Time
 }
 
 // New returns a controller that reads the claims stream until Close.
@@ -124,18 +124,17 @@
 	opts = opts.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{
-		opts:     opts,
-		log:      log,
-		logger:   logger.WithName("claims"),
-		prefix:   fmt.Sprintf("%s/%d/%s/", opts.Host, opts.Incarnation, rand.Text()),
-		ctx:      ctx,
-		cancel:   cancel,
-		wake:     make(chan struct{}, 1),
-		index:    newIndex(opts.MaxHistory, opts.MaxIndex),
-		open:     map[string]*claim{},
-		byKey:    map[requestKey][]*claim{},
-		pending:  map[itemKey]*item{},
-		appendOK: true,
+		opts:    opts,
+		log:     log,
+		logger:  logger.WithName("claims"),
+		prefix:  fmt.Sprintf("%s/%d/%s/", opts.Host, opts.Incarnation, rand.Text()),
+		ctx:     ctx,
+		cancel:  cancel,
+		wake:    make(chan struct{}, 1),
+		index:   newIndex(opts.MaxHistory, opts.MaxIndex),
+		open:    map[string]*claim{},
+		byKey:   map[requestKey][]*claim{},
+		pending: map[itemKey]*item{},
 	}
 	c.group.Go(func() {
 		for c.ctx.Err() == nil {
@@ -181,7 +180,7 @@
 	defer c.mu.Unlock()
 	d := Detail{
 		Floor: c.index.floor, Next: c.index.next, Keys: len(c.index.requests), Bytes: c.index.bytes,
-		Open: len(c.open), Queued: len(c.queue), Synced: c.reads.synced, Reading: c.reads.synced && !c.reads.failing,
+		Open: len(c.open), Queued: len(c.queue), Synced: c.reads.synced, Reading: c.reads.synced && !c.reading.failing,
 	}
 	if !c.reads.last.IsZero() {
 		d.LogAge = time.Since(c.reads.last).String()
--- a/entry/internal/claims/claims_test.go
+++ b/entry/internal/claims/claims_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
+
 	"chivepost/entry/internal/claims"
 	"chivepost/entry/internal/invar"
 	"chivepost/entry/internal/logfk"
@@ -20,27 +22,29 @@
 	stream = logsvc.StreamClaims
 )
 
+var _ claims.Log = (*logsvc.Client)(nil)
+
 func counter(name string) int64 { return expvar.Get(name).(*expvar.Int).Value() }
 
-// breach returns the panic of a broken invariant that f raises, else nil.
-func breach(f func()) (value any) {
-	defer func() { value = recover() }()
-	f()
-	return nil
+// grant claims a new id on n, which nobody else does.
+func grant(n *claims.Controller) (claims.Request, *claims.Ticket) {
+	GinkgoHelper()
+	req := request(id(n, random))
+	d := acquire(n, req)
+	Expect(d.Kind).To(Equal(claims.Granted))
+	return req, d.Ticket
 }
 
 var _ = Describe("a claim", func() {
 	bg := context.Background()
 
 	It("runs once and answers a repeat on another node with the result", virtual(func(w *world, a, b *claims.Controller) {
-		req := request(id(a, random))
-		d := acquire(a, req)
-		Expect(d.Kind).To(Equal(claims.Granted))
+		req, ticket := grant(a)
 		Expect(acquire(b, req).Kind).To(Equal(claims.Taken), "before the result is recorded")
-		Expect(d.Ticket.Finish(bg, "early")).To(MatchError(claims.ErrState))
-		Expect(d.Ticket.Confirm()).To(Succeed())
-		Expect(d.Ticket.Release(bg)).To(MatchError(claims.ErrState), "a sent call can't be released")
-		Expect(d.Ticket.Finish(bg, "booked")).To(Succeed())
+		Expect(ticket.Finish(bg, "early")).To(MatchError(claims.ErrState))
+		Expect(ticket.Confirm()).To(Succeed())
+		Expect(ticket.Release(bg)).To(MatchError(claims.ErrState), "a sent call can't be released")
+		Expect(ticket.Finish(bg, "booked")).To(Succeed())
 		time.Sleep(50 * time.Millisecond)
 		again := acquire(b, req)
 		Expect([]any{again.Kind, again.Result, again.Host}).To(Equal([]any{claims.Done, "booked", "a"}))
@@ -93,8 +97,7 @@
 	}))
 
 	It("of another stage of the same request is separate", virtual(func(w *world, a, _ *claims.Controller) {
-		req := request(id(a, random))
-		Expect(acquire(a, req).Kind).To(Equal(claims.Granted))
+		req, _ := grant(a)
 		req.Stage = "pay"
 		Expect(acquire(a, req).Kind).To(Equal(claims.Granted))
 	}))
@@ -102,8 +105,7 @@
 	// Guards against a restarted process that takes its predecessor's claim for its own.
 	It("of an earlier incarnation of the host is taken", virtual(func(w *world, _, _ *claims.Controller) {
 		a := w.start(claims.Options{Host: "a", Incarnation: 1})
-		req := request(id(a, random))
-		Expect(acquire(a, req).Kind).To(Equal(claims.Granted))
+		req, _ := grant(a)
 		a.Close()
 		for _, incarnation := range []uint64{2, 1} {
 			again := w.start(claims.Options{Host: "a", Incarnation: incarnation})
@@ -134,35 +136,33 @@
 
 	// Guards against a call that is made twice under one claim.
 	It("can be confirmed once only", virtual(func(w *world, a, _ *claims.Controller) {
-		d := acquire(a, request(id(a, random)))
-		Expect(d.Ticket.Confirm()).To(Succeed())
-		Expect(breach(func() { _ = d.Ticket.Confirm() })).To(BeAssignableToTypeOf(invar.BreachError{}))
+		_, ticket := grant(a)
+		Expect(ticket.Confirm()).To(Succeed())
+		Expect(func() { _ = ticket.Confirm() }).To(PanicWith(BeAssignableToTypeOf(invar.BreachError{})))
 	}))
 
 	// Guards against a process that was paused between the claim and the send.
 	It("is refused after the deadline, then released for good", virtual(func(w *world, a, b *claims.Controller) {
-		req := request(id(a, random))
-		d := acquire(a, req)
+		req, ticket := grant(a)
 		time.Sleep(5 * time.Second)
-		Expect(d.Ticket.Confirm()).To(MatchError(claims.ErrDeadline))
-		Expect(d.Ticket.Release(bg)).To(Succeed())
-		Expect(d.Ticket.Confirm()).To(MatchError(claims.ErrReleased))
+		Expect(ticket.Confirm()).To(MatchError(claims.ErrDeadline))
+		Expect(ticket.Release(bg)).To(Succeed())
+		Expect(ticket.Confirm()).To(MatchError(claims.ErrReleased))
 		time.Sleep(50 * time.Millisecond)
 		Expect(acquire(b, req).Kind).To(Equal(claims.Released))
 	}))
 
 	It("is refused once the controller is closed", virtual(func(w *world, a, _ *claims.Controller) {
-		d := acquire(a, request(id(a, random)))
+		_, ticket := grant(a)
 		a.Close()
-		Expect(d.Ticket.Confirm()).To(MatchError(claims.ErrClosed))
+		Expect(ticket.Confirm()).To(MatchError(claims.ErrClosed))
 		Expect(acquire(a, request("1-"+random)).Kind).To(Equal(claims.LogDown))
 	}))
 
 	It("records the digest of a result that is too large", virtual(func(w *world, a, _ *claims.Controller) {
-		req := request(id(a, random))
-		d := acquire(a, req)
-		Expect(d.Ticket.Confirm()).To(Succeed())
-		Expect(d.Ticket.Finish(bg, strings.Repeat("x", 4097))).To(Succeed())
+		req, ticket := grant(a)
+		Expect(ticket.Confirm()).To(Succeed())
+		Expect(ticket.Finish(bg, strings.Repeat("x", 4097))).To(Succeed())
 		time.Sleep(50 * time.Millisecond)
 		again := acquire(a, req)
 		Expect(again.Kind).To(Equal(claims.Done))
@@ -172,13 +172,12 @@
 
 	// Guards against a result that is lost with an append, so that a repeat gets unknown.
 	It("has its done record written again when a read to the end does not show it", virtual(func(w *world, a, b *claims.Controller) {
-		req := request(id(a, random))
-		d := acquire(a, req)
-		Expect(d.Ticket.Confirm()).To(Succeed())
+		req, ticket := grant(a)
+		Expect(ticket.Confirm()).To(Succeed())
 		w.log.Inject(logfk.LoseAppend)
 		ctx, cancel := context.WithTimeout(bg, 5*time.Second)
 		defer cancel()
-		Expect(d.Ticket.Finish(ctx, "booked")).To(Succeed())
+		Expect(ticket.Finish(ctx, "booked")).To(Succeed())
 		time.Sleep(50 * time.Millisecond)
 		Expect(acquire(b, req).Kind).To(Equal(claims.Done))
 	}))
@@ -283,6 +282,18 @@
 		Entry("that holds the own claim too", int64(3)),
 	)
 
+	// Guards against an outage that fills the log with the same line.
+	It("failures are logged once in 10 s", virtual(func(w *world, _, _ *claims.Controller) {
+		lines, link := 0, w.log.Handle()
+		n := claims.New(claims.Options{Host: "c"}, link, funcr.New(func(string, string) { lines++ }, funcr.Options{}))
+		for i := range 20 {
+			time.Sleep(time.Second)
+			link.SetCut(i%2 == 0 || i < 10)
+		}
+		n.Close()
+		Expect(lines).To(Equal(4), "the start and end of the long failure and of one short one")
+	}))
+
 	// Guards against a reader that asks again without a pause.
 	It("pages without the records due are refused", virtual(func(w *world, _, _ *claims.Controller) {
 		before := counter("claims_bad_pages_count")
@@ -296,15 +307,13 @@
 		b.Close() // The count is that of the whole process.
 		before := counter("claims_unreadable_count")
 		w.log.Put(stream, []byte("{}"), nil, []byte{0xa1})
-		req := request(id(a, random))
-		d := acquire(a, req)
-		Expect(d.Kind).To(Equal(claims.Granted))
+		req, ticket := grant(a)
 		Expect(counter("claims_unreadable_count")-before).To(BeEquivalentTo(3), "counted")
 		w.log.Reset(stream)
 		time.Sleep(3 * time.Second)
 		Expect(acquire(a, request("1-ijklmnop")).Kind).To(Equal(claims.LogDown))
 		Expect(acquire(a, req).Kind).To(Equal(claims.Taken), "what was read is kept")
-		Expect(d.Ticket.Release(bg)).To(Succeed())
+		Expect(ticket.Release(bg)).To(Succeed())
 	}))
 })
 
@@ -332,8 +341,7 @@
 	It("below the bounds of the index is expired", virtual(func(w *world, _, _ *claims.Controller) {
 		a := w.start(claims.Options{Host: "a", MaxHistory: 4})
 		b := w.start(claims.Options{Host: "b", MaxIndex: 1})
-		req := request(id(a, random))
-		Expect(acquire(a, req).Kind).To(Equal(claims.Granted))
+		req, _ := grant(a)
 		w.log.Put(stream, nil, nil, nil, nil)
 		time.Sleep(50 * time.Millisecond)
 		Expect([]claims.Kind{acquire(a, req).Kind, acquire(b, req).Kind}).To(Equal([]claims.Kind{claims.Expired, claims.Expired}))
--- a/entry/internal/claims/reader.go
+++ b/entry/internal/claims/reader.go
@@ -29,7 +29,7 @@
 	c.reads.started++
 	number, from := c.reads.started, c.index.next
 	wait := c.opts.ReadWait
-	if !c.reads.synced || c.reads.failing {
+	if !c.reads.synced || c.reading.failing {
 		wait = 0 // The end of the stream is not known yet, or not any more.
 	}
 	c.mu.Unlock()
@@ -43,22 +43,14 @@
 	if err == nil {
 		err = c.apply(number, page, began)
 	}
-	c.reportRead(err)
+	c.mu.Lock()
+	c.reading.note(c.logger, "read", err)
+	c.mu.Unlock()
 	if err != nil {
 		c.pause(c.opts.RetryPause)
 	}
 }
 
-// reportRead logs a change between working and failing reads, not each failure.
-func (c *Controller) reportRead(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if failing := err != nil; failing != c.reads.failing {
-		c.reads.failing = failing
-		c.logger.Info("read state changed", "ok", !failing, "error", errText(err))
-	}
-}
-
 // apply takes a page into the index and decides the claims that it settles.
 func (c *Controller) apply(number uint64, page logsvc.Page, began time.Time) error {
 	c.mu.Lock()
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -68,8 +68,8 @@
 	Seed uint64
 }
 
-// readLimit keeps a page of bundles small; the stream has few records.
-const readLimit = 64
+// readLimit keeps a page small, since each record holds a whole configuration.
+const readLimit = 16
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.ConfigMax, 3*time.Second)
@@ -107,6 +107,7 @@
 	random  *rand.Rand
 	changed chan struct{}
 	reads   readState
+	reading callState
 	seen    map[string]*observation
 	// highest is the highest version that a peer has named.
 	highest  int64
@@ -119,9 +120,8 @@
 type readState struct {
 	// synced is set once a read has reached the end of the stream; last is when the
 	// latest such read began.
-	synced  bool
-	last    time.Time
-	failing bool
+	synced bool
+	last   time.Time
 }
 
 // New returns a controller that follows the config stream until Close.
--- a/entry/internal/config/config_suite_test.go
+++ b/entry/internal/config/config_suite_test.go
@@ -23,6 +23,8 @@
 
 const stream = logsvc.StreamConfig
 
+var _ Log = (*logsvc.Client)(nil)
+
 // suite is the test that the bubbles of virtual time belong to.
 var suite *testing.T
 
--- a/entry/internal/config/reader.go
+++ b/entry/internal/config/reader.go
@@ -27,7 +27,7 @@
 func (c *Controller) readOnce() {
 	c.mu.Lock()
 	from, wait := c.track.read+1, c.opts.ReadWait
-	if !c.reads.synced || c.reads.failing {
+	if !c.reads.synced || c.reading.failing {
 		wait = 0 // The end of the stream is not known yet, or not any more.
 	}
 	c.mu.Unlock()
@@ -41,26 +41,14 @@
 	if err == nil {
 		err = c.apply(page, began)
 	}
-	c.reportRead(err)
+	c.mu.Lock()
+	c.reading.note(c.logger, "read", err)
+	c.mu.Unlock()
 	if err != nil {
 		c.pause(c.opts.RetryPause, nil)
 	}
 }
 
-// reportRead logs a change between working and failing reads, not each failure.
-func (c *Controller) reportRead(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if failing := err != nil; failing != c.reads.failing {
-		c.reads.failing = failing
-		text := ""
-		if failing {
-			text = err.Error()
-		}
-		c.logger.Info("read state changed", "ok", !failing, "error", text)
-	}
-}
-
 // apply takes a page into the track.
 func (c *Controller) apply(page logsvc.Page, began time.Time) error {
 	c.mu.Lock()
--- a/entry/internal/logfk/testlog.go
+++ b/entry/internal/logfk/testlog.go
@@ -21,6 +21,9 @@
 	LandLate         // The append takes effect Service.Late after the answer.
 )
 
+// callTime is how long a call takes.
+const callTime = time.Millisecond
+
 // Service is a log service. It is safe for concurrent use.
 type Service struct {
 	// Late is the delay of LandLate. It is set before use.
@@ -30,7 +33,6 @@
 	streams map[string]*stream
 	down    bool
 	hollow  bool
-	delay   time.Duration
 	faults  []Fault
 }
 
@@ -44,9 +46,9 @@
 
 func (s *stream) next() int64 { return s.first + int64(len(s.records)) }
 
-// New returns an empty service whose calls take 1 ms.
+// New returns an empty service.
 func New() *Service {
-	return &Service{Late: 2 * time.Second, streams: map[string]*stream{}, delay: time.Millisecond}
+	return &Service{Late: 2 * time.Second, streams: map[string]*stream{}}
 }
 
 func (s *Service) stream(name string) *stream {
@@ -64,9 +66,6 @@
 // SetHollow makes pages leave out their records, which no real service does.
 func (s *Service) SetHollow(hollow bool) { s.mu.Lock(); defer s.mu.Unlock(); s.hollow = hollow }
 
-// SetDelay sets the time that each call takes.
-func (s *Service) SetDelay(d time.Duration) { s.mu.Lock(); defer s.mu.Unlock(); s.delay = d }
-
 // Inject gives the next appends these faults.
 func (s *Service) Inject(faults ...Fault) {
 	s.mu.Lock()
@@ -162,13 +161,10 @@
 	}
 }
 
-// enter waits for the delay of a call and reports whether the service is reached.
+// enter waits out the time of a call and reports whether the service is reached.
 func (h *Handle) enter(ctx context.Context) error {
-	h.s.mu.Lock()
-	delay := h.s.delay
-	h.s.mu.Unlock()
 	select {
-	case <-time.After(delay):
+	case <-time.After(callTime):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
