Check that heartbeats go to peers in turn

Cause: a choice of peers at random instead of in turn failed no spec. Change: the spec of large fleets counts the heartbeats to each peer.

--- a/entry/internal/member/member_spec_test.go
+++ b/entry/internal/member/member_spec_test.go
@@ -237,6 +237,11 @@
 		time.Sleep(20 * time.Second)
 		// Four a second sent, as many received, each with an answer.
 		Expect(heard.Load()).To(BeNumerically("~", 160, 25))
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, name := range many[1:] {
+			Expect(w.sent[[2]string{"h00", name}]).To(BeNumerically("~", 4, 1), "to %s in four cycles", name)
+		}
 		Expect(w.nodes["h00"].Status().Detail.(member.Detail).Suspected).To(BeEmpty())
 	})
 })
--- a/entry/internal/member/member_suite_test.go
+++ b/entry/internal/member/member_suite_test.go
@@ -34,6 +34,7 @@
 	down  map[string]bool // readers that can't read the host list
 	mute  map[[2]string]bool
 	nodes map[string]*member.Controller
+	sent  map[[2]string]int // heartbeats from one host to another
 }
 
 func entry(name, dataCentre, region string) hosts.Host {
@@ -45,7 +46,7 @@
 	GinkgoHelper()
 	synctest.Test(suite, func(*testing.T) {
 		defer GinkgoRecover()
-		w := &world{down: map[string]bool{}, mute: map[[2]string]bool{}, nodes: map[string]*member.Controller{}}
+		w := &world{down: map[string]bool{}, mute: map[[2]string]bool{}, nodes: map[string]*member.Controller{}, sent: map[[2]string]int{}}
 		for _, name := range names {
 			w.list.Hosts = append(w.list.Hosts, entry(name, "thies", "west"))
 		}
@@ -113,6 +114,7 @@
 
 func (p port) Beat(_ context.Context, to hosts.Host, b member.Beat) (member.Beat, error) {
 	p.w.mu.Lock()
+	p.w.sent[[2]string{p.name, to.Name}]++
 	peer, mute := p.w.nodes[to.Name], p.w.mute[[2]string{p.name, to.Name}]
 	p.w.mu.Unlock()
 	if mute || peer == nil {
