Look at the live targets only when asking for slots

Change: groups keep the targets with slots or calls; the home counts asks, refusals, revocations and handovers; specs for idle slots and for slots kept until confirmed.

--- a/entry/internal/peers/peers_suite_test.go
+++ b/entry/internal/peers/peers_suite_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,6 +86,8 @@
 		ctx, cancel := soon()
 		defer cancel()
 		release := make(chan struct{})
+		open := sync.OnceFunc(func() { close(release) })
+		DeferCleanup(open) // a handler that waits would keep the transport from closing
 		b.Handle("wait", func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error) {
 			<-release
 			return echo(ctx, from, incarnation, body)
@@ -98,7 +101,7 @@
 		var out text
 		Expect(a.Call(ctx, b.host("b"), "echo", text{"two"}, &out)).To(Succeed())
 		Expect(out.Text).To(Equal("two from a1"))
-		close(release)
+		open()
 		Eventually(first).Should(Receive(Equal("one from a1")))
 		Expect(expvar.Get("peer_bytes").String()).To(And(ContainSubstring(`"in_echo"`), ContainSubstring(`"out_echo"`)))
 	})
--- a/entry/internal/slots/demand.go
+++ b/entry/internal/slots/demand.go
@@ -36,6 +36,24 @@
 	retry    time.Duration
 	urgent   bool // something to tell at once
 	firstAt  time.Time
+	// live are the targets with slots or calls in flight, few of all.
+	live []*heldTarget
+}
+
+// keepLive adds t to the live targets of its group.
+func (g *heldGroup) keepLive(t *heldTarget) {
+	if !t.live && (t.slots > 0 || t.inUse > 0) {
+		t.live = true
+		g.live = append(g.live, t)
+	}
+}
+
+// dropIdle removes what isn't live any more.
+func (g *heldGroup) dropIdle() {
+	g.live = slices.DeleteFunc(g.live, func(t *heldTarget) bool {
+		t.live = t.slots > 0 || t.inUse > 0
+		return !t.live
+	})
 }
 
 // rankGroups sorts the groups of each pool by distance. Hosts take groups of
@@ -117,16 +135,15 @@
 
 func (h *holder) sumInUse(g *group) int {
 	n := 0
-	for _, doc := range g.targets {
-		n += h.targets[doc.Name].inUse
+	for _, t := range h.groups[g.key].live {
+		n += t.inUse
 	}
 	return n
 }
 
 func (h *holder) sumHeld(g *group, now time.Time) int {
 	n := 0
-	for _, doc := range g.targets {
-		t := h.targets[doc.Name]
+	for _, t := range h.groups[g.key].live {
 		n += max(t.usable(now), t.inUse)
 	}
 	return n
@@ -240,6 +257,7 @@
 		}
 		a.Targets = append(a.Targets, at)
 	}
+	hg.dropIdle()
 	return outgoing{group: hg.group, ask: a, sent: now}
 }
 
@@ -318,6 +336,7 @@
 		t.tellFence = false
 		t.slots, t.fence, t.state = max(0, gt.Slots), max(gt.Fence, t.fence), gt.State
 		t.until = o.sent.Add(give.Lease)
+		hg.keepLive(t)
 		total += max(t.slots, t.inUse)
 	}
 	return total
--- a/entry/internal/slots/holder.go
+++ b/entry/internal/slots/holder.go
@@ -38,6 +38,7 @@
 	good, bad int
 	took      time.Duration
 	tellFence bool // the home gave a lower fence than one used before
+	live      bool // whether it is in its group's live
 }
 
 // usable returns the slots under an unexpired lease.
@@ -97,14 +98,15 @@
 		if h.groups[key] == nil {
 			h.groups[key] = &heldGroup{}
 		}
-		h.groups[key].group = g
+		h.groups[key].group, h.groups[key].live = g, nil
 		for _, doc := range g.targets {
 			t := h.targets[doc.Name]
 			if t == nil || t.doc.Address != doc.Address {
 				t = &heldTarget{}
 				h.targets[doc.Name] = t
 			}
-			t.doc = doc
+			t.doc, t.live = doc, false
+			h.groups[key].keepLive(t)
 		}
 	}
 	for name := range h.targets {
--- a/entry/internal/slots/home.go
+++ b/entry/internal/slots/home.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"expvar"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +12,13 @@
 	"chivepost/share/target"
 )
 
+var (
+	asksCount        = expvar.NewInt("slots_asks_count")
+	refusalsCount    = expvar.NewInt("slots_refusals_count")
+	revocationsCount = expvar.NewInt("slots_revocations_count")
+	handoversCount   = expvar.NewInt("slots_handovers_count")
+)
+
 // holderID names one run of a holder. A restarted holder is another one: calls
 // of the run before may still be running.
 type holderID struct {
@@ -140,6 +148,15 @@
 
 // ask records what a holder says and answers with its slots.
 func (h *home) ask(id holderID, a Ask, l *layout) Give {
+	give := h.answer(id, a, l)
+	asksCount.Add(1)
+	if give.Refused != "" {
+		refusalsCount.Add(1)
+	}
+	return give
+}
+
+func (h *home) answer(id holderID, a Ask, l *layout) Give {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -330,6 +347,7 @@
 	t.fence = max(t.fence, h.firstFence()) + 1
 	t.owned = true
 	for id := range t.uses {
+		revocationsCount.Add(1)
 		h.orders = append(h.orders, order{to: id.host, revoke: Revoke{
 			Group: t.group.key, Target: t.doc.Name, Reason: t.phase.state(), Fence: t.fence,
 		}})
--- a/entry/internal/slots/machine_test.go
+++ b/entry/internal/slots/machine_test.go
@@ -220,6 +220,19 @@
 		Expect(ask("b", 2, 1, 0)).To(Equal(1))
 	})
 
+	// Guards against slots granted twice: a give that takes some away may be lost,
+	// so they count until the holder has confirmed it.
+	It("counts what a holder kept until its next ask", func() {
+		l = layoutOf(1, 2)
+		h = warmHome(l)
+		Expect(ask("a", 1, 2, 0)).To(Equal(2))
+		Expect(ask("b", 1, 2, 0)).To(BeZero())
+		Expect(ask("a", 2, 2, 2)).To(Equal(1))
+		Expect(ask("b", 2, 2, 0)).To(BeZero())
+		Expect(ask("a", 3, 2, 1)).To(Equal(1))
+		Expect(ask("b", 3, 2, 0)).To(Equal(1))
+	})
+
 	// Guards against grants right after a pause in which another host was home.
 	It("waits anew after a break that it hasn't noticed", func() {
 		Expect(ask("a", 1, 1, 0)).To(Equal(1))
@@ -252,6 +265,23 @@
 	Expect(large.groups).To(HaveLen(4))
 })
 
+// Guards against idle slots that nobody can use.
+var _ = DescribeTable("returns idle slots", func(shared bool, after time.Duration) {
+	l := layoutOf(1, 8)
+	h := newHolder(Options{Host: "a", DataCentre: "dc"}.withDefaults(), &alone{})
+	h.setWant("pool", 2)
+	out, _ := h.due(l)
+	h.accept(out[0], Give{Seq: out[0].ask.Seq, Lease: time.Second, Shared: shared, Targets: []GiveTarget{
+		{Name: "target-0000", Slots: 2, Fence: 1, State: target.StateWarm},
+	}}, nil)
+	h.setWant("pool", 0)
+	time.Sleep(after)
+	out, _ = h.due(l)
+	Expect(out).To(HaveLen(1))
+	Expect(out[0].ask.Want).To(BeZero())
+	Expect(out[0].ask.Targets).To(BeEmpty(), "nothing is kept")
+}, Entry("at once when others wait", true, 6*time.Millisecond), Entry("after a while when nobody does", false, 260*time.Millisecond))
+
 // Guards against asking every group for the whole demand, which would tie up
 // far slots and multiply messages.
 var _ = It("asks far groups only for what near ones don't give", func() {
@@ -317,3 +347,24 @@
 		})
 	}
 }
+
+func BenchmarkHolder(b *testing.B) {
+	for _, targets := range []int{10, 130, 1300} {
+		l := layoutOf(targets, 8)
+		h := newHolder(Options{Host: "a", DataCentre: "dc"}.withDefaults(), &alone{})
+		h.setWant("pool", 10)
+		h.due(l)
+		b.Run(fmt.Sprintf("due/targets=%d", targets), func(b *testing.B) {
+			for b.Loop() {
+				h.due(l)
+			}
+		})
+		b.Run(fmt.Sprintf("view/targets=%d", targets), func(b *testing.B) {
+			b.ReportAllocs()
+			buf, _ := h.appendView(nil, "pool", time.Now())
+			for b.Loop() {
+				buf, _ = h.appendView(buf[:0], "pool", time.Now())
+			}
+		})
+	}
+}
--- a/entry/internal/slots/reign.go
+++ b/entry/internal/slots/reign.go
@@ -53,6 +53,7 @@
 
 func (h *home) endReign(g *homeGroup) {
 	if to, ok := h.members.Home(g.key, g.dataCentre, g.region); ok && to.Name != h.opts.Host && h.members.IsFresh() {
+		handoversCount.Add(1)
 		h.moves = append(h.moves, move{to: to, handover: h.handoverOf(g)})
 	}
 	g.reign = false
