Make the random runs of slots harder

Cause: leases that never expired and a short takeover wait passed the random runs: limits were mostly closed, calls were short and messages kept their order. Change: long calls within the attempt bound, messages that overtake others, cuts from homes, restarts of all hosts, a delay between Take and Check.

--- a/entry/internal/slots/fleet_spec_test.go
+++ b/entry/internal/slots/fleet_spec_test.go
@@ -161,9 +161,14 @@
 	}
 	start := func(name string) {
 		for i := range 3 {
-			f.nodes[name].work(fmt.Sprintf("pool%d", i), 2, 20*time.Millisecond)
+			f.nodes[name].work(fmt.Sprintf("pool%d", i), 3, 20*time.Millisecond)
 		}
 	}
+	restart := func(name string) {
+		f.kill(name)
+		f.boot(name)
+		start(name)
+	}
 	var all []string
 	for _, name := range f.names() {
 		all = append(all, name)
@@ -173,27 +178,37 @@
 	for range 40 {
 		time.Sleep(time.Duration(200+r.IntN(1800)) * time.Millisecond)
 		name, other := all[r.IntN(nodes)], all[r.IntN(nodes)]
-		event := r.IntN(9)
-		if steady && (event == 0 && f.isHome(name) || event == 4) {
-			event = 3
+		event := r.IntN(11)
+		if steady && (event == 0 && f.isHome(name) || event == 4 || event == 10) {
+			event = 2
+		}
+		if steady && event == 7 {
+			event = 8 // mostly warm: holders of a cold target return slots after each call
 		}
 		switch event {
 		case 0: // restart under the same name
-			f.kill(name)
-			f.boot(name)
-			start(name)
+			restart(name)
+		case 10: // restart of all hosts
+			for _, name := range all {
+				restart(name)
+			}
 		case 1: // a pause beyond every lease
 			n := f.nodes[name]
 			n.pause()
 			wait := time.Duration(3+r.IntN(12)) * time.Second
 			f.wait.Go(func() { time.Sleep(wait); n.resume() })
-		case 2: // cut off, one way or both
+		case 2, 9: // cut off, one way or both, half of the time from a home
+			if i := r.IntN(6); i < 3 {
+				other = f.nodes[name].slots.Targets()[i].Home
+			}
 			f.setCut(name, other, true)
 			if r.IntN(2) == 0 {
 				f.setCut(other, name, true)
 			}
 		case 3:
-			f.heal()
+			if r.IntN(2) == 0 {
+				f.heal()
+			}
 		case 4: // a host leaves the list for a while; readers lag by different times
 			f.mu.Lock()
 			f.lag[name] = time.Duration(r.IntN(2000)) * time.Millisecond
--- a/entry/internal/slots/fleet_test.go
+++ b/entry/internal/slots/fleet_test.go
@@ -65,6 +65,7 @@
 	lag       map[string]time.Duration // of the host list, by reader
 	listDown  bool
 	loadLag   time.Duration
+	messages  int
 	longCalls bool
 	steady    bool          // the home stays, so that limits hold at any moment
 	closing   time.Duration // after the first sign of cold, see below
@@ -227,7 +228,7 @@
 	if !n.gate() {
 		return nil
 	}
-	time.Sleep(latency)
+	time.Sleep(n.f.delay())
 	n.f.mu.Lock()
 	peer, cut := n.f.nodes[to], n.f.cut[[2]string{n.name, to}]
 	n.f.mu.Unlock()
@@ -237,6 +238,18 @@
 	return peer
 }
 
+// delay returns the latency of a message. Under random faults some come so late
+// that others overtake them.
+func (f *fleet) delay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messages++
+	if f.longCalls && f.messages%7 == 0 {
+		return 700 * time.Millisecond
+	}
+	return latency
+}
+
 // call makes f at a peer and carries the answer back. It returns when ctx ends,
 // while the message may still arrive.
 func call[T any](ctx context.Context, n *node, to string, do func(*node) T) (T, error) {
@@ -368,13 +381,13 @@
 	n := w.n
 	w.add(1)
 	var hold *slots.Hold
-	var doc route
+	var address string
 	for hold == nil && n.ctx.Err() == nil {
 		changed := n.slots.Changed()
 		for _, t := range n.slots.View(w.pool) {
 			if t.Free > 0 && hold == nil && n.gate() {
 				if h, ok := n.slots.Take(t.Name); ok {
-					hold, doc = h, route{t.Address}
+					hold, address = h, t.Address
 				}
 			}
 		}
@@ -390,17 +403,17 @@
 	if hold == nil {
 		return
 	}
-	time.Sleep(latency)
+	if time.Sleep(latency); n.f.longCalls {
+		time.Sleep(50 * time.Millisecond) // so that pauses fall between Take and Check
+	}
 	if !n.gate() || hold.Check() != nil {
 		hold.Done(target.Result{Err: errCut}, 0)
 		return
 	}
-	began := time.Now()
-	hold.Done(n.f.run(n, doc.address), time.Since(began))
+	// Long calls are reported as usual ones, so that limits don't shrink for them.
+	hold.Done(n.f.run(n, address), callTime)
 }
 
-type route struct{ address string }
-
 // run is a call at a target. It checks the limit while the target is cold.
 func (f *fleet) run(n *node, address string) target.Result {
 	b := f.backends[address]
--- a/entry/internal/slots/machine_test.go
+++ b/entry/internal/slots/machine_test.go
@@ -220,6 +220,14 @@
 		Expect(ask("b", 2, 1, 0)).To(Equal(1))
 	})
 
+	// Guards against grants for a data centre that was taken out.
+	It("grants nothing in a data centre that is out", func() {
+		out, err := l.bundle.WithOut("dc", true)
+		Expect(err).NotTo(HaveOccurred())
+		l = newLayout(out, 32)
+		Expect(ask("a", 1, 1, 0)).To(BeZero())
+	})
+
 	// Guards against slots granted twice: a give that takes some away may be lost,
 	// so they count until the holder has confirmed it.
 	It("counts what a holder kept until its next ask", func() {
