--- a/entry/internal/slots/fleet_test.go
+++ b/entry/internal/slots/fleet_test.go
@@ -65,8 +65,14 @@
 	lag       map[string]time.Duration // of the host list, by reader
 	listDown  bool
 	loadLag   time.Duration
+	messages  int
+	longCalls bool
+	steady    bool          // the home stays, so that limits hold at any moment
+	closing   time.Duration // after the first sign of cold, see below
 	breaches  []string
 	completed map[string]int
+	last      map[string]time.Time // end of the last call, by host
+	gap       time.Duration        // longest between two
 	started   int
 	next      uint64
 	wait      sync.WaitGroup
@@ -77,7 +83,7 @@
 func newFleet(n, coldLimit int, limits ...int) *fleet {
 	f := &fleet{
 		backends: map[string]*backend{}, nodes: map[string]*node{}, cut: map[[2]string]bool{},
-		lag: map[string]time.Duration{}, completed: map[string]int{}, loadLag: 200 * time.Millisecond,
+		lag: map[string]time.Duration{}, completed: map[string]int{}, last: map[string]time.Time{}, loadLag: 200 * time.Millisecond, closing: closing,
 	}
 	doc := bundle.Doc{}
 	for i, limit := range limits {
@@ -222,7 +228,7 @@
 	if !n.gate() {
 		return nil
 	}
-	time.Sleep(latency)
+	time.Sleep(n.f.delay())
 	n.f.mu.Lock()
 	peer, cut := n.f.nodes[to], n.f.cut[[2]string{n.name, to}]
 	n.f.mu.Unlock()
@@ -232,6 +238,18 @@
 	return peer
 }
 
+// delay returns the latency of a message. Under random faults some come so late
+// that others overtake them.
+func (f *fleet) delay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.messages++
+	if f.longCalls && f.messages%7 == 0 {
+		return 700 * time.Millisecond
+	}
+	return latency
+}
+
 // call makes f at a peer and carries the answer back. It returns when ctx ends,
 // while the message may still arrive.
 func call[T any](ctx context.Context, n *node, to string, do func(*node) T) (T, error) {
@@ -363,13 +381,13 @@
 	n := w.n
 	w.add(1)
 	var hold *slots.Hold
-	var doc route
+	var address string
 	for hold == nil && n.ctx.Err() == nil {
 		changed := n.slots.Changed()
 		for _, t := range n.slots.View(w.pool) {
 			if t.Free > 0 && hold == nil && n.gate() {
 				if h, ok := n.slots.Take(t.Name); ok {
-					hold, doc = h, route{t.Address}
+					hold, address = h, t.Address
 				}
 			}
 		}
@@ -385,37 +403,48 @@
 	if hold == nil {
 		return
 	}
-	time.Sleep(latency)
+	if time.Sleep(latency); n.f.longCalls {
+		time.Sleep(50 * time.Millisecond) // so that pauses fall between Take and Check
+	}
 	if !n.gate() || hold.Check() != nil {
 		hold.Done(target.Result{Err: errCut}, 0)
 		return
 	}
-	began := time.Now()
-	hold.Done(n.f.run(n, doc.address), time.Since(began))
+	// Long calls are reported as usual ones, so that limits don't shrink for them.
+	hold.Done(n.f.run(n, address), callTime)
 }
 
-type route struct{ address string }
-
 // run is a call at a target. It checks the limit while the target is cold.
 func (f *fleet) run(n *node, address string) target.Result {
 	b := f.backends[address]
 	f.mu.Lock()
 	f.started++
+	took := callTime
+	if f.longCalls && f.started%5 == 0 {
+		took = 4800 * time.Millisecond // within the attempt bound
+	}
 	b.running++
 	b.highest = max(b.highest, b.running)
-	if b.state == target.StateCold && !b.seen.IsZero() && time.Since(b.seen) > closing && b.running > b.coldLimit {
+	if pool, _ := f.bundle.Pool(b.doc.Pool); f.steady && b.running > pool.Limit {
+		f.breaches = append(f.breaches, fmt.Sprintf("%s: %d calls at %s, limit %d", n.name, b.running, b.doc.Name, pool.Limit))
+	}
+	if b.state == target.StateCold && !b.seen.IsZero() && time.Since(b.seen) > f.closing && b.running > b.coldLimit {
 		f.breaches = append(f.breaches, fmt.Sprintf("%s: %d calls at the cold target %s, limit %d, %s after the first sign",
 			n.name, b.running, b.doc.Name, b.coldLimit, time.Since(b.seen)))
 	}
 	f.mu.Unlock()
-	time.Sleep(callTime)
+	time.Sleep(took)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.running--
 	if !n.dead {
 		b.sign(b.state, b.boot)
 	}
+	if last := f.last[n.name]; !last.IsZero() {
+		f.gap = max(f.gap, time.Since(last))
+	}
 	f.completed[n.name]++
+	f.last[n.name] = time.Now()
 	return target.Result{State: b.state, Boot: b.boot, Sent: target.SentYes}
 }
 
