Measure with slots granted to each host

Change: chivepost_granted divides the free slots of each target between the hosts every 250 ms, and at once when calls begin to wait. The stand-ins move out of the test files, as the scenarios are made of them.

--- a/entry/internal/bench/policies_test.go
+++ b/entry/internal/bench/policies_test.go
@@ -53,14 +53,14 @@
 
 type jobKey struct{}
 
-func newHost(w *world, at int, policy string, pipeline bundle.Pipeline, held map[string]int) *host {
-	p, err := route.New(strings.TrimSuffix(policy, clientSuffix), route.Options{})
+func newHost(w *world, at int, policy string, pipeline bundle.Pipeline) *host {
+	p, err := route.New(policyOf(policy), route.Options{})
 	if err != nil {
 		panic(err)
 	}
-	h := &host{world: w, at: at, plain: policy != route.Chivepost, pipeline: pipeline, estimator: admit.NewEstimator(), budgets: retry.New(retry.Options{})}
+	h := &host{world: w, at: at, plain: isPlain(policy), pipeline: pipeline, estimator: admit.NewEstimator(), budgets: retry.New(retry.Options{})}
 	h.queue = queue.New(queue.Options{DataCentre: Regions[at], Region: Regions[at], Plain: h.plain, MaxPool: 1 << 16},
-		&slots{world: w, at: at, held: held, own: map[string]int{}}, p, logr.Discard())
+		&slots{world: w, at: at}, p, logr.Discard())
 	filters := []chain.Filter{admit.NewFilter(admit.Options{}, h.estimator, h.queue, logr.Discard())}
 	if h.plain {
 		filters = nil
@@ -173,10 +173,11 @@
 	synctest.Test(t, func(*testing.T) {
 		pools := Union()
 		w := newWorld(pools, policy)
+		w.poll()
 		w.tally = Run{Scenario: s.Name, Policy: policy, Seeds: 1, Accounts: map[string]Count{}}
-		held, hosts := map[string]int{}, []*host{}
+		var hosts []*host
 		for at := range Regions {
-			hosts = append(hosts, newHost(w, at, policy, pipelineOf(pools), held))
+			hosts = append(hosts, newHost(w, at, policy, pipelineOf(pools)))
 		}
 		for _, e := range s.Events {
 			time.AfterFunc(e.At, func() { w.apply(e) })
--- a/entry/internal/bench/result.go
+++ b/entry/internal/bench/result.go
@@ -107,6 +107,7 @@
 
 // Aim is a figure beside what it should be.
 type Aim struct {
+	Policy string  `json:"policy"`
 	Name   string  `json:"name"`
 	Want   string  `json:"want"`
 	Figure float64 `json:"figure"`
@@ -132,20 +133,23 @@
 			u.TokensPerAnswer(), u.BytesPerAnswer(), u.FallOvers, u.Retries)
 	}
 	_, _ = fmt.Fprintln(t)
-	_, _ = fmt.Fprintln(t, "aim\t want\t figure\t met")
+	_, _ = fmt.Fprintln(t, "policy\t aim\t want\t figure\t met")
 	for _, a := range r.Aims {
-		_, _ = fmt.Fprintf(t, "%s\t %s\t %.3f\t %t\n", a.Name, a.Want, a.Figure, a.Met)
+		_, _ = fmt.Fprintf(t, "%s\t %s\t %s\t %.3f\t %t\n", a.Policy, a.Name, a.Want, a.Figure, a.Met)
 	}
 	return t.Flush()
 }
 
-// Judge fills in the aims whose scenarios were run.
+// Judge fills in the aims whose scenarios were run, for both forms of the default
+// policy.
 func (r *Report) Judge(pools []Pool) {
-	r.judgeOpening("", clientSuffix)
-	r.judgeOpening(", shared slots", "")
-	r.judgeWaste()
-	r.judgeCentre(pools)
-	r.judgeAccounts()
+	for _, policy := range []string{route.Chivepost, route.Chivepost + grantedSuffix} {
+		r.judgeOpening(policy, clientSuffix)
+		r.judgeOpening(policy, "")
+		r.judgeWaste(policy)
+		r.judgeCentre(policy, pools)
+		r.judgeAccounts(policy)
+	}
 }
 
 func (r *Report) find(scenario, policy string) *Run {
@@ -156,64 +160,68 @@
 	return &r.Runs[i]
 }
 
-func (r *Report) aim(name, want string, figure float64, met bool) {
-	r.Aims = append(r.Aims, Aim{Name: name, Want: want, Figure: figure, Met: met})
+func (r *Report) aim(policy, name, want string, figure float64, met bool) {
+	r.Aims = append(r.Aims, Aim{Policy: policy, Name: name, Want: want, Figure: figure, Met: met})
 }
 
 // judgeOpening compares with the better baseline, for each aim the lower figure of
 // the two.
-func (r *Report) judgeOpening(kind, suffix string) {
-	own := r.find(OpeningHour, route.Chivepost)
+func (r *Report) judgeOpening(policy, suffix string) {
+	own := r.find(OpeningHour, policy)
 	rr, lo := r.find(OpeningHour, route.RoundRobin+suffix), r.find(OpeningHour, route.LeastOutstanding+suffix)
 	if own == nil || rr == nil || lo == nil {
 		return
 	}
+	kind := ", shared slots"
+	if suffix == clientSuffix {
+		kind = ""
+	}
 	missed := ratio(float64(own.Missed), float64(min(rr.Missed, lo.Missed)))
-	r.aim("misses at 1.3 times the capacity, part of the baseline's"+kind, "<= 0.200", missed, missed <= 0.2)
+	r.aim(policy, "misses at 1.3 times the capacity, part of the baseline's"+kind, "<= 0.200", missed, missed <= 0.2)
 	gain := 100 * (own.Attainment() - max(rr.Attainment(), lo.Attainment()))
-	r.aim("attainment above the baseline's, points"+kind, ">= 20", gain, gain >= 20)
+	r.aim(policy, "attainment above the baseline's, points"+kind, ">= 20", gain, gain >= 20)
 	tokens := ratio(own.TokensPerAnswer(), min(rr.TokensPerAnswer(), lo.TokensPerAnswer()))
-	r.aim("recomputed prefix tokens per answer, part of the baseline's"+kind, "<= 0.500", tokens, tokens <= 0.5)
+	r.aim(policy, "recomputed prefix tokens per answer, part of the baseline's"+kind, "<= 0.500", tokens, tokens <= 0.5)
 	total := ratio(float64(own.Recomputed), float64(min(rr.Recomputed, lo.Recomputed)))
-	r.aim("recomputed prefix tokens in all, part of the baseline's"+kind, "<= 0.500", total, total <= 0.5)
+	r.aim(policy, "recomputed prefix tokens in all, part of the baseline's"+kind, "<= 0.500", total, total <= 0.5)
 	bytes := ratio(float64(own.CrossBytes), float64(min(rr.CrossBytes, lo.CrossBytes)))
-	r.aim("bytes across regions in all, part of the baseline's"+kind, "<= 1.000", bytes, bytes <= 1)
+	r.aim(policy, "bytes across regions in all, part of the baseline's"+kind, "<= 1.000", bytes, bytes <= 1)
 }
 
-func (r *Report) judgeWaste() {
-	if own := r.find(OpeningHour, route.Chivepost); own != nil {
+func (r *Report) judgeWaste(policy string) {
+	if own := r.find(OpeningHour, policy); own != nil {
 		wasted := 100 * ratio(own.Wasted, own.Busy)
-		r.aim("accelerator seconds of requests that miss, per cent", "< 2", wasted, wasted < 2)
+		r.aim(policy, "accelerator seconds of requests that miss, per cent", "< 2", wasted, wasted < 2)
 	}
 }
 
 // judgeCentre measures the time with a data centre out against what the remaining
 // targets are rated for, and the return to the former level.
-func (r *Report) judgeCentre(pools []Pool) {
-	own := r.find(CentreOut, route.Chivepost)
+func (r *Report) judgeCentre(policy string, pools []Pool) {
+	own := r.find(CentreOut, policy)
 	if own == nil || len(own.Seconds) <= int(BackAt/time.Second) {
 		return
 	}
 	out := own.between(OutAt, BackAt)
 	bears := min(float64(out.Sent), float64(own.Seeds)*Capacity(pools, OutRegion)*(BackAt-OutAt).Seconds())
 	attained := 100 * ratio(float64(out.Answered), bears)
-	r.aim("answers with a data centre out, per cent of the remaining capacity", ">= 97", attained, attained >= 97)
+	r.aim(policy, "answers with a data centre out, per cent of the remaining capacity", ">= 97", attained, attained >= 97)
 	before := own.between(5*time.Second, OutAt)
 	after := own.between(BackAt+10*time.Second, BackAt+15*time.Second)
 	level := 100 * (after.Attainment() - before.Attainment())
-	r.aim("attainment 10 s after the return against before, points", ">= -1", level, level >= -1)
-	r.aim("targets above their cold limit", "0", float64(own.FallOvers), own.FallOvers == 0)
+	r.aim(policy, "attainment 10 s after the return against before, points", ">= -1", level, level >= -1)
+	r.aim(policy, "targets above their cold limit", "0", float64(own.FallOvers), own.FallOvers == 0)
 }
 
 // judgeAccounts compares the small accounts' attainment with large accounts that
 // send little and with ones that send too much.
-func (r *Report) judgeAccounts() {
-	quiet := r.find(OpeningQuiet, route.Chivepost)
+func (r *Report) judgeAccounts(policy string) {
+	quiet := r.find(OpeningQuiet, policy)
 	if quiet == nil {
 		return
 	}
 	for _, name := range []string{OpeningHour, OneLarge} {
-		loud := r.find(name, route.Chivepost)
+		loud := r.find(name, policy)
 		if loud == nil {
 			continue
 		}
@@ -222,6 +230,6 @@
 			loss := 100 * (quiet.Accounts[a.Name].Attainment() - loud.Accounts[a.Name].Attainment())
 			worst = max(worst, loss)
 		}
-		r.aim("points that large accounts cost a small one, "+name, "<= 2", worst, worst <= 2)
+		r.aim(policy, "points that large accounts cost a small one, "+name, "<= 2", worst, worst <= 2)
 	}
 }
--- a/entry/internal/bench/scenario.go
+++ b/entry/internal/bench/scenario.go
@@ -1,7 +1,7 @@
 // Package bench compares routing policies on the decision path of entry hosts:
 // admission, queue, choice of target and retries, in virtual time, before small
-// stand-ins for targets. It holds the scenarios and renders the results; the
-// runner is its test, since virtual time needs one.
+// stand-ins for targets. It holds the scenarios and the stand-ins and renders the
+// results; the runner is its test, since virtual time needs one.
 package bench
 
 import (
@@ -166,21 +166,35 @@
 	ColdAt       = 8 * time.Second
 )
 
-// clientSuffix marks a baseline whose host counts only its own calls.
-const clientSuffix = "_client"
+// Suffixes of the policies' names: clientSuffix marks a baseline whose host counts
+// only its own calls, grantedSuffix the default policy with slots granted in
+// advance.
+const (
+	clientSuffix  = "_client"
+	grantedSuffix = "_granted"
+)
 
 // Policies returns the policies compared. The baselines run twice: in plain
 // client-side use, where a host knows only its own calls at a target and the rest
 // wait there, and with the slots that all hosts share, which no plain client has.
+// The default policy runs with shared slots, and with slots that each host is
+// granted for a while.
 func Policies() []string {
 	return []string{
-		route.Chivepost, route.RoundRobin + clientSuffix, route.LeastOutstanding + clientSuffix,
+		route.Chivepost, route.Chivepost + grantedSuffix, route.RoundRobin + clientSuffix, route.LeastOutstanding + clientSuffix,
 		route.RoundRobin, route.LeastOutstanding,
 	}
 }
 
 func isClient(policy string) bool { return strings.HasSuffix(policy, clientSuffix) }
 
+func isPlain(policy string) bool { return !strings.HasPrefix(policy, route.Chivepost) }
+
+// policyOf returns the name of the routing policy without its suffix.
+func policyOf(name string) string {
+	return strings.TrimSuffix(strings.TrimSuffix(name, clientSuffix), grantedSuffix)
+}
+
 // Scenarios returns all scenarios.
 func Scenarios() []Scenario {
 	ramp := 2 * time.Second
--- a/entry/internal/bench/fakes_test.go
+++ b/entry/internal/bench/world.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 	downUntil time.Time
 	coldUntil time.Time
 	boot      *boot
+	// own and grants are the calls in flight and the slots of each host.
+	own, grants [3]int
 	// seenCold and warmSeen are what the slots know of the state.
 	seenCold bool
 	warmSeen time.Time
@@ -78,10 +81,14 @@
 	// plain slots do not know that a target is cold; those of a client count only
 	// the calls of their own host.
 	plain, client bool
+	// granted slots belong to one host until the next division; wants are the calls
+	// that wait at each host, by pool.
+	granted bool
+	wants   [3]map[string]int
 }
 
 func newWorld(pools []Pool, policy string) *world {
-	w := &world{pools: pools, nodes: map[string][]*node{}, byName: map[string]*node{}, plain: policy != route.Chivepost, client: isClient(policy)}
+	w := &world{pools: pools, nodes: map[string][]*node{}, byName: map[string]*node{}, plain: isPlain(policy), client: isClient(policy), granted: strings.HasSuffix(policy, grantedSuffix)}
 	for i := range pools {
 		p := &pools[i]
 		for r, count := range p.Targets {
@@ -93,7 +100,8 @@
 			}
 		}
 	}
-	for range Regions {
+	for i := range Regions {
+		w.wants[i] = map[string]int{}
 		w.changed = append(w.changed, make(chan struct{}, 1))
 	}
 	return w
@@ -239,6 +247,7 @@
 	defer w.mu.Unlock()
 	for _, n := range w.byName {
 		w.see(n)
+		w.divide(n)
 	}
 	w.wake()
 }
@@ -268,13 +277,31 @@
 	}
 }
 
+// divide grants the free slots of a target to the hosts, by their calls there and,
+// in its own region, by the calls that wait.
+func (w *world) divide(n *node) {
+	n.grants = n.own
+	for free := w.limit(n) - n.held(); free > 0; free-- {
+		best, most := 0, 0.0
+		for i := range n.grants {
+			weight := float64(n.own[i]) + 0.5
+			if i == n.region {
+				weight += 1 + float64(w.wants[i][n.pool.Name])
+			}
+			if part := weight / float64(n.grants[i]+1); part > most {
+				best, most = i, part
+			}
+		}
+		n.grants[best]++
+	}
+}
+
+func (n *node) held() int { return n.own[0] + n.own[1] + n.own[2] }
+
 // slots are those of one entry host; the limits are shared by all hosts.
 type slots struct {
 	world *world
 	at    int
-	// held counts all hosts' slots, own those of this host; guarded by the world.
-	held map[string]int
-	own  map[string]int
 }
 
 func (s *slots) View(pool string) []route.Target {
@@ -287,10 +314,13 @@
 		}
 		t := route.Target{
 			Name: n.name, DataCentre: Regions[n.region], Region: Regions[n.region], State: target.StateWarm,
-			Limit: s.world.limit(n), InUse: s.own[n.name],
+			Limit: s.world.limit(n), InUse: n.own[s.at],
 		}
 		t.Prepare(Regions[s.at], Regions[s.at])
-		t.Free = t.Limit - s.used(n.name)
+		t.Free = s.free(n)
+		if s.world.granted {
+			t.Limit = n.grants[s.at]
+		}
 		if n.seenCold && !s.world.plain {
 			t.State = target.StateCold
 		}
@@ -299,26 +329,42 @@
 	return view
 }
 
-func (s *slots) used(name string) int {
-	if s.world.client {
-		return s.own[name]
+func (s *slots) free(n *node) int {
+	free := s.world.limit(n) - n.held()
+	switch {
+	case s.world.client:
+		return s.world.limit(n) - n.own[s.at]
+	case s.world.granted:
+		return min(free, n.grants[s.at]-n.own[s.at])
+	default:
+		return free
 	}
-	return s.held[name]
 }
 
 func (s *slots) Take(name string) (queue.Hold, bool) {
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	n := s.world.byName[name]
-	if s.used(name) >= s.world.limit(n) || s.world.out[n.region] {
+	if s.free(n) <= 0 || s.world.out[n.region] {
 		return nil, false
 	}
-	s.held[name]++
-	s.own[name]++
+	n.own[s.at]++
 	return &hold{slots: s, node: n}, true
 }
 
-func (s *slots) Want(string, int) {}
+// Want divides the slots anew at once when calls begin to wait.
+func (s *slots) Want(pool string, n int) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	rises := n > 0 && s.world.wants[s.at][pool] == 0
+	s.world.wants[s.at][pool] = n
+	if rises && s.world.granted {
+		for _, n := range s.world.nodes[pool] {
+			s.world.divide(n)
+		}
+		s.world.wake()
+	}
+}
 
 func (s *slots) Changed() <-chan struct{} { return s.world.changed[s.at] }
 
@@ -334,8 +380,7 @@
 	w := h.slots.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	h.slots.held[h.node.name]--
-	h.slots.own[h.node.name]--
+	h.node.own[h.slots.at]--
 	if res.Err != nil && !errors.Is(res.Err, context.DeadlineExceeded) || res.State == target.StateCold {
 		w.see(h.node)
 	}
