--- a/entry/internal/queue/queue.go
+++ b/entry/internal/queue/queue.go
@@ -300,23 +300,28 @@
 // isHomeFree reports whether the target that has the job's prefix has a free slot.
 // The home of a job is found once: it changes only with the targets of the pool.
 func (q *Queue) isHomeFree(p *pool, w *waiter) bool {
-	if !w.homeKnown {
-		w.homeKnown = true
-		if i := q.homes.Home(q.request(p, w, 0), p.view); i >= 0 {
-			w.home = p.view[i].Name
-		}
-	}
-	if w.home == "" {
+	home := q.homeOf(p, w)
+	if home == "" {
 		return false
 	}
 	for _, i := range p.free {
-		if p.view[i].Name == w.home {
+		if p.view[i].Name == home {
 			return true
 		}
 	}
 	return false
 }
 
+func (q *Queue) homeOf(p *pool, w *waiter) string {
+	if !w.homeKnown {
+		w.homeKnown = true
+		if i := q.homes.Home(q.request(p, w, 0), p.view); i >= 0 {
+			w.home = p.view[i].Name
+		}
+	}
+	return w.home
+}
+
 func (q *Queue) request(p *pool, w *waiter, wait time.Duration) route.Request {
 	return route.Request{
 		Pool: p.name, Prefix: w.job.Prefix, DataCentre: q.opts.DataCentre, Region: q.opts.Region,
@@ -356,29 +361,3 @@
 		q.slots.Want(p.name, p.waiting)
 	}
 }
-
-// Waiting returns how many calls wait for slots of the pool, in all and of the
-// account.
-func (q *Queue) Waiting(pool, account string) (all, own int) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	p := q.pools[pool]
-	if p == nil {
-		return 0, 0
-	}
-	if l := p.lines[account]; l != nil {
-		own = len(l.jobs)
-	}
-	return p.waiting, own
-}
-
-// ExpectedWait estimates how long a new call of the account would wait for a slot
-// of the pool.
-func (q *Queue) ExpectedWait(pool, account string, share int) time.Duration {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if p := q.pools[pool]; p != nil {
-		return p.wait(account, share, time.Now())
-	}
-	return 0
-}
--- a/entry/internal/queue/queue_test.go
+++ b/entry/internal/queue/queue_test.go
@@ -247,7 +247,10 @@
 			home := policy.(interface {
 				Home(route.Request, []route.Target) int
 			})
+			wanted := b.q.Homes("p")
+			Expect(wanted["t0"] + wanted["t1"]).To(Equal(20))
 			b.serve(1, 5)
+			Expect(b.q.Homes("p")).To(HaveKeyWithValue("t1", wanted["t1"]-5))
 			Expect(b.order).To(HaveLen(5))
 			for _, name := range b.order {
 				var prefix uint64
