--- a/caller/cmd/check.go
+++ b/caller/cmd/check.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -75,20 +74,21 @@
 // readLedger reads a file if there is one with the name, else asks the address.
 func readLedger(ctx context.Context, name string) (target.Ledger, error) {
 	var ledger target.Ledger
-	var source io.ReadCloser
 	if f, err := os.Open(name); err == nil {
-		source = f
-	} else {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
-		if err != nil {
-			return ledger, err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return ledger, err
-		}
-		source = resp.Body
+		defer func() { _ = f.Close() }()
+		return ledger, json.NewDecoder(f).Decode(&ledger)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
+	if err != nil {
+		return ledger, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ledger, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return ledger, oops.Errorf("status %d", resp.StatusCode)
 	}
-	defer func() { _ = source.Close() }()
-	return ledger, json.NewDecoder(source).Decode(&ledger)
+	return ledger, json.NewDecoder(resp.Body).Decode(&ledger)
 }
