--- /dev/null
+++ b/caller/internal/check/check_test.go
@@ -0,0 +1,125 @@
+package check_test
+
+import (
+	"bytes"
+	"strings"
+	"time"
+
+	"chivepost/caller/internal/check"
+	"chivepost/share/bundle"
+	"chivepost/share/events"
+	"chivepost/share/target"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func config() *bundle.Bundle {
+	b, err := bundle.New(bundle.Doc{
+		Pools:     []bundle.PoolDoc{{Name: "once", Kind: bundle.KindService, Limit: 8, ColdLimit: 2}},
+		Targets:   []bundle.TargetDoc{{Name: "t", Pool: "once"}, {Name: "u", Pool: "once"}},
+		Pipelines: []bundle.PipelineDoc{{Name: "p", Deadline: 1, Stages: []bundle.StageDoc{{Name: "s", Pool: "once", Timeout: 1}}}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+func sent(work string) events.Event {
+	return events.Event{Kind: events.Sent, Request: work, Stage: "p", Host: "e"}
+}
+
+func got(work, outcome, detail string) events.Event {
+	return events.Event{Kind: events.Got, Request: work, Stage: "p", Host: "e", Outcome: outcome, Detail: detail}
+}
+
+func host(kind events.Kind, run, stage string) events.Event {
+	return events.Event{Kind: kind, Host: "e", Run: run, Stage: stage, Attempt: stage}
+}
+
+func finished(name, work string) events.Event {
+	return events.Event{Kind: events.Finished, Target: name, Request: work, Outcome: "answered"}
+}
+
+func state(at time.Duration, detail string) events.Event {
+	return events.Event{Kind: events.State, Target: "t", At: at, Detail: detail}
+}
+
+func started(at time.Duration, attempt string, load int) events.Event {
+	return events.Event{Kind: events.Started, Target: "t", At: at, Run: "r", Stage: "s", Attempt: attempt, Load: load}
+}
+
+var options = check.Options{HasLedgers: true, ColdNotice: time.Second, LeavingBound: 4 * time.Second, Strict: true}
+
+func run(opts check.Options, list ...events.Event) check.Report {
+	opts.Bundle = config()
+	return check.Run([]check.Record{{Name: "all", Events: list}}, opts)
+}
+
+// Guards against a checker that passes over what must not happen.
+var _ = DescribeTable("finds what must not happen",
+	func(want check.Forbidden, list ...events.Event) {
+		Expect(run(options, list...).Forbidden).To(Equal(want))
+	},
+	Entry("nothing", check.Forbidden{}, sent("w"), got("w", "answered", ""), finished("t", "w"),
+		host(events.Accepted, "r", ""), host(events.Sending, "r", "s"), host(events.Result, "r", "s"), host(events.Ended, "r", "")),
+	Entry("work done by two targets", check.Forbidden{ExecutedTwice: 1},
+		sent("w"), got("w", "answered", ""), finished("t", "w"), finished("u", "w")),
+	Entry("one attempt started twice", check.Forbidden{ExecutedTwice: 1}, started(0, "1", 1), started(0, "1", 1)),
+	Entry("another's answer", check.Forbidden{GivenToAnother: 1}, sent("w"), got("w", "answered", "wrong"), finished("t", "w")),
+	Entry("part of an answer", check.Forbidden{Incomplete: 1}, sent("w"), got("w", "answered", "incomplete"), finished("t", "w")),
+	Entry("a request without an end at its caller", check.Forbidden{Lost: 1, NoOutcome: 1}, sent("w")),
+	Entry("an answer without the work", check.Forbidden{Lost: 1}, sent("w"), got("w", "answered", "")),
+	Entry("an accepted request without an end", check.Forbidden{Lost: 1}, host(events.Accepted, "r", "")),
+	Entry("an attempt without a result", check.Forbidden{Lost: 1}, host(events.Sending, "r", "s")),
+	Entry("a result without an attempt", check.Forbidden{Lost: 1}, host(events.Result, "r", "s")),
+	Entry("refused but run", check.Forbidden{RefusedButRun: 1}, sent("w"), got("w", "refused", ""), finished("t", "w")),
+	Entry("failed but run", check.Forbidden{RefusedButRun: 1}, sent("w"), got("w", "failed", ""), finished("t", "w")),
+	Entry("refused after a broken attempt", check.Forbidden{NoOutcome: 1},
+		sent("w"), got("w", "broken", ""), sent("w"), got("w", "refused", ""), finished("t", "w")),
+	Entry("too much for a cold start", check.Forbidden{AboveColdLimit: 1},
+		state(0, "cold"), started(0, "1", 2), started(0, "2", 3)),
+	Entry("too much some time after a warm target has turned cold", check.Forbidden{AboveColdLimit: 1},
+		state(0, "warm"), state(time.Second, "cold"), started(1500*time.Millisecond, "1", 3), started(2500*time.Millisecond, "2", 3)),
+	Entry("too much after falling over", check.Forbidden{AboveColdLimit: 1},
+		state(0, "warm"), state(time.Second, "fallen"), state(2*time.Second, "cold"), started(2*time.Second, "1", 3)),
+	Entry("work for a leaving target", check.Forbidden{OnLeaving: 1},
+		state(0, "leaving"), started(3*time.Second, "1", 1), started(5*time.Second, "2", 1)),
+)
+
+// Guards against a second execution that only the ledgers show, because the
+// target's events were lost.
+var _ = It("adds up the ledgers of all targets", func() {
+	opts := options
+	opts.Ledgers = []target.LedgerEntry{{ID: "w", Pool: "once", Count: 1}, {ID: "w", Pool: "once", Count: 1}, {ID: "v", Pool: "other", Count: 5}}
+	Expect(run(opts, finished("t", "w")).Forbidden).To(Equal(check.Forbidden{ExecutedTwice: 1}))
+})
+
+// Guards against a killed host's open work that counts as lost.
+var _ = It("leaves out what a killed host left open", func() {
+	opts := options
+	opts.Killed = []string{"e"}
+	Expect(run(opts, host(events.Accepted, "r", ""), host(events.Sending, "r", "s")).Forbidden.Sum()).To(Equal(0))
+})
+
+// Guards against sums that don't add up to the number of requests.
+var _ = It("sums up requests by their final outcome", func() {
+	report := run(options,
+		sent("a"), got("a", "refused", ""), sent("a"), got("a", "answered", ""), finished("t", "a"),
+		sent("b"), got("b", "refused", ""), sent("c"), got("c", "failed", ""), sent("d"), got("d", "unknown", ""),
+		sent("e"), got("e", "broken", ""), sent("f"), got("f", "unsent", ""))
+	Expect([]int{report.Sent, report.Answered, report.Refused, report.Failed, report.Unknown, report.NoOutcome, report.Attempts}).
+		To(Equal([]int{6, 1, 2, 1, 1, 1, 7}))
+	Expect(report.Forbidden).To(Equal(check.Forbidden{NoOutcome: 1}))
+	var table bytes.Buffer
+	Expect(report.WriteTable(&table)).To(Succeed())
+	Expect(table.String()).To(MatchRegexp(`(?m)^no outcome, strict +1$`))
+})
+
+// Guards against a killed process's last line that makes its events unreadable.
+var _ = It("reads events up to a last line that was cut short", func() {
+	record, err := check.Read("f", strings.NewReader("{\"kind\":\"sent\"}\n\n{\"kind\":\"go"))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(record.Events).To(HaveLen(1))
+	_, err = check.Read("f", strings.NewReader("{\"kind\n{\"kind\":\"got\"}\n"))
+	Expect(err).To(HaveOccurred())
+})
--- /dev/null
+++ b/caller/internal/expect/expect_test.go
@@ -0,0 +1,29 @@
+package expect_test
+
+import (
+	"chivepost/caller/internal/expect"
+	"chivepost/share/bundle"
+	"chivepost/share/target"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against an expected answer that leaves out a stage.
+var _ = It("passes each stage's output on to the next", func() {
+	b, err := bundle.New(bundle.Doc{
+		Pools: []bundle.PoolDoc{
+			{Name: "a", Kind: bundle.KindEngine, Repeat: true, Limit: 1, ColdLimit: 1},
+			{Name: "b", Kind: bundle.KindService, Limit: 1, ColdLimit: 1},
+		},
+		Pipelines: []bundle.PipelineDoc{{Name: "p", Deadline: 1, Stages: []bundle.StageDoc{
+			{Name: "s", Pool: "a", Timeout: 1}, {Name: "t", Pool: "b", Timeout: 1},
+		}}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	first := target.Expected(bundle.KindEngine, "a", "in")
+	Expect(expect.Output(b, "p", "in")).To(Equal(target.Expected(bundle.KindService, "b", first)))
+	Expect(expect.RunsOnce(b, "p")).To(BeTrue())
+	_, err = expect.Output(b, "q", "in")
+	Expect(err).To(HaveOccurred())
+})
--- /dev/null
+++ b/caller/internal/flow/flow_test.go
@@ -0,0 +1,89 @@
+package flow_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chivepost/caller/internal/agent"
+	"chivepost/caller/internal/flow"
+	"chivepost/share/bundle"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func config() *bundle.Bundle {
+	b, err := bundle.New(bundle.Doc{
+		Pools: []bundle.PoolDoc{
+			{Name: "free", Kind: bundle.KindStage, Repeat: true, Limit: 1, ColdLimit: 1},
+			{Name: "once", Kind: bundle.KindService, Limit: 1, ColdLimit: 1},
+		},
+		Pipelines: []bundle.PipelineDoc{
+			{Name: "read", Deadline: 1, Stages: []bundle.StageDoc{{Name: "s", Pool: "free", Timeout: 1}}},
+			{Name: "book", Deadline: 1, Stages: []bundle.StageDoc{{Name: "s", Pool: "free", Timeout: 1}, {Name: "t", Pool: "once", Timeout: 1}}},
+		},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+var options = flow.Options{
+	Rate: 100, Ramp: 10 * time.Second, Duration: 20 * time.Second, Seed: 1, Label: "l",
+	Accounts: []flow.Weight{{Name: "large", Weight: 9}, {Name: "small", Weight: 1}}, SecretPrefix: "secret-",
+	Pipelines: []flow.Weight{{Name: "read", Weight: 1}, {Name: "book", Weight: 1}}, Prefixes: 3, PrefixBytes: 100,
+}
+
+// Guards against loads that can't be repeated or don't follow their weights.
+var _ = It("makes the same jobs from the same seed", func() {
+	jobs, err := flow.Jobs(config(), options)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(flow.Jobs(config(), options)).To(Equal(jobs))
+	other := options
+	other.Seed = 2
+	Expect(flow.Jobs(config(), other)).NotTo(Equal(jobs))
+	ramp, large := 0, 0
+	for _, j := range jobs {
+		if j.At < options.Ramp {
+			ramp++
+		}
+		if j.Job.Account == "large" {
+			large++
+		}
+		Expect(j.Job.Once).To(Equal(j.Job.Pipeline == "book"))
+		Expect(j.Job.Secret).To(Equal("secret-" + j.Job.Account))
+		Expect(j.Job.Want).To(ContainSubstring("|id=" + j.Job.Work + "|"))
+	}
+	Expect(ramp).To(BeNumerically("~", 550, 60))
+	Expect(len(jobs) - ramp).To(BeNumerically("~", 1000, 100))
+	Expect(float64(large) / float64(len(jobs))).To(BeNumerically("~", 0.9, 0.03))
+})
+
+// slow takes longer for each job than the time between jobs.
+type slow struct {
+	mu      sync.Mutex
+	started []time.Time
+}
+
+func (s *slow) Do(context.Context, agent.Job) agent.Report {
+	s.mu.Lock()
+	s.started = append(s.started, time.Now())
+	s.mu.Unlock()
+	time.Sleep(100 * time.Millisecond)
+	return agent.Report{}
+}
+
+// Guards against a load that waits for slow answers and so hides overload.
+var _ = It("starts jobs at their times even if earlier ones have not ended", func() {
+	s := &slow{}
+	var jobs []flow.Timed
+	for i := range 10 {
+		jobs = append(jobs, flow.Timed{At: time.Duration(i) * time.Millisecond})
+	}
+	began := time.Now()
+	var mu sync.Mutex
+	done := 0
+	flow.Run(context.Background(), jobs, s, func(agent.Report) { mu.Lock(); done++; mu.Unlock() })
+	Expect(done).To(Equal(10))
+	Expect(time.Since(began)).To(BeNumerically("<", 500*time.Millisecond))
+})
