caller, stand: clients per account, checks of state and configuration

One cached address per account sent an account's whole load to one host, so a load has several clients per account. The checker mixed the times of leaving and cold targets and did not look at configuration versions.

--- a/caller/cmd/load.go
+++ b/caller/cmd/load.go
@@ -26,6 +26,7 @@
 	Label       string         `help:"Start of the ids of the work; random if left out."`
 	Accounts    map[string]int `help:"Weights of accounts, as name=weight;...; shares of the configuration if left out."`
 	Pipelines   map[string]int `help:"Weights of pipelines, as name=weight;...; all alike if left out."`
+	Clients     int            `help:"Clients of each account; each holds addresses of its own." default:"8"`
 	StreamShare float64        `help:"Share of requests with a streamed answer." default:"0.5"`
 	Prefixes    int            `help:"Number of shared prompt prefixes." default:"20"`
 	PrefixBytes int            `help:"Length of each prefix." default:"512"`
@@ -92,7 +93,7 @@
 	opts := flow.Options{
 		Rate: c.Rate, Ramp: c.Ramp, Duration: c.Duration, Seed: c.Seed, Label: c.Label,
 		Accounts: weights(c.Accounts), Pipelines: weights(c.Pipelines), SecretPrefix: c.SecretPrefix,
-		Deadline: c.Deadline, StreamShare: c.StreamShare, Prefixes: c.Prefixes, PrefixBytes: c.PrefixBytes,
+		Clients: c.Clients, Deadline: c.Deadline, StreamShare: c.StreamShare, Prefixes: c.Prefixes, PrefixBytes: c.PrefixBytes,
 	}
 	if opts.Label == "" {
 		opts.Label = strings.ToLower(rand.Text()[:8])
--- a/caller/internal/agent/agent.go
+++ b/caller/internal/agent/agent.go
@@ -38,11 +38,17 @@
 	http *http.Client
 
 	mu     sync.Mutex
-	known  map[string]known // By secret.
-	asking map[string]*sync.Mutex
+	known  map[caller]known
+	asking map[caller]*sync.Mutex
 	next   int // Entry to ask first the next time.
 }
 
+// caller is one of an account's clients, which asks for addresses by itself.
+type caller struct {
+	secret string
+	client int
+}
+
 // known is an answer about addresses and when it may no longer be used.
 type known struct {
 	apiv1.Address
@@ -56,8 +62,8 @@
 func New(opts Options) *Agent {
 	return &Agent{
 		opts:   opts,
-		known:  map[string]known{},
-		asking: map[string]*sync.Mutex{},
+		known:  map[caller]known{},
+		asking: map[caller]*sync.Mutex{},
 		http: &http.Client{
 			Transport: &http.Transport{
 				MaxIdleConnsPerHost: 256,
@@ -73,15 +79,15 @@
 // Close closes idle connections.
 func (a *Agent) Close() { a.http.CloseIdleConnections() }
 
-// addresses returns the addresses to use for the account with this secret. The time
-// of hold counts from before the question, so that it ends no later here than at
-// the host that answered.
-func (a *Agent) addresses(ctx context.Context, secret string) (apiv1.Address, error) {
-	lock := a.questionLock(secret)
+// addresses returns the addresses that the client is to use. The time of hold counts
+// from before the question, so that it ends no later here than at the host that
+// answered.
+func (a *Agent) addresses(ctx context.Context, of caller) (apiv1.Address, error) {
+	lock := a.questionLock(of)
 	lock.Lock()
 	defer lock.Unlock()
 	a.mu.Lock()
-	k, ok := a.known[secret]
+	k, ok := a.known[of]
 	first := a.next
 	a.mu.Unlock()
 	if ok && time.Now().Before(k.until) {
@@ -91,13 +97,13 @@
 	for i := range a.opts.Entries {
 		entry := a.opts.Entries[(first+i)%len(a.opts.Entries)]
 		asked := time.Now()
-		answer, err := a.ask(ctx, entry, secret)
+		answer, err := a.ask(ctx, entry, of.secret)
 		if err != nil {
 			last = err
 			continue
 		}
 		a.mu.Lock()
-		a.known[secret] = known{Address: answer, until: asked.Add(answer.Hold.Std())}
+		a.known[of] = known{Address: answer, until: asked.Add(answer.Hold.Std())}
 		a.next = first + i + 1
 		a.mu.Unlock()
 		return answer, nil
@@ -105,21 +111,21 @@
 	return apiv1.Address{}, oops.Wrapf(last, "no entry host names an address")
 }
 
-// questionLock keeps the calls of one account from asking all at once.
-func (a *Agent) questionLock(secret string) *sync.Mutex {
+// questionLock keeps the calls of one client from asking all at once.
+func (a *Agent) questionLock(of caller) *sync.Mutex {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.asking[secret] == nil {
-		a.asking[secret] = &sync.Mutex{}
+	if a.asking[of] == nil {
+		a.asking[of] = &sync.Mutex{}
 	}
-	return a.asking[secret]
+	return a.asking[of]
 }
 
 // forget makes the next request ask again, after a host named here failed.
-func (a *Agent) forget(secret string) {
+func (a *Agent) forget(of caller) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.known, secret)
+	delete(a.known, of)
 }
 
 func (a *Agent) ask(ctx context.Context, entry, secret string) (apiv1.Address, error) {
--- a/caller/internal/agent/agent_test.go
+++ b/caller/internal/agent/agent_test.go
@@ -151,6 +151,10 @@
 		time.Sleep(200 * time.Millisecond)
 		a.Do(context.Background(), job(true))
 		Expect(e.asked).To(Equal(2))
+		other := job(true)
+		other.Client = 1
+		a.Do(context.Background(), other)
+		Expect(e.asked).To(Equal(3))
 	})
 
 	// Guards against a host that is down and stops all requests.
--- a/caller/internal/agent/do.go
+++ b/caller/internal/agent/do.go
@@ -13,9 +13,11 @@
 // Job is one piece of work for a pipeline.
 type Job struct {
 	// Work names the work across all attempts; the input carries it too.
-	Work     string
-	Account  string
-	Secret   string
+	Work    string
+	Account string
+	Secret  string
+	// Client tells the account's clients apart; each holds addresses of its own.
+	Client   int
 	Pipeline string
 	Input    string
 	// Want is the expected answer; an empty one is not compared.
@@ -113,7 +115,7 @@
 
 // next makes one attempt.
 func (r *run) next(ctx context.Context, n int, left time.Duration) attempt {
-	known, err := r.agent.addresses(ctx, r.job.Secret)
+	known, err := r.agent.addresses(ctx, r.caller())
 	if err != nil {
 		return attempt{outcome: Unsent, err: err}
 	}
@@ -129,7 +131,7 @@
 	r.event(events.Got, n, string(at.outcome), at.flaw)
 	switch at.outcome {
 	case Broken, Unsent:
-		r.agent.forget(r.job.Secret)
+		r.agent.forget(r.caller())
 		r.tried = append(r.tried, r.host)
 		r.open = r.open || at.outcome == Broken
 	case apiv1.Refused:
@@ -150,6 +152,8 @@
 	return at
 }
 
+func (r *run) caller() caller { return caller{r.job.Secret, r.job.Client} }
+
 // choose prefers the addresses that a refusal named, then those of the entry hosts,
 // leaving out hosts tried before as long as others are left.
 func (r *run) choose(addresses []string) string {
--- a/caller/internal/check/check.go
+++ b/caller/internal/check/check.go
@@ -68,6 +68,8 @@
 	AboveColdLimit int `json:"above_cold_limit"`
 	// OnLeaving: a leaving target got a new call after the bound.
 	OnLeaving int `json:"on_leaving"`
+	// ConfigReverted: an entry host went back to an older configuration.
+	ConfigReverted int `json:"config_reverted"`
 	// NoOutcome: requests without an outcome, in a strict check only.
 	NoOutcome int `json:"no_outcome"`
 }
@@ -75,7 +77,7 @@
 // Sum returns the number of forbidden cases.
 func (f Forbidden) Sum() int {
 	return f.ExecutedTwice + f.GivenToAnother + f.Incomplete + f.Lost + f.RefusedButRun +
-		f.AboveColdLimit + f.OnLeaving + f.NoOutcome
+		f.AboveColdLimit + f.OnLeaving + f.ConfigReverted + f.NoOutcome
 }
 
 // maxExamples bounds the cases that are named.
--- a/caller/internal/check/check_test.go
+++ b/caller/internal/check/check_test.go
@@ -40,6 +40,10 @@
 	return events.Event{Kind: events.Finished, Target: name, Request: work, Outcome: "answered"}
 }
 
+func version(at time.Duration, v int64) events.Event {
+	return events.Event{Kind: events.Config, Host: "e", At: at, Version: v}
+}
+
 func state(at time.Duration, detail string) events.Event {
 	return events.Event{Kind: events.State, Target: "t", At: at, Detail: detail}
 }
@@ -82,6 +86,11 @@
 		state(0, "warm"), state(time.Second, "cold"), started(1500*time.Millisecond, "1", 3), started(2500*time.Millisecond, "2", 3)),
 	Entry("too much after falling over", check.Forbidden{AboveColdLimit: 1},
 		state(0, "warm"), state(time.Second, "fallen"), state(2*time.Second, "cold"), started(2*time.Second, "1", 3)),
+	Entry("too much while it turns from cold to leaving", check.Forbidden{AboveColdLimit: 1},
+		state(0, "warm"), state(time.Second, "cold"), state(2*time.Second, "leaving_cold"), started(2500*time.Millisecond, "1", 3)),
+	Entry("work for a leaving target that has turned cold", check.Forbidden{OnLeaving: 1},
+		state(0, "leaving"), state(3*time.Second, "leaving_cold"), state(4*time.Second, "fallen"), started(5*time.Second, "1", 1)),
+	Entry("an older configuration", check.Forbidden{ConfigReverted: 1}, version(1, 5), version(2, 7), version(3, 5), version(1, 6)),
 	Entry("work for a leaving target", check.Forbidden{OnLeaving: 1},
 		state(0, "leaving"), started(3*time.Second, "1", 1), started(5*time.Second, "2", 1)),
 )
--- a/caller/internal/check/entry.go
+++ b/caller/internal/check/entry.go
@@ -8,6 +8,7 @@
 	begun := map[key]int{}
 	ended := map[key]int{}
 	var order []key
+	inForce := map[string]events.Event{}
 	for _, e := range r.Events {
 		k := key{host: e.Host, run: e.Run}
 		switch e.Kind {
@@ -15,6 +16,13 @@
 			c.Accepted++
 		case events.Ended:
 			c.Ended++
+		case events.Config:
+			// A process that has started anew has a clock that starts anew.
+			if before := inForce[e.Host]; e.At >= before.At && e.Version < before.Version {
+				c.found(&c.Forbidden.ConfigReverted, "%s: configuration %d in force after %d", e.Host, e.Version, before.Version)
+			}
+			inForce[e.Host] = e
+			continue
 		case events.Sending, events.Result:
 			k.stage, k.attempt = e.Stage, e.Attempt
 		default:
--- a/caller/internal/check/table.go
+++ b/caller/internal/check/table.go
@@ -32,6 +32,7 @@
 		{"refused but run", r.Forbidden.RefusedButRun},
 		{"above cold limit", r.Forbidden.AboveColdLimit},
 		{"on leaving target", r.Forbidden.OnLeaving},
+		{"configuration reverted", r.Forbidden.ConfigReverted},
 		{"no outcome, strict", r.Forbidden.NoOutcome},
 	} {
 		if row.count < 0 {
--- a/caller/internal/check/target.go
+++ b/caller/internal/check/target.go
@@ -11,14 +11,21 @@
 	"chivepost/share/target"
 )
 
-// state is the last that a target said of itself.
+// state is what a target has said of itself so far.
 type state struct {
-	name  string
-	since time.Duration
-	// noticed is false for a target that was warm just before it turned cold.
+	name                    string
+	cold, leaving           bool
+	coldSince, leavingSince time.Duration
+	// noticed is false if the target was warm just before it turned cold.
 	noticed bool
 }
 
+// Details of State events besides the states of package target.
+const (
+	stateFallen      = "fallen"
+	stateLeavingCold = "leaving_cold"
+)
+
 // targets takes in the events of targets. One attempt may be started once only,
 // at whichever target.
 func (c *checker) targets(records []Record) {
@@ -29,7 +36,7 @@
 		for _, e := range r.Events {
 			switch e.Kind {
 			case events.State:
-				states[e.Target] = next(states[e.Target], e)
+				states[e.Target] = states[e.Target].next(e)
 			case events.Started:
 				c.Started++
 				a := attempt{e.Run, e.Stage, e.Attempt}
@@ -47,34 +54,39 @@
 	}
 }
 
-// next returns the state after the event.
-func next(before state, e events.Event) state {
-	s := state{name: e.Detail, since: e.At, noticed: before.name != string(target.StateWarm)}
-	// A cold start that goes on in another form has begun with the first sign of it.
-	if isCold(before.name) && isCold(s.name) {
-		s.since, s.noticed = before.since, before.noticed
+// next returns the state after the event. The time of a state runs on if another
+// one joins it: a leaving target that turns cold is still leaving.
+func (s state) next(e events.Event) state {
+	after := s
+	after.name = e.Detail
+	after.cold = e.Detail == string(target.StateCold) || e.Detail == stateLeavingCold
+	if e.Detail != stateFallen {
+		after.leaving = e.Detail == string(target.StateLeaving) || e.Detail == stateLeavingCold
+	}
+	if after.cold && !s.cold {
+		after.coldSince = e.At
+		after.noticed = s.name == "" || s.name == stateFallen
 	}
-	return s
+	if after.leaving && !s.leaving {
+		after.leavingSince = e.At
+	}
+	return after
 }
 
-func isCold(name string) bool { return strings.HasSuffix(name, string(target.StateCold)) }
-
-func isLeaving(name string) bool { return strings.HasPrefix(name, string(target.StateLeaving)) }
-
 // start checks one start of a call against the state of its target.
 func (c *checker) start(e events.Event, s state) {
-	age := e.At - s.since
-	if isLeaving(s.name) && age > c.opts.LeavingBound {
+	if age := e.At - s.leavingSince; s.leaving && age > c.opts.LeavingBound {
 		c.found(&c.Forbidden.OnLeaving, "%s: got a call %s after it had begun to leave", e.Target, age)
 	}
 	t, ok := c.opts.Bundle.Target(e.Target)
-	if !ok || !isCold(s.name) {
+	if !ok || !s.cold {
 		return
 	}
 	pool, _ := c.opts.Bundle.Pool(t.Pool)
 	if e.Load <= pool.ColdLimit {
 		return
 	}
+	age := e.At - s.coldSince
 	if !s.noticed && age <= c.opts.ColdNotice {
 		c.ColdUnnoticed++
 		return
--- a/caller/internal/flow/flow.go
+++ b/caller/internal/flow/flow.go
@@ -38,8 +38,10 @@
 	Pipelines []Weight
 	// SecretPrefix and the account's name make up the account's secret.
 	SecretPrefix string
-	Deadline     time.Duration
-	StreamShare  float64
+	// Clients is the number of clients of each account.
+	Clients     int
+	Deadline    time.Duration
+	StreamShare float64
 	// Prefixes is the number of shared prompt prefixes of PrefixBytes each.
 	Prefixes    int
 	PrefixBytes int
@@ -73,6 +75,7 @@
 			Work:     fmt.Sprintf("%s-%06d", opts.Label, len(jobs)),
 			Account:  choose(random, opts.Accounts),
 			Pipeline: choose(random, opts.Pipelines),
+			Client:   random.IntN(max(opts.Clients, 1)),
 			Deadline: opts.Deadline,
 			Stream:   random.Float64() < opts.StreamShare,
 		}
--- a/share/target/client_test.go
+++ b/share/target/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,7 @@
 	Entry("header of another call", answer(200, "x/y/1", runBody(id, "out", 3, apiv1.Checksum("out"))), target.ReasonEcho, target.SentMaybe),
 	Entry("body of another call", answer(200, id, runBody("x/y/1", "out", 3, apiv1.Checksum("out"))), target.ReasonEcho, target.SentMaybe),
 	Entry("shorter than its length", answer(200, id, runBody(id, "ou", 3, apiv1.Checksum("out"))), target.ReasonIncomplete, target.SentMaybe),
+	Entry("of another length", answer(200, id, runBody(id, "out", 4, apiv1.Checksum("out"))), target.ReasonIncomplete, target.SentMaybe),
 	Entry("other bytes", answer(200, id, runBody(id, "oat", 3, apiv1.Checksum("out"))), target.ReasonIncomplete, target.SentMaybe),
 	Entry("not JSON", answer(200, id, "out"), target.ReasonFormat, target.SentMaybe),
 	Entry("body cut off", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -146,6 +148,28 @@
 		Expect(connections.Load()).To(BeEquivalentTo(3))
 	})
 
+	// Guards against an idle connection that the target closes just when it is used.
+	It("uses no connection of another call and leaves none behind", func() {
+		var mu sync.Mutex
+		remotes := map[string]bool{}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			remotes[r.RemoteAddr] = true
+			answer(200, id, runBody(id, "out", 3, apiv1.Checksum("out")))(w, r)
+		}))
+		defer server.Close()
+		client := target.New(target.Options{})
+		defer client.Close()
+		for i, connections := range []int{1, 2, 3, 3} {
+			res := client.Run(context.Background(), target.Call{
+				ID: id, Kind: bundle.KindService, Address: server.Listener.Addr().String(), Once: i == 1 || i == 2,
+			}, nil)
+			Expect(res.Err).NotTo(HaveOccurred())
+			Expect(remotes).To(HaveLen(connections), "after call %d", i)
+		}
+	})
+
 	// Guards against an unknown outcome where a refusal is certain.
 	It("was not sent if no connection was made", func() {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/stand/internal/hostd/hostd.go
+++ b/stand/internal/hostd/hostd.go
@@ -127,9 +127,6 @@
 		seen: now.Add(s.draw(s.faults.Lag.Std())),
 		list: hosts.List{Version: last.list.Version + 1, Hosts: list},
 	}
-	if next.seen.Before(last.seen) {
-		next.seen = last.seen
-	}
 	s.history = append(s.history, next)
 	const kept = 1000
 	if len(s.history) > kept {
