--- a/share/target/client.go
+++ b/share/target/client.go
@@ -224,7 +224,7 @@
 		return Load{}, fmt.Errorf("read load of %s: status %d", address, resp.StatusCode)
 	}
 	var load Load
-	if err := json.NewDecoder(resp.Body).Decode(&load); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&load); err != nil {
 		return Load{}, fmt.Errorf("decode load of %s: %w", address, err)
 	}
 	return load, nil
