--- a/caller/internal/agent/agent_test.go
+++ b/caller/internal/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"chivepost/caller/internal/agent"
@@ -17,6 +18,11 @@
 	. "github.com/onsi/gomega"
 )
 
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent")
+}
+
 // step answers one request at an entry host.
 type step func(w http.ResponseWriter, id string)
 
--- a/caller/internal/check/check_test.go
+++ b/caller/internal/check/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"testing"
 	"time"
 
 	"chivepost/caller/internal/check"
@@ -14,6 +15,11 @@
 	. "github.com/onsi/gomega"
 )
 
+func TestCheck(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "check")
+}
+
 func config() *bundle.Bundle {
 	b, err := bundle.New(bundle.Doc{
 		Pools:     []bundle.PoolDoc{{Name: "once", Kind: bundle.KindService, Limit: 8, ColdLimit: 2}},
--- a/caller/internal/expect/expect_test.go
+++ b/caller/internal/expect/expect_test.go
@@ -1,6 +1,8 @@
 package expect_test
 
 import (
+	"testing"
+
 	"chivepost/caller/internal/expect"
 	"chivepost/share/bundle"
 	"chivepost/share/target"
@@ -9,6 +11,11 @@
 	. "github.com/onsi/gomega"
 )
 
+func TestExpect(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "expect")
+}
+
 // Guards against an expected answer that leaves out a stage.
 var _ = It("passes each stage's output on to the next", func() {
 	b, err := bundle.New(bundle.Doc{
--- a/caller/internal/flow/flow_test.go
+++ b/caller/internal/flow/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"testing"
 	"time"
 
 	"chivepost/caller/internal/agent"
@@ -13,6 +14,11 @@
 	. "github.com/onsi/gomega"
 )
 
+func TestFlow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "flow")
+}
+
 func config() *bundle.Bundle {
 	b, err := bundle.New(bundle.Doc{
 		Pools: []bundle.PoolDoc{
--- a/share/target/client_test.go
+++ b/share/target/client_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"testing"
 	"time"
 
 	"chivepost/share/apiv1"
@@ -21,6 +22,11 @@
 	. "github.com/onsi/gomega"
 )
 
+func TestTarget(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "target")
+}
+
 const id = "run/stage/1"
 
 // call makes one call to a server with the handler.
--- a/share/target/wire.go
+++ b/share/target/wire.go
@@ -22,6 +22,9 @@
 	Prompt        string         `json:"prompt"`
 	Stream        bool           `json:"stream"`
 	StreamOptions *StreamOptions `json:"stream_options,omitempty"`
+	// ResumeFrom leaves out that many tokens of the stream, which the caller has
+	// from an earlier call with the same prompt.
+	ResumeFrom int `json:"resume_from,omitempty"`
 }
 
 // StreamOptions asks an engine to put usage into the last chunk.
@@ -68,9 +71,31 @@
 	FinishLength = "length"
 )
 
-// Order is the body of POST /v1/orders.
+// Order is the body of POST /v1/orders. Model names a model, a version, an adapter
+// or a role, depending on the kind.
 type Order struct {
 	Fence uint64 `json:"fence"`
 	Kind  string `json:"kind"`
 	Model string `json:"model"`
 }
+
+// Kinds of orders.
+const (
+	OrderLoad    = "load"
+	OrderUnload  = "unload"
+	OrderVersion = "version"
+	OrderAdapter = "adapter"
+	OrderRole    = "role"
+)
+
+// KVCache is the body of POST /v1/cache/import and the answer to POST
+// /v1/cache/export, whose body is a KVRequest. Bytes is the size to transfer.
+type KVCache struct {
+	Blocks []string `json:"blocks"`
+	Bytes  int64    `json:"bytes"`
+}
+
+// KVRequest names the prompt whose cached blocks are to be exported.
+type KVRequest struct {
+	Prompt string `json:"prompt"`
+}
--- a/stand/internal/gate/gate_test.go
+++ b/stand/internal/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"testing"
 	"testing/synctest"
 	"time"
 
@@ -11,6 +12,24 @@
 	. "github.com/onsi/gomega"
 )
 
+var suite *testing.T
+
+func TestGate(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gate")
+}
+
+// virtual runs a spec in virtual time.
+func virtual(f func()) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			f()
+		})
+	}
+}
+
 var _ = Describe("a gate", func() {
 	// Guards against an engine that ignores priorities.
 	It("admits waiting calls by priority, then by age, up to its queue", virtual(func() {
--- a/stand/internal/logsrv/logsrv_test.go
+++ b/stand/internal/logsrv/logsrv_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"chivepost/share/logsvc"
@@ -15,6 +17,24 @@
 	. "github.com/onsi/gomega"
 )
 
+var suite *testing.T
+
+func TestLogsrv(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logsrv")
+}
+
+// virtual runs a spec in virtual time.
+func virtual(f func()) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			f()
+		})
+	}
+}
+
 // direct carries calls to a handler without a network, so that time can be virtual.
 type direct struct{ http.Handler }
 
--- a/stand/internal/prefix/prefix.go
+++ b/stand/internal/prefix/prefix.go
@@ -48,10 +48,7 @@
 func (c *Cache) Use(blocks []string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	hits := 0
-	for hits < len(blocks) && c.blocks[blocks[hits]] != nil {
-		hits++
-	}
+	hits := c.match(blocks)
 	for _, b := range blocks {
 		if e := c.blocks[b]; e != nil {
 			c.order.MoveToFront(e)
@@ -69,6 +66,21 @@
 	return hits
 }
 
+// Match returns how many leading blocks are present and changes nothing.
+func (c *Cache) Match(blocks []string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.match(blocks)
+}
+
+func (c *Cache) match(blocks []string) int {
+	hits := 0
+	for hits < len(blocks) && c.blocks[blocks[hits]] != nil {
+		hits++
+	}
+	return hits
+}
+
 // Clear empties the cache, as a restart does.
 func (c *Cache) Clear() {
 	c.mu.Lock()
--- a/stand/internal/prefix/prefix_test.go
+++ b/stand/internal/prefix/prefix_test.go
@@ -1,6 +1,8 @@
 package prefix_test
 
 import (
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"chivepost/share/target"
@@ -10,6 +12,24 @@
 	. "github.com/onsi/gomega"
 )
 
+var suite *testing.T
+
+func TestPrefix(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "prefix")
+}
+
+// virtual runs a spec in virtual time.
+func virtual(f func()) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			f()
+		})
+	}
+}
+
 func kinds(page target.CacheEvents) []string {
 	out := []string{}
 	for _, e := range page.Events {
--- a/stand/internal/server/call.go
+++ b/stand/internal/server/call.go
@@ -114,6 +114,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(parent)
 	context.AfterFunc(t.life, c.cancel)
+	t.cancels[c.id] = c.cancel
 	return nil
 }
 
@@ -127,6 +128,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+	delete(t.cancels, c.id)
 	if c.cold && t.cold && c.boot == t.bootID() {
 		t.coldCalls = max(0, t.coldCalls-1)
 	}
--- a/stand/internal/server/complete.go
+++ b/stand/internal/server/complete.go
@@ -30,7 +30,9 @@
 	cached := t.cache.Use(target.PrefixBlocks(body.Prompt)) * target.PrefixBlock / target.TokenBytes
 	tokens := (len(body.Prompt) + target.TokenBytes - 1) / target.TokenBytes
 	p := t.opts.Spec.Pace
-	prefill := p.FirstToken.Std() + time.Duration(tokens-cached)*p.PromptToken.Std()
+	// The tokens that a resumed stream leaves out are computed like those of the prompt.
+	compute := tokens - cached + max(body.ResumeFrom, 0)
+	prefill := p.FirstToken.Std() + time.Duration(compute)*p.PromptToken.Std()
 	if sleep(c.ctx, c.pace(prefill)) != nil {
 		outcome = c.ended(r)
 		serve.Drop()
@@ -45,6 +47,7 @@
 	}
 	c.stamp(w)
 	pieces := target.Pieces(t.opts.Spec.Kind, t.opts.Spec.Pool, body.Prompt)
+	pieces = pieces[min(max(body.ResumeFrom, 0), len(pieces)):]
 	s := newStream(w, c, body, pieces)
 	s.usage = target.Usage{
 		PromptTokens: tokens, CompletionTokens: len(pieces), TotalTokens: tokens + len(pieces),
--- a/stand/internal/server/harness_test.go
+++ b/stand/internal/server/harness_test.go
@@ -109,12 +109,14 @@
 	return out
 }
 
-func (b *bench) post(path, body string) int {
+func (b *bench) do(method, path, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	b.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
-	return w.Code
+	b.Handler().ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
 }
 
+func (b *bench) post(path, body string) int { return b.do(http.MethodPost, path, body).Code }
+
 func (b *bench) faults(body string) {
 	Expect(b.post("/v1/faults", body)).To(Equal(http.StatusOK))
 }
--- a/stand/internal/server/info.go
+++ b/stand/internal/server/info.go
@@ -31,47 +31,6 @@
 	serve.WriteJSON(w, http.StatusOK, page)
 }
 
-// Kinds of orders.
-const (
-	orderLoad   = "load"
-	orderUnload = "unload"
-	orderRole   = "role"
-)
-
-// order takes an order to load or unload a model or to change role. Loading turns
-// the target cold.
-func (t *Target) order(w http.ResponseWriter, r *http.Request) {
-	var body target.Order
-	if !serve.ReadJSON(w, r, &body) || !t.reachable(w, r) {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.opts.Spec.ChecksFence && body.Fence < t.fence {
-		serve.WriteError(w, http.StatusConflict, "fence "+strconv.FormatUint(body.Fence, 10)+
-			" is older than "+strconv.FormatUint(t.fence, 10))
-		return
-	}
-	switch body.Kind {
-	case orderLoad:
-		if body.Model != t.model {
-			t.model = body.Model
-			t.setCold(true)
-		}
-	case orderUnload:
-		t.model = ""
-	case orderRole:
-	default:
-		serve.WriteError(w, http.StatusBadRequest, "want kind load, unload or role")
-		return
-	}
-	t.fence = max(t.fence, body.Fence)
-	serve.WriteJSON(w, http.StatusOK, struct {
-		Fence uint64 `json:"fence"`
-		Model string `json:"model"`
-	}{t.fence, t.model})
-}
-
 // reachable waits for the link's delay both ways, answers for a target that is
 // down or fallen and otherwise sets the headers of all answers.
 func (t *Target) reachable(w http.ResponseWriter, r *http.Request) bool {
--- a/stand/internal/server/server_test.go
+++ b/stand/internal/server/server_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
+	"testing"
 	"testing/synctest"
 	"time"
 
@@ -14,6 +16,24 @@
 	. "github.com/onsi/gomega"
 )
 
+var suite *testing.T
+
+func TestServer(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "server")
+}
+
+// virtual runs a spec in virtual time.
+func virtual(f func()) func() {
+	return func() {
+		synctest.Test(suite, func(*testing.T) {
+			defer GinkgoRecover()
+			f()
+		})
+	}
+}
+
 var ctx = context.Background()
 
 var _ = Describe("a target", func() {
@@ -151,6 +171,34 @@
 		Expect(b.post("/v1/orders", `{"fence":5,"kind":"unload"}`)).To(Equal(http.StatusOK))
 	}))
 
+	// Guards against engines that go on with a cancelled call or resume at another token.
+	It("cancels and resumes streams", virtual(func() {
+		b := start(bundle.KindEngine, true)
+		defer b.close()
+		done := make(chan target.Result)
+		go func() { done <- b.run(ctx, "a") }()
+		time.Sleep(150 * time.Millisecond)
+		Expect(b.do(http.MethodDelete, "/v1/completions/a/stage/1", "").Code).To(Equal(http.StatusNoContent))
+		Expect(reason(<-done)).To(Equal(target.ReasonIncomplete))
+		Expect(b.do(http.MethodDelete, "/v1/completions/a/stage/1", "").Code).To(Equal(http.StatusNotFound))
+		whole := target.Pieces(b.kind, "pool", "in")
+		resumed := b.do(http.MethodPost, "/v1/completions", `{"prompt":"in","stream":true,"resume_from":3}`).Body.String()
+		Expect(strings.Count(resumed, `"finish_reason":null`)).To(Equal(len(whole) - 3))
+		Expect(resumed).To(HavePrefix(`data: {"id":"cmpl-","object":"text_completion","choices":[{"index":0,"text":"` + whole[3]))
+	}))
+
+	// Guards against an import that saves no work.
+	It("takes over exported cache blocks", virtual(func() {
+		from, to := start(bundle.KindEngine, true), start(bundle.KindEngine, true)
+		defer from.close()
+		defer to.close()
+		prompt := strings.Repeat("p", 3*target.PrefixBlock) + "|q"
+		from.runInput(ctx, "a", prompt)
+		exported := from.do(http.MethodPost, "/v1/cache/export", `{"prompt":"`+prompt+`"}`).Body.String()
+		Expect(to.post("/v1/cache/import", exported)).To(Equal(http.StatusNoContent))
+		Expect(to.runInput(ctx, "b", prompt).Cached).To(Equal(3 * target.PrefixBlock / target.TokenBytes))
+	}))
+
 	// Guards against routing that takes a load report for the present.
 	It("reports its load with a lag", virtual(func() {
 		b := start(bundle.KindStage, true)
--- a/stand/internal/server/target.go
+++ b/stand/internal/server/target.go
@@ -56,8 +56,8 @@
 	leaving     bool
 	inFlight    int
 	coldCalls   int // Calls begun in this cold start and still in flight.
-	model       string
-	fence       uint64 // Highest fence of an accepted order.
+	loaded      loaded
+	cancels     map[string]context.CancelFunc // Of engines' running calls, by id.
 	faults      Faults
 	last        answer // The answer given last, for crossed answers.
 	reports     []report
@@ -74,6 +74,7 @@
 	t := &Target{
 		opts: opts, gate: gate.New(s.Limit, queueFactor*s.Limit),
 		ledger: ledger{counts: map[string]int{}}, started: time.Now().UnixNano(),
+		cancels: map[string]context.CancelFunc{},
 	}
 	t.cache = prefix.New(prefix.Options{
 		Blocks:   s.Pace.CacheBlocks,
@@ -112,6 +113,9 @@
 	r := mux.NewRouter()
 	if t.opts.Spec.Kind == bundle.KindEngine {
 		r.HandleFunc("/v1/completions", t.complete).Methods(http.MethodPost)
+		r.HandleFunc("/v1/completions/{id:.+}", t.cancelCall).Methods(http.MethodDelete)
+		r.HandleFunc("/v1/cache/export", t.exportKV).Methods(http.MethodPost)
+		r.HandleFunc("/v1/cache/import", t.importKV).Methods(http.MethodPost)
 		r.HandleFunc("/v1/cache/events", t.showCacheEvents).Methods(http.MethodGet)
 	} else {
 		r.HandleFunc("/v1/run", t.run).Methods(http.MethodPost)
