Add a soak run of real processes under faults drawn from a seed

Cause: no run put real processes under several faults at once, over minutes. The ledger is decoded before it is returned: the order of the two in one return statement was left open by the language.

--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,10 @@
 LINT_VERSION := v2.15.0
 LINT := $(CURDIR)/bin/golangci-lint
 BASE_PORT ?= 0
+SEED ?= 1
+DURATION ?= 5m
 
-.PHONY: build demo test lint fmt vet tidy clean
+.PHONY: build demo soak test lint fmt vet tidy clean
 
 build:
 	@mkdir -p bin
@@ -16,6 +18,10 @@
 demo: build
 	@scripts/demo
 
+# A long run under faults drawn from SEED, such as: make soak SEED=7 DURATION=3m
+soak: build
+	@SEED=$(SEED) DURATION=$(DURATION) scripts/soak
+
 # The race detector is on: most packages here share state between goroutines.
 test:
 	@for m in $(MODULES); do (cd $$m && $(GO) test -race -count=1 ./...) || exit 1; done
--- a/caller/cmd/check.go
+++ b/caller/cmd/check.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -19,7 +18,7 @@
 	Files        []string      `arg:"" help:"Event files of callers, entry hosts and targets." type:"existingfile"`
 	Bundle       string        `help:"Configuration written by chive-stand plan." required:"" type:"existingfile"`
 	Ledger       []string      `help:"Addresses of target processes' common listeners, or files with their ledgers."`
-	Killed       []string      `help:"Entry hosts that were killed during the run."`
+	Killed       []string      `help:"Entry hosts that were killed during the run, or the event files of killed processes where each process has its own."`
 	ColdNotice   time.Duration `help:"Time after an unannounced cold start in which nobody can know of it." default:"1s"`
 	LeavingBound time.Duration `help:"Time after which a leaving target may get no new call." default:"4s"`
 	Strict       bool          `help:"Forbid requests without an outcome."`
@@ -75,20 +74,20 @@
 // readLedger reads a file if there is one with the name, else asks the address.
 func readLedger(ctx context.Context, name string) (target.Ledger, error) {
 	var ledger target.Ledger
-	var source io.ReadCloser
 	if f, err := os.Open(name); err == nil {
-		source = f
-	} else {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
-		if err != nil {
-			return ledger, err
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return ledger, err
-		}
-		source = resp.Body
+		defer func() { _ = f.Close() }()
+		err = json.NewDecoder(f).Decode(&ledger)
+		return ledger, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
+	if err != nil {
+		return ledger, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ledger, err
 	}
-	defer func() { _ = source.Close() }()
-	return ledger, json.NewDecoder(source).Decode(&ledger)
+	defer func() { _ = resp.Body.Close() }()
+	err = json.NewDecoder(resp.Body).Decode(&ledger)
+	return ledger, err
 }
--- a/caller/internal/check/check.go
+++ b/caller/internal/check/check.go
@@ -16,7 +16,8 @@
 	Ledgers []target.LedgerEntry
 	// HasLedgers says that the ledgers are there, even if they are empty.
 	HasLedgers bool
-	// Killed are the entry hosts that were killed: what they left open is no fault.
+	// Killed are the entry hosts that were killed, or the records of single processes
+	// that were: what they left open is no fault.
 	Killed []string
 	// ColdNotice is the time after a warm target has turned cold without notice in
 	// which calls above the cold limit are not counted: nobody can know yet.
@@ -114,7 +115,9 @@
 	}
 }
 
-func (c *checker) wasKilled(host string) bool { return slices.Contains(c.opts.Killed, host) }
+func (c *checker) wasKilled(host, record string) bool {
+	return slices.Contains(c.opts.Killed, host) || slices.Contains(c.opts.Killed, record)
+}
 
 // runsOnce reports whether the pool's calls may run at most once.
 func (c *checker) runsOnce(pool string) bool {
--- a/caller/internal/check/entry.go
+++ b/caller/internal/check/entry.go
@@ -31,7 +31,7 @@
 		order = append(order, k)
 	}
 	for _, k := range order {
-		if ended[k] < begun[k] && !c.wasKilled(k.host) {
+		if ended[k] < begun[k] && !c.wasKilled(k.host, r.Name) {
 			c.found(&c.Forbidden.Lost, "%s: run %s %s %s has no end", k.host, k.run, k.stage, k.attempt)
 		}
 	}
