--- a/caller/cmd/root.go
+++ b/caller/cmd/root.go
@@ -74,13 +74,14 @@
 	Attempts     int           `help:"Largest number of times that one request is sent." default:"4"`
 	LinkDelay    time.Duration `help:"One-way delay to entry hosts to add." default:"0s"`
 	Grace        time.Duration `help:"Time to wait for an outcome beyond the deadline." default:"1s"`
+	Patience     time.Duration `help:"Time after which a connection without an outcome is broken and the request repeated elsewhere under the same id; 0 waits for the deadline." default:"0s"`
 	SecretPrefix string        `help:"Prefix that makes an account's name its secret." default:"secret-"`
 	Events       string        `help:"File to append events to."`
 }
 
 // agent returns an agent and a function that releases it.
 func (c *calling) agent() (*agent.Agent, func(), error) {
-	opts := agent.Options{Entries: c.Entry, Attempts: c.Attempts, LinkDelay: c.LinkDelay, Grace: c.Grace}
+	opts := agent.Options{Entries: c.Entry, Attempts: c.Attempts, LinkDelay: c.LinkDelay, Grace: c.Grace, Patience: c.Patience}
 	release := func() {}
 	if c.Events != "" {
 		w, err := os.OpenFile(c.Events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
--- a/caller/internal/agent/agent.go
+++ b/caller/internal/agent/agent.go
@@ -28,8 +28,11 @@
 	// LinkDelay is the one-way delay to entry hosts that is added to each call.
 	LinkDelay time.Duration
 	// Grace is waited for an outcome beyond the deadline.
-	Grace  time.Duration
-	Events *events.Log
+	Grace time.Duration
+	// Patience, when above 0, bounds the wait for one attempt. After it the connection
+	// is broken, and the request is repeated elsewhere under the same id.
+	Patience time.Duration
+	Events   *events.Log
 }
 
 // Agent calls on behalf of any number of accounts.
--- a/caller/internal/agent/send.go
+++ b/caller/internal/agent/send.go
@@ -33,7 +33,11 @@
 
 // send makes one attempt at one host.
 func (a *Agent) send(ctx context.Context, host, id string, job Job, left time.Duration) attempt {
-	ctx, cancel := context.WithTimeout(ctx, max(left, 0)+a.opts.Grace+2*a.opts.LinkDelay)
+	wait := max(left, 0) + a.opts.Grace + 2*a.opts.LinkDelay
+	if a.opts.Patience > 0 {
+		wait = min(wait, a.opts.Patience)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var connected atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,6 +5,7 @@
 KILLED=()                      # Processes that were killed, as NAME.RUN.
 JOBS=()                        # Process groups of operators' commands.
 PENDING=()                     # Hosts to start once their shutdown has ended.
+LOADS=()
 RACES=0
 
 say() { printf '\n== %s\n' "$*"; }
@@ -63,6 +64,26 @@
   note up "$name" "$run"
 }
 
+# start_load NAME RATE OPTION...: a load with an event file of its own.
+start_load() {
+  local name=$1 rate=$2
+  shift 2
+  start "load-$name" bin/chive-call load --entry "$ENTRY_ADDRESSES" --bundle "$OUT/bundle.json" \
+    --events "$OUT/events/$name.jsonl" --seed "$SEED" --label "$name$SEED" --duration "$DURATION" --rate "$rate" \
+    --link-delay "$CLIENT_DELAY" --result "$OUT/load-$name.json" "$@"
+  LOADS+=("${PIDS[-1]}")
+}
+
+wait_loads() {
+  local pid
+  for pid in "${LOADS[@]}"; do
+    while kill -0 "$pid" 2>/dev/null; do tick; done
+    wait "$pid" || problem "a load ended with $?: answers that were wrong or not whole, or the load failed"
+  done
+  note load end
+}
+
+# terminate NAME: begins a graceful shutdown.
 terminate() {
   kill -TERM "${PID[$1]}"
   STATE[$1]=leaving
@@ -268,6 +289,11 @@
   for dc in ${DATA_CENTRES//,/ }; do job bring_in "$dc"; done
 }
 
+# sent_twice counts the request ids that went to more than one host.
+sent_twice() {
+  awk -f scripts/soak-ids.awk "$OUT/events/caller.jsonl" "$OUT/events/impatient.jsonl"
+}
+
 # extra_checks prints sums that chive-call check can't know, and adds to the problems.
 extra_checks() {
   local broken cut out
@@ -288,6 +314,7 @@
   echo "cut off by a shutdown        $cut"
   echo "invariant broken             $broken"
   echo "broken at a healthy host     $(grep -c '^healthy' "$OUT/cut.out" || true) (not forbidden)"
+  echo "ids sent to several hosts    $(sent_twice)"
   echo "processes killed             ${#KILLED[@]}"
   echo "graceful shutdowns           $(awk -F '\t' '$2 == "term" && $4 != ""' "$OUT/journal.tsv" | wc -l)"
   echo "races of operators           $RACES: $(awk -F '\t' '$2 == "race_done" {print $5 "/" $6}' "$OUT/journal.tsv" | sort | uniq -c | awk '{printf "%s x %s, ", $1, $2}')"
