--- a/caller/cmd/check.go
+++ b/caller/cmd/check.go
@@ -18,7 +18,7 @@
 	Files        []string      `arg:"" help:"Event files of callers, entry hosts and targets." type:"existingfile"`
 	Bundle       string        `help:"Configuration written by chive-stand plan." required:"" type:"existingfile"`
 	Ledger       []string      `help:"Addresses of target processes' common listeners, or files with their ledgers."`
-	Killed       []string      `help:"Entry hosts that were killed during the run."`
+	Killed       []string      `help:"Entry hosts that were killed during the run, or the event files of killed processes where each process has its own."`
 	ColdNotice   time.Duration `help:"Time after an unannounced cold start in which nobody can know of it." default:"1s"`
 	LeavingBound time.Duration `help:"Time after which a leaving target may get no new call." default:"4s"`
 	Strict       bool          `help:"Forbid requests without an outcome."`
@@ -76,7 +76,8 @@
 	var ledger target.Ledger
 	if f, err := os.Open(name); err == nil {
 		defer func() { _ = f.Close() }()
-		return ledger, json.NewDecoder(f).Decode(&ledger)
+		err = json.NewDecoder(f).Decode(&ledger)
+		return ledger, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+name+"/v1/ledger", http.NoBody)
 	if err != nil {
@@ -90,5 +91,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return ledger, oops.Errorf("status %d", resp.StatusCode)
 	}
-	return ledger, json.NewDecoder(resp.Body).Decode(&ledger)
+	err = json.NewDecoder(resp.Body).Decode(&ledger)
+	return ledger, err
 }
--- a/entry/internal/node/history_test.go
+++ b/entry/internal/node/history_test.go
@@ -104,8 +104,8 @@
 		},
 		func(w *world, h *history) (string, func()) {
 			d := time.Duration(100+h.rng.IntN(900)) * time.Millisecond
-			w.log.SetDelay(d)
-			return fmt.Sprintf("log slow by %s", d), func() { w.log.SetDelay(time.Millisecond) }
+			w.logDelay.Store(int64(d))
+			return fmt.Sprintf("log slow by %s", d), func() { w.logDelay.Store(0) }
 		},
 		func(w *world, h *history) (string, func()) {
 			var faults []logfk.Fault
--- a/entry/internal/node/world_test.go
+++ b/entry/internal/node/world_test.go
@@ -21,6 +21,7 @@
 	"chivepost/share/bundle"
 	"chivepost/share/events"
 	"chivepost/share/hosts"
+	"chivepost/share/logsvc"
 	"chivepost/share/target"
 	"chivepost/share/units"
 )
@@ -42,6 +43,7 @@
 	procs     map[string]*proc
 	started   int
 	publishes atomic.Uint64
+	logDelay  atomic.Int64 // added to each call of the log, in nanoseconds
 	version   int64
 	wait      sync.WaitGroup
 }
@@ -184,7 +186,7 @@
 	}
 	record := gatedRecord{gate: g, log: w.record}
 	n, err := New(Deps{
-		Settings: settings, Incarnation: inc, Seed: inc, Log: gatedLog{p.log, g},
+		Settings: settings, Incarnation: inc, Seed: inc, Log: gatedLog{Handle: p.log, gate: g, delay: &w.logDelay},
 		List: listReader{list: w.list, lag: time.Duration(inc%5) * 500 * time.Millisecond, gate: g},
 		Bus:  w.net.join(self, inc, g), Targets: targets{world: w, self: self, gate: g}, Record: record, Logger: logr.Discard(),
 	})
@@ -204,10 +206,20 @@
 // gatedLog is a host's access to the log, which a pause holds back.
 type gatedLog struct {
 	*logfk.Handle
-	gate *gate
+	gate  *gate
+	delay *atomic.Int64
+}
+
+func (l gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
+	if err := l.gate.pass(); err != nil {
+		return logsvc.Page{}, err
+	}
+	return l.Handle.Read(ctx, stream, from, limit, wait)
 }
 
 func (l gatedLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
 	if err := l.gate.pass(); err != nil {
 		return 0, err
 	}
