Add benchmarks of capacity and make capacity

Cause: the design states budgets for 370 nodes, and nothing measured how the costs of a node grow with nodes, engines, accounts and claims.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 LINT := $(CURDIR)/bin/golangci-lint
 BASE_PORT ?= 0
 
-.PHONY: build demo test lint fmt vet tidy clean
+.PHONY: build demo test lint fmt vet tidy clean capacity
 
 build:
 	@mkdir -p bin
@@ -38,3 +38,12 @@
 
 clean:
 	rm -rf bin out
+
+# Runs the benchmarks behind docs/CAPACITY.md and extrapolates them; takes about two minutes.
+CAPACITY_ENTRY := member slots claims config route queue peers node
+capacity:
+	@mkdir -p out && uptime | tee out/capacity.txt
+	cd share && $(GO) test -run '^$$' -bench . -benchtime 200ms -count 3 ./bundle >>../out/capacity.txt
+	cd entry && $(GO) test -p 1 -run '^$$' -bench . -benchtime 200ms -count 3 $(CAPACITY_ENTRY:%=./internal/%) >>../out/capacity.txt
+	@uptime | tee -a out/capacity.txt
+	@cd entry && $(GO) test -count=1 -run '^TestCapacity$$' ./internal/bench -v -capacity $(CURDIR)/out/capacity.txt
--- /dev/null
+++ b/entry/internal/node/node_bench_test.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/member"
+	"chivepost/share/hosts"
+)
+
+// entryList is a host list of entry hosts alone.
+type entryList struct{ list hosts.List }
+
+func (e entryList) Hosts(context.Context) (hosts.List, error) { return e.list, nil }
+
+func (entryList) Beat(context.Context, hosts.Host, member.Beat) (member.Beat, error) {
+	return member.Beat{}, context.Canceled
+}
+
+// BenchmarkUsable measures the addresses of one answer to a caller.
+func BenchmarkUsable(b *testing.B) {
+	for _, count := range []int{9, 90, 370} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			l := entryList{hosts.List{Version: 1}}
+			for i := range count {
+				l.list.Hosts = append(l.list.Hosts, hosts.Host{
+					Name: fmt.Sprintf("entry-%03d", i), Address: fmt.Sprintf("10.%d.0.%d:443", i%11, i%250),
+					DataCentre: fmt.Sprintf("centre-%02d", i%11), Region: fmt.Sprintf("region-%d", i%11%3),
+					Role: hosts.RoleEntry, State: hosts.StateLive,
+				})
+			}
+			self := l.list.Hosts[0]
+			n := &Node{self: self, members: member.New(member.Options{Self: self, BeatEvery: time.Hour}, l, l,
+				func() member.Beat { return member.Beat{} }, logr.Discard())}
+			defer n.members.Close()
+			for n.members.ListVersion() < 0 {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				n.usable("")
+			}
+		})
+	}
+}
