--- a/entry/internal/stage/stage.go
+++ b/entry/internal/stage/stage.go
@@ -73,6 +73,10 @@
 	failed    = expvar.NewInt("attempts_failed_count")
 )
 
+// SettleTime is how long after its end a call whose answer was not seen may still be
+// running: a cancellation or a timeout takes a while to reach the target.
+const SettleTime = 250 * time.Millisecond
+
 // Runner makes attempts. It is safe for concurrent use.
 type Runner struct {
 	queue    Queue
