Keep the slot of an abandoned call in use until the call has ended

Ruled out: keeping all slots for the attempt bound, which would take an engine out for 5 s after each caller that hangs up.

--- a/entry/internal/stage/stage.go
+++ b/entry/internal/stage/stage.go
@@ -129,8 +129,8 @@
 		Priority: w.Job.Priority,
 		Once:     !w.Pool.Repeat,
 	}
-	res, took := r.send(ctx, w, slot, call)
-	slot.Hold.Done(res, took)
+	res, took, limit := r.send(ctx, w, slot, call)
+	giveBack(slot.Hold, w.Pool.Kind, res, took, limit)
 	if res.Err == nil {
 		r.observer.Observe(w.Pool.Name, slot.Waited, took)
 	}
@@ -142,31 +142,49 @@
 }
 
 // send makes the last checks and the call. Nothing that can block stands between
-// the checks and the call: a pause there is what leases can't cover.
-func (r *Runner) send(ctx context.Context, w Work, slot queue.Slot, call target.Call) (target.Result, time.Duration) {
+// the checks and the call: a pause there is what leases can't cover. limit is the
+// time that was sent with the call.
+func (r *Runner) send(ctx context.Context, w Work, slot queue.Slot, call target.Call) (res target.Result, took, limit time.Duration) {
 	r.record.Add(events.Event{
 		Kind: events.Sending, Host: r.host, DataCentre: slot.Target.DataCentre, Run: w.Run, Stage: w.Stage,
 		Attempt: call.ID, Target: slot.Target.Name,
 	})
 	left := min(time.Until(w.Job.Deadline), w.Timeout)
 	if left <= 0 || ctx.Err() != nil {
-		return target.Result{Err: ErrNoTime}, 0
+		return target.Result{Err: ErrNoTime}, 0, 0
 	}
 	call.Timeout = left
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	r.budget.Sent(slot.Target.Name)
 	if err := slot.Hold.Check(); err != nil {
-		return target.Result{Err: err}, 0
+		return target.Result{Err: err}, 0, 0
 	}
 	if w.Ticket != nil {
 		if err := w.Ticket.Confirm(); err != nil {
-			return target.Result{Err: err}, 0
+			return target.Result{Err: err}, 0, 0
 		}
 	}
 	start := time.Now()
-	res := r.targets.Run(ctx, call, w.Token)
-	return res, time.Since(start)
+	res = r.targets.Run(ctx, call, w.Token)
+	return res, time.Since(start), left
+}
+
+// giveBack returns the slot. A call whose end was not seen may still be running, so
+// its slot stays in use: engines end a cancelled stream, everything else may go on
+// until the time that was sent with the call has passed.
+func giveBack(hold queue.Hold, kind bundle.Kind, res target.Result, took, limit time.Duration) {
+	var call *target.CallError
+	isCutShort := errors.As(res.Err, &call) && call.IsDamaged()
+	if res.Err == nil || res.Sent != target.SentMaybe && !isCutShort {
+		hold.Done(res, took)
+		return
+	}
+	wait := SettleTime
+	if kind != bundle.KindEngine {
+		wait += max(0, limit-took)
+	}
+	time.AfterFunc(wait, func() { hold.Done(res, took) })
 }
 
 func (r *Runner) recordResult(w Work, slot queue.Slot, call target.Call, res target.Result) {
