Refuse at once what needs a claim while the log is down

Change: a filter on the age of the last log reading, Ticket.Unsent, versions in the event record; a publish is verified like service files and refused while its host does not hear a majority.

--- a/entry/internal/claims/ticket.go
+++ b/entry/internal/claims/ticket.go
@@ -78,6 +78,13 @@
 	return t.end(ctx, t.record(kindRelease), stateGranted, stateReleased)
 }
 
+// Unsent takes a confirmed ticket back when the call certainly reached no target: no
+// connection was obtained, or the target said that it ran nothing. The claim is
+// then released; its call is never made.
+func (t *Ticket) Unsent(ctx context.Context) error {
+	return t.end(ctx, t.record(kindRelease), stateSent, stateReleased)
+}
+
 func (t *Ticket) record(kind recordKind) record {
 	return record{Kind: kind, Account: t.cl.key.account, ID: t.cl.key.id, Stage: t.cl.stage, Claim: t.cl.id}
 }
@@ -105,7 +112,7 @@
 	}
 	cl.state = to
 	if e := c.index.find(cl.key, cl.stage); e != nil && to == stateReleased {
-		e.released = true
+		e.sent, e.released = false, true
 	}
 	it := &item{key: itemKey{r.Kind, cl.id}, data: encodeRecord(r), written: make(chan struct{})}
 	c.enqueue(it)
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -64,6 +64,36 @@
 	return out
 }
 
+// logFilter refuses requests that need a claim while the log service can't be
+// read, before any stage has spent time on them.
+type logFilter struct {
+	age func() time.Duration
+	max time.Duration
+}
+
+// NewLog returns the filter that refuses requests whose pipeline has a call that may
+// not be repeated while the last reading of the log is older than limit.
+func NewLog(age func() time.Duration, limit time.Duration) chain.Filter {
+	return &logFilter{age: age, max: limit}
+}
+
+// Name returns the filter's name.
+func (f *logFilter) Name() string { return "log" }
+
+// Handle passes req on unless it needs a claim that can't be made now.
+func (f *logFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
+	if f.age() <= f.max {
+		return next(ctx, req)
+	}
+	for _, s := range req.Pipeline.Stages() {
+		if pool, ok := req.Config.Pool(s.Pool); ok && !pool.Repeat {
+			return chain.Refused(req.Body.ID, apiv1.ProblemLogDown, http.StatusServiceUnavailable,
+				"stage "+s.Name+" may run at most once and needs the log service")
+		}
+	}
+	return next(ctx, req)
+}
+
 // deadlineFilter bounds the deadline by the pipeline's and refuses what is late already.
 type deadlineFilter struct{}
 
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -25,11 +25,17 @@
 	"chivepost/entry/internal/stage"
 	"chivepost/share/bundle"
 	"chivepost/share/burn"
+	"chivepost/share/events"
 	"chivepost/share/hosts"
 	"chivepost/share/logsvc"
 	"chivepost/share/target"
 )
 
+// logAgeMax is the age of the last reading above which the log counts as down. A
+// reading is held for 1 s when nothing is new, so a healthy log is younger than that
+// plus the time of a call.
+const logAgeMax = 2 * time.Second
+
 // Log is the platform's log service.
 type Log interface {
 	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
@@ -117,6 +123,7 @@
 	go func() {
 		defer close(n.ended)
 		n.becomeReady()
+		n.recordVersions()
 	}()
 	return n, nil
 }
@@ -149,6 +156,7 @@
 		front.NewReady(n.drain, n.config, n),
 		front.NewDeadline(),
 		front.NewRepeat(),
+		front.NewLog(n.config.LogAge, logAgeMax),
 	}
 	if s.Routing.Admission && !plain {
 		filters = append(filters, admit.NewFilter(admit.Options{}, n.estimator, n.queue, log.WithName("admit")))
@@ -173,6 +181,24 @@
 	}
 }
 
+// recordVersions records each version that comes into force here.
+func (n *Node) recordVersions() {
+	for last := int64(0); ; {
+		changed := n.config.Changed()
+		if _, version := n.config.Current(); version != last {
+			last = version
+			n.deps.Record.Add(events.Event{
+				Kind: events.Config, Host: n.self.Name, DataCentre: n.self.DataCentre, Version: version,
+			})
+		}
+		select {
+		case <-changed:
+		case <-n.ctx.Done():
+			return
+		}
+	}
+}
+
 // Run takes a request through the filter chain.
 func (n *Node) Run(ctx context.Context, req *chain.Request) chain.Outcome { return n.run(ctx, req) }
 
--- a/entry/internal/node/report.go
+++ b/entry/internal/node/report.go
@@ -1,12 +1,17 @@
 package node
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
+	"time"
 
 	"chivepost/entry/internal/config"
+	"chivepost/entry/internal/member"
 	"chivepost/entry/internal/queue"
 	"chivepost/entry/internal/slots"
 	"chivepost/share/apiv1"
+	"chivepost/share/bundle"
 	"chivepost/share/burn"
 	"chivepost/share/hosts"
 	"chivepost/share/units"
@@ -124,7 +129,26 @@
 }
 
 // Publisher is the configuration controller as operators use it.
-type Publisher struct{ *config.Controller }
+type Publisher struct {
+	*config.Controller
+	members *member.Controller
+	within  time.Duration
+}
+
+// Publish refuses a change while this host does not hear a majority of the hosts:
+// one accepted here could then not be in force everywhere in time. It also
+// applies the rules of service files to doc.
+func (p Publisher) Publish(ctx context.Context, base int64, author, id string, doc bundle.Doc) config.PublishResult {
+	if err := bundle.Verify(doc); err != nil {
+		return config.PublishResult{Kind: config.Rejected, Err: err}
+	}
+	if !p.members.HasMajority(p.within) {
+		return config.PublishResult{Kind: config.LogDown, Err: errNoMajority}
+	}
+	return p.Controller.Publish(ctx, base, author, id, doc)
+}
+
+var errNoMajority = errors.New("this host does not hear a majority of the hosts; publish at another one")
 
 // Author returns who published the configuration in force, or "".
 func (p Publisher) Author() string {
@@ -133,4 +157,6 @@
 }
 
 // Publisher returns the configuration controller as operators use it.
-func (n *Node) Publisher() Publisher { return Publisher{n.config} }
+func (n *Node) Publisher() Publisher {
+	return Publisher{Controller: n.config, members: n.members, within: n.deps.Settings.Timing.ConfigMax}
+}
--- a/entry/internal/pipe/pipe.go
+++ b/entry/internal/pipe/pipe.go
@@ -176,7 +176,11 @@
 func (w *run) release(ctx context.Context, t *claims.Ticket) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTime)
 	defer cancel()
-	return t.Release(ctx)
+	err := t.Release(ctx)
+	if errors.Is(err, claims.ErrState) {
+		return t.Unsent(ctx) // The ticket was confirmed, but nothing was sent.
+	}
+	return err
 }
 
 func (w *run) bodyHash() string {
--- a/entry/internal/slots/machine_test.go
+++ b/entry/internal/slots/machine_test.go
@@ -318,7 +318,7 @@
 	Expect(out).To(BeEmpty())
 })
 
-func BenchmarkAsk(b *testing.B) {
+func BenchmarkHandleAsk(b *testing.B) {
 	for _, targets := range []int{10, 130, 1300} {
 		for _, want := range []int{4, 400} {
 			b.Run(fmt.Sprintf("targets=%d/want=%d", targets, want), func(b *testing.B) {
