--- /dev/null
+++ b/entry/internal/front/front_test.go
@@ -0,0 +1,212 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"chivepost/entry/internal/chain"
+	"chivepost/entry/internal/front"
+	"chivepost/share/apiv1"
+	"chivepost/share/bundle"
+	"chivepost/share/events"
+	"chivepost/share/units"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFront(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "front")
+}
+
+// fake stands for the controllers behind the HTTP side.
+type fake struct {
+	config   *bundle.Bundle
+	refuses  bool
+	doubt    error
+	out      bool
+	leaving  bool
+	age      time.Duration
+	bad      int
+	answer   func(req *chain.Request) chain.Outcome
+	accepted int
+}
+
+func (f *fake) Current() (*bundle.Bundle, int64) { return f.config, 7 }
+func (f *fake) Addresses(string) apiv1.Address {
+	return apiv1.Address{Addresses: []string{"127.0.0.1:1"}, Hold: units.Duration(3 * time.Second), Position: 5}
+}
+func (f *fake) IsLeaving() bool       { return f.leaving }
+func (f *fake) Enter() (func(), bool) { return func() {}, !f.refuses }
+func (f *fake) MayServe() error       { return f.doubt }
+func (f *fake) IsOut() bool           { return f.out }
+func (f *fake) Others() []string      { return []string{"127.0.0.1:2"} }
+func (f *fake) Add(events.Event)      {}
+
+type burner struct{ f *fake }
+
+func (b burner) Add(_, _ string, good bool) {
+	if !good {
+		b.f.bad++
+	}
+}
+
+func newFake() *fake {
+	b, err := bundle.New(bundle.Doc{
+		Pools: []bundle.PoolDoc{
+			{Name: "rank", Kind: bundle.KindStage, Repeat: true, Limit: 2, ColdLimit: 1},
+			{Name: "book", Kind: bundle.KindService, Limit: 2, ColdLimit: 1},
+		},
+		Pipelines: []bundle.PipelineDoc{
+			{Name: "ask", Deadline: units.Duration(5 * time.Second), Stages: []bundle.StageDoc{{Name: "s", Pool: "rank", Timeout: 1}}},
+			{Name: "order", Deadline: units.Duration(5 * time.Second), Stages: []bundle.StageDoc{{Name: "s", Pool: "book", Timeout: 1}}},
+		},
+		Accounts: []bundle.AccountDoc{{Name: "alpha", Credential: bundle.HashCredential("secret"), Share: 1}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return &fake{config: b, answer: func(req *chain.Request) chain.Outcome {
+		return chain.Answered(req.Body.ID, "answer to "+req.Body.Input)
+	}}
+}
+
+func (f *fake) router() http.Handler {
+	run := chain.New([]chain.Filter{
+		front.NewReady(f, f, f), front.NewDeadline(), front.NewRepeat(),
+		front.NewLog(func() time.Duration { return f.age }, 2*time.Second),
+	}, func(_ context.Context, req *chain.Request) chain.Outcome {
+		f.accepted++
+		return f.answer(req)
+	})
+	return front.NewCaller(front.Options{Host: "h", MaxBody: 200}, f, f, f, burner{f}, run, f, logr.Discard()).Router()
+}
+
+func (f *fake) post(path, secret, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+secret)
+	rec := httptest.NewRecorder()
+	f.router().ServeHTTP(rec, req)
+	return rec
+}
+
+const (
+	askPath = "/v1/pipelines/ask/requests"
+	good    = `{"id":"5-abcdefgh","deadline":"2s","input":"x"}`
+)
+
+// Guards against a refusal without its type, with the wrong status, or after work was done.
+var _ = DescribeTable("what is refused",
+	func(path, secret, body string, change func(f *fake), status int, problem string) {
+		f := newFake()
+		change(f)
+		rec := f.post(path, secret, body)
+		var p apiv1.Problem
+		Expect(json.Unmarshal(rec.Body.Bytes(), &p)).To(Succeed())
+		Expect(rec.Code).To(Equal(status))
+		Expect(rec.Header().Get("Content-Type")).To(Equal(apiv1.ProblemType))
+		Expect(p.Type).To(Equal(problem))
+		Expect(p.Outcome).To(Equal(apiv1.Refused))
+		Expect(f.accepted).To(BeZero())
+	},
+	Entry("no credential", askPath, "", good, func(*fake) {}, 401, apiv1.ProblemUnauthorized),
+	Entry("an unknown credential", askPath, "other", good, func(*fake) {}, 401, apiv1.ProblemUnauthorized),
+	Entry("an unknown pipeline", "/v1/pipelines/none/requests", "secret", good, func(*fake) {}, 404, apiv1.ProblemNotFound),
+	Entry("a body that is too large", askPath, "secret", `{"id":"`+strings.Repeat("x", 300)+`"}`, func(*fake) {}, 413, apiv1.ProblemTooLarge),
+	Entry("a body that is no JSON", askPath, "secret", `{"id":`, func(*fake) {}, 400, apiv1.ProblemBadRequest),
+	Entry("no id", askPath, "secret", `{"input":"x"}`, func(*fake) {}, 400, apiv1.ProblemBadRequest),
+	Entry("a deadline without unit", askPath, "secret", `{"id":"5-abcdefgh","deadline":"2"}`, func(*fake) {}, 400, apiv1.ProblemBadRequest),
+	Entry("a deadline in the past", askPath, "secret", `{"id":"5-abcdefgh","deadline":"-1s"}`, func(*fake) {}, 504, apiv1.ProblemDeadline),
+	Entry("no configuration", askPath, "secret", good, func(f *fake) { f.config = nil }, 503, apiv1.ProblemUnready),
+	Entry("a host that is closing", askPath, "secret", good, func(f *fake) { f.refuses = true }, 503, apiv1.ProblemUnready),
+	Entry("a host in doubt of its configuration", askPath, "secret", good, func(f *fake) { f.doubt = errors.New("alone") }, 503, apiv1.ProblemUnready),
+	Entry("a host in a data centre that is out", askPath, "secret", good, func(f *fake) { f.out = true }, 503, apiv1.ProblemMoved),
+	Entry("a call that needs a claim while the log is down", "/v1/pipelines/order/requests", "secret", good,
+		func(f *fake) { f.age = 3 * time.Second }, 503, apiv1.ProblemLogDown),
+)
+
+var _ = It("answers what needs no claim while the log is down", func() {
+	f := newFake()
+	f.age = time.Hour
+	Expect(f.post(askPath, "secret", good).Code).To(Equal(200))
+})
+
+// Guards against an answer without the length and checksum that show it to be whole.
+var _ = It("gives the whole answer", func() {
+	rec := newFake().post(askPath, "secret", good)
+	var a apiv1.Answer
+	Expect(json.Unmarshal(rec.Body.Bytes(), &a)).To(Succeed())
+	Expect(a.ID).To(Equal("5-abcdefgh"))
+	Expect(a.IsWhole()).To(BeTrue())
+})
+
+// Guards against a stream whose end can't be told from its being cut off.
+var _ = DescribeTable("streams",
+	func(out chain.Outcome, want string) {
+		f := newFake()
+		f.answer = func(req *chain.Request) chain.Outcome {
+			req.Token(0, "a")
+			req.Token(1, "b")
+			return out
+		}
+		rec := f.post(askPath, "secret", strings.Replace(good, "}", `,"stream":true}`, 1))
+		Expect(rec.Header().Get("Content-Type")).To(Equal("text/event-stream"))
+		Expect(rec.Body.String()).To(HavePrefix("event: token\ndata: {\"index\":0,\"text\":\"a\"}\n\nevent: token\n"))
+		Expect(rec.Body.String()).To(ContainSubstring(want))
+	},
+	Entry("end with a count and a checksum", chain.Answered("5-abcdefgh", "ab"),
+		`event: end`+"\n"+`data: {"id":"5-abcdefgh","count":2,"checksum":"`+apiv1.Checksum("ab")+`"}`),
+	Entry("end with an error when they are cut short", chain.Failed("5-abcdefgh", apiv1.ProblemStage, 502, "cut"),
+		"event: error\ndata: {\"type\":\"stage_failed\""),
+)
+
+// Guards against idle connections that outlive the listener of a leaving host.
+var _ = It("closes connections while leaving", func() {
+	f := newFake()
+	Expect(f.post(askPath, "secret", good).Header().Get("Connection")).To(BeEmpty())
+	f.leaving = true
+	Expect(f.post(askPath, "secret", good).Header().Get("Connection")).To(Equal("close"))
+})
+
+// Guards against one id that stands for two requests at once.
+var _ = It("refuses an id in flight with another body", func() {
+	f := newFake()
+	var inner *httptest.ResponseRecorder
+	router := f.router()
+	f.answer = func(req *chain.Request) chain.Outcome {
+		if inner == nil {
+			inner = httptest.NewRecorder()
+			r := httptest.NewRequest(http.MethodPost, askPath, strings.NewReader(strings.Replace(good, `"x"`, `"y"`, 1)))
+			r.Header.Set("Authorization", "Bearer secret")
+			router.ServeHTTP(inner, r)
+		}
+		return chain.Answered(req.Body.ID, "out")
+	}
+	req := httptest.NewRequest(http.MethodPost, askPath, strings.NewReader(good))
+	req.Header.Set("Authorization", "Bearer secret")
+	rec := httptest.NewRecorder()
+	router.ServeHTTP(rec, req)
+	Expect(rec.Code).To(Equal(200))
+	Expect(inner.Code).To(Equal(409))
+	Expect(inner.Body.String()).To(ContainSubstring(apiv1.ProblemConflict))
+})
+
+// Guards against a budget that callers' own mistakes or a move to another host would spend.
+var _ = It("spends error budget only for what the service missed", func() {
+	f := newFake()
+	f.out = true
+	f.post(askPath, "secret", good)
+	Expect(f.bad).To(BeZero())
+	f.out = false
+	f.answer = func(req *chain.Request) chain.Outcome {
+		return chain.Refused(req.Body.ID, apiv1.ProblemOverload, 503, "")
+	}
+	f.post(askPath, "secret", good)
+	Expect(f.bad).To(Equal(1))
+})
--- a/entry/internal/pipe/pipe.go
+++ b/entry/internal/pipe/pipe.go
@@ -129,6 +129,28 @@
 			return "", fmt.Errorf("no retries left: %w", res.Err)
 		}
 		tried = tried.With(res.Target)
+		if !pause(ctx, n) {
+			return "", res.Err
+		}
+	}
+}
+
+// firstPause and lastPause bound the time between two attempts, which doubles: a
+// target that refuses or fails at once must not be called in a busy loop.
+const (
+	firstPause = 5 * time.Millisecond
+	lastPause  = 160 * time.Millisecond
+)
+
+// pause waits before attempt n+1 and reports whether there is time for it.
+func pause(ctx context.Context, n int) bool {
+	t := time.NewTimer(min(firstPause<<min(n, 10), lastPause))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
