Ask less often for slots that others use

Change: only the next in line asks again soon, the others after the calls before them; an ask that reached a host which is not home is repeated after 100 ms instead of 25 ms. The fleet of the specs is in two files, and has outages of the host list.

--- a/entry/internal/peers/peers_suite_test.go
+++ b/entry/internal/peers/peers_suite_test.go
@@ -69,10 +69,14 @@
 
 func counter(name string) int64 { return expvar.Get(name).(*expvar.Int).Value() }
 
-func soon() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), 5*time.Second)
+func within(d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	DeferCleanup(cancel)
+	return ctx
 }
 
+func soon() context.Context { return within(5 * time.Second) }
+
 var _ = Describe("a transport", func() {
 	var a, b *end
 	BeforeEach(func() {
@@ -83,8 +87,7 @@
 
 	// Guards against answers that reach the wrong call.
 	It("matches answers to calls", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		release := make(chan struct{})
 		open := sync.OnceFunc(func() { close(release) })
 		DeferCleanup(open) // a handler that waits would keep the transport from closing
@@ -111,17 +114,14 @@
 		release := make(chan struct{})
 		b.Handle("late", func(context.Context, string, uint64, []byte) (any, error) { <-release; return text{}, nil })
 		before := counter("peer_late_replies_count")
-		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
-		defer cancel()
-		Expect(a.Call(ctx, b.host("b"), "late", text{}, nil)).To(MatchError(context.DeadlineExceeded))
+		Expect(a.Call(within(50*time.Millisecond), b.host("b"), "late", text{}, nil)).To(MatchError(context.DeadlineExceeded))
 		close(release)
 		Eventually(func() int64 { return counter("peer_late_replies_count") }).Should(BeNumerically(">", before))
 	})
 
 	// Guards against calls that hang when the connection has ended.
 	It("fails calls under way when the peer goes, and connects again", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		entered := make(chan struct{}, 1)
 		b.Handle("hang", func(ctx context.Context, _ string, _ uint64, _ []byte) (any, error) {
 			entered <- struct{}{}
@@ -162,27 +162,22 @@
 		d := listen(peers.Options{Host: "d", Silence: 100 * time.Millisecond}, logr.Discard())
 		to := hosts.Host{Name: "c", PeerAddress: strings.TrimPrefix(server.URL, "http://")}
 		for range 2 {
-			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
-			Expect(d.Call(ctx, to, "echo", text{}, nil)).NotTo(Succeed())
-			cancel()
+			Expect(d.Call(within(150*time.Millisecond), to, "echo", text{}, nil)).NotTo(Succeed())
 		}
 		mute.Store(false)
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		Eventually(func() error { return d.Call(ctx, to, "echo", text{}, nil) }).Should(Succeed())
 		Expect(dials.Load()).To(BeNumerically(">", 1))
 	})
 
 	// Guards against messages to a host whose address another has taken over.
 	It("refuses an answer from another host", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		Expect(a.Call(ctx, b.host("c"), "echo", text{}, nil)).To(MatchError(ContainSubstring("answered as b, want c")))
 	})
 
 	It("returns the error of the peer's handler", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		var remote *peers.RemoteError
 		err := a.Call(ctx, b.host("b"), "nothing", text{}, nil)
 		Expect(err).To(BeAssignableToTypeOf(remote))
@@ -190,8 +185,7 @@
 	})
 
 	It("delivers a message that wants no answer", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		got := make(chan string, 1)
 		b.Handle("note", func(_ context.Context, from string, _ uint64, _ []byte) (any, error) { got <- from; return nil, nil })
 		Expect(a.Send(ctx, b.host("b"), "note", text{})).To(Succeed())
@@ -200,8 +194,7 @@
 
 	// Guards against hosts of another system, and against a key that is guessed.
 	It("refuses a wrong key or subprotocol with a clear error", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		c := listen(peers.Options{Host: "c", Key: "other"}, logr.Discard())
 		Expect(c.Call(ctx, b.host("b"), "echo", text{}, nil)).To(MatchError(ContainSubstring("refused the peer key")))
 		_, resp, err := websocket.Dial(ctx, b.server.URL+"/v1/peer", &websocket.DialOptions{
@@ -218,8 +211,7 @@
 // raw connects without a transport.
 func raw(to *end) *websocket.Conn {
 	GinkgoHelper()
-	ctx, cancel := soon()
-	defer cancel()
+	ctx := soon()
 	conn, _, err := websocket.Dial(ctx, to.server.URL+"/v1/peer", &websocket.DialOptions{ //nolint:bodyclose // Dial leaves no body to close
 		HTTPHeader: http.Header{"Authorization": {"Bearer secret"}}, Subprotocols: []string{peers.Subprotocol},
 	})
@@ -237,8 +229,7 @@
 var _ = Describe("frames", func() {
 	// Guards against a peer that takes this host's memory or floods its log.
 	DescribeTable("end the connection when they are", func(data []byte, status websocket.StatusCode) {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		var lines atomic.Int64
 		b := listen(peers.Options{Host: "b", MaxFrame: 1000}, funcr.New(func(_, _ string) { lines.Add(1) }, funcr.Options{}))
 		for range 20 {
@@ -258,8 +249,7 @@
 
 	// Guards against a peer that takes all of this host's time.
 	It("are read more slowly above the rate", func() {
-		ctx, cancel := soon()
-		defer cancel()
+		ctx := soon()
 		b := listen(peers.Options{Host: "b", RatePerSecond: 50, Burst: 10}, logr.Discard())
 		var got atomic.Int64
 		b.Handle("note", func(context.Context, string, uint64, []byte) (any, error) { got.Add(1); return nil, nil })
--- a/entry/internal/slots/demand.go
+++ b/entry/internal/slots/demand.go
@@ -280,7 +280,7 @@
 			hg.retry = give.Retry
 		}
 		if give.Refused == RefusedNotHome {
-			hg.retry = poll
+			hg.retry = h.opts.Renew / 5 // the views of two hosts differ for a while
 		}
 		return
 	}
--- a/entry/internal/slots/fleet_spec_test.go
+++ b/entry/internal/slots/fleet_spec_test.go
@@ -15,43 +15,32 @@
 
 // become changes a target's state under the lock.
 func (f *fleet) become(i int, state target.State, boot string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.backends[fmt.Sprintf("t%d:1", i)].become(state, boot)
+	f.locked(func() { f.backends[fmt.Sprintf("t%d:1", i)].become(state, boot) })
 }
 
 func (f *fleet) backend(i int) backend {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return *f.backends[fmt.Sprintf("t%d:1", i)]
+	return read(f, func() backend { return *f.backends[fmt.Sprintf("t%d:1", i)] })
 }
 
-func (f *fleet) calls() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.started
-}
+func (f *fleet) calls() int { return read(f, func() int { return f.started }) }
 
-func (f *fleet) longestGap() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.gap
-}
+func (f *fleet) longestGap() time.Duration { return read(f, func() time.Duration { return f.gap }) }
 
 func (f *fleet) expectSound() {
 	GinkgoHelper()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	Expect(f.breaches).To(BeEmpty())
+	Expect(read(f, func() []string { return f.breaches })).To(BeEmpty())
+}
+
+func (f *fleet) workAll(pool string) {
+	for _, name := range f.names() {
+		f.nodes[name].work(pool, 4, 0)
+	}
 }
 
 var _ = Describe("a fleet", func() {
 	// Guards against a first request that waits for renewals instead of asking at once.
 	It("gives a first request its slot after the wait of a new home and a round trip", func() {
-		inBubble(func() {
-			f := newFleet(5, 1, 8)
-			defer f.close()
-			time.Sleep(4 * time.Second)
+		inFleet(5, 1, []int{8}, 4*time.Second, func(f *fleet) {
 			began := time.Now()
 			w := &waiters{n: f.nodes["n0"], pool: "pool0"}
 			w.one()
@@ -68,13 +57,8 @@
 
 	// Guards against grants beyond the limit and against holders that starve.
 	DescribeTable("shares targets among all that want them", func(limit int) {
-		inBubble(func() {
-			f := newFleet(5, 1, limit)
-			defer f.close()
-			time.Sleep(4 * time.Second)
-			for _, name := range f.names() {
-				f.nodes[name].work("pool0", 4, 0)
-			}
+		inFleet(5, 1, []int{limit}, 4*time.Second, func(f *fleet) {
+			f.workAll("pool0")
 			time.Sleep(30 * time.Second)
 			total, least := 0, 1<<30
 			for _, name := range f.names() {
@@ -97,13 +81,8 @@
 
 	// Guards against calls beyond the cold limit once a target has turned cold.
 	DescribeTable("closes a target to its cold limit at the first sign and opens it step by step", func(boot string) {
-		inBubble(func() {
-			f := newFleet(5, 1, 8)
-			defer f.close()
-			time.Sleep(4 * time.Second)
-			for _, name := range f.names() {
-				f.nodes[name].work("pool0", 4, 0)
-			}
+		inFleet(5, 1, []int{8}, 4*time.Second, func(f *fleet) {
+			f.workAll("pool0")
 			time.Sleep(5 * time.Second)
 			f.become(0, target.StateCold, boot)
 			time.Sleep(callTime + 100*time.Millisecond)
@@ -178,7 +157,7 @@
 	for range 40 {
 		time.Sleep(time.Duration(200+r.IntN(1800)) * time.Millisecond)
 		name, other := all[r.IntN(nodes)], all[r.IntN(nodes)]
-		event := r.IntN(11)
+		event := r.IntN(12)
 		if steady && (event == 0 && f.isHome(name) || event == 4 || event == 10) {
 			event = 2
 		}
@@ -201,23 +180,23 @@
 			if i := r.IntN(6); i < 3 {
 				other = f.nodes[name].slots.Targets()[i].Home
 			}
-			f.setCut(name, other, true)
+			f.setCut(name, other)
 			if r.IntN(2) == 0 {
-				f.setCut(other, name, true)
+				f.setCut(other, name)
 			}
+		case 11: // an outage of the host list, or its end
+			f.locked(func() { f.listDown = !f.listDown })
 		case 3:
 			if r.IntN(2) == 0 {
 				f.heal()
 			}
 		case 4: // a host leaves the list for a while; readers lag by different times
-			f.mu.Lock()
-			f.lag[name] = time.Duration(r.IntN(2000)) * time.Millisecond
-			f.setHosts(without(all, other)...)
-			f.mu.Unlock()
+			f.locked(func() {
+				f.lag[name] = time.Duration(r.IntN(2000)) * time.Millisecond
+				f.setHosts(without(all, other)...)
+			})
 		case 5:
-			f.mu.Lock()
-			f.setHosts(all...)
-			f.mu.Unlock()
+			f.locked(func() { f.setHosts(all...) })
 		case 6, 7: // cold without notice, with the old boot id or a new one
 			boots += r.IntN(2)
 			f.become(r.IntN(3), target.StateCold, fmt.Sprintf("boot%d", boots))
@@ -228,10 +207,10 @@
 		f.expectSound()
 	}
 	f.heal()
-	f.mu.Lock()
-	f.longCalls = false
-	f.setHosts(all...)
-	f.mu.Unlock()
+	f.locked(func() {
+		f.longCalls, f.listDown = false, false
+		f.setHosts(all...)
+	})
 	time.Sleep(25 * time.Second)
 	before := map[string]int{}
 	for _, name := range all {
@@ -248,24 +227,10 @@
 	return slices.ContainsFunc(f.nodes[name].slots.Targets(), func(t slots.TargetStatus) bool { return t.Home == name })
 }
 
-func (f *fleet) setCut(from, to string, cut bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.cut[[2]string{from, to}] = cut
-}
+func (f *fleet) setCut(from, to string) { f.locked(func() { f.cut[[2]string{from, to}] = true }) }
 
-func (f *fleet) heal() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	clear(f.cut)
-}
+func (f *fleet) heal() { f.locked(func() { clear(f.cut) }) }
 
 func without(all []string, name string) []string {
-	var rest []string
-	for _, n := range all {
-		if n != name {
-			rest = append(rest, n)
-		}
-	}
-	return rest
+	return slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })
 }
--- a/entry/internal/slots/fleet_test.go
+++ b/entry/internal/slots/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,8 +16,8 @@
 	"chivepost/share/bundle"
 	"chivepost/share/hosts"
 	"chivepost/share/target"
-	"chivepost/share/units"
 
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
@@ -144,19 +145,14 @@
 		n, n, func() member.Beat { return member.Beat{State: member.StateServing} }, logr.Discard())
 	n.slots = slots.New(slots.Options{Host: name, DataCentre: "kolkata", Region: "east", Incarnation: n.inc},
 		n.member, n, n, f.currentBundle, logr.Discard())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.nodes[name] = n
+	f.locked(func() { f.nodes[name] = n })
 	return n
 }
 
 // kill ends a node at once; its calls go on at the targets.
 func (f *fleet) kill(name string) {
-	f.mu.Lock()
 	n := f.nodes[name]
-	delete(f.nodes, name)
-	n.dead = true
-	f.mu.Unlock()
+	f.locked(func() { delete(f.nodes, name); n.dead = true })
 	n.resume()
 	n.cancel()
 	n.slots.Close()
@@ -170,286 +166,54 @@
 	f.wait.Wait()
 }
 
-func (f *fleet) currentBundle() *bundle.Bundle {
+// locked runs do under the lock.
+func (f *fleet) locked(do func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.bundle
+	do()
 }
 
-func (f *fleet) setBundle(b *bundle.Bundle) {
+// read returns what get returns under the lock.
+func read[T any](f *fleet, get func() T) T {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.bundle = b
-}
-
-func (f *fleet) names() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var names []string
-	for name := range f.nodes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+	return get()
 }
 
-func (n *node) pause() {
-	n.f.mu.Lock()
-	defer n.f.mu.Unlock()
-	if n.paused == nil {
-		n.paused = make(chan struct{})
-	}
-}
-
-func (n *node) resume() {
-	n.f.mu.Lock()
-	defer n.f.mu.Unlock()
-	if n.paused != nil {
-		close(n.paused)
-		n.paused = nil
-	}
-}
-
-// gate blocks while the node is paused. It is false if the node has died.
-func (n *node) gate() bool {
-	for {
-		n.f.mu.Lock()
-		p, dead := n.paused, n.dead
-		n.f.mu.Unlock()
-		if p == nil || dead {
-			return !dead
-		}
-		<-p
-	}
+func (f *fleet) currentBundle() *bundle.Bundle {
+	return read(f, func() *bundle.Bundle { return f.bundle })
 }
 
-// deliver carries a message to a peer; the receiver is nil if it is lost.
-func (n *node) deliver(to string) *node {
-	if !n.gate() {
-		return nil
-	}
-	time.Sleep(n.f.delay())
-	n.f.mu.Lock()
-	peer, cut := n.f.nodes[to], n.f.cut[[2]string{n.name, to}]
-	n.f.mu.Unlock()
-	if cut || peer == nil || !peer.gate() {
-		return nil
-	}
-	return peer
+// inFleet runs do with a fleet of warm targets that has run for a while.
+func inFleet(n, coldLimit int, limits []int, age time.Duration, do func(f *fleet)) {
+	GinkgoHelper()
+	inBubble(func() {
+		f := newFleet(n, coldLimit, limits...)
+		defer f.close()
+		time.Sleep(age)
+		do(f)
+	})
 }
 
-// delay returns the latency of a message. Under random faults some come so late
-// that others overtake them.
-func (f *fleet) delay() time.Duration {
+func (f *fleet) names() []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.messages++
-	if f.longCalls && f.messages%7 == 0 {
-		return 700 * time.Millisecond
-	}
-	return latency
+	return slices.Sorted(maps.Keys(f.nodes))
 }
 
-// call makes f at a peer and carries the answer back. It returns when ctx ends,
-// while the message may still arrive.
-func call[T any](ctx context.Context, n *node, to string, do func(*node) T) (T, error) {
-	type answer struct {
-		value T
-		ok    bool
-	}
-	done := make(chan answer, 1)
-	n.f.wait.Go(func() {
-		peer := n.deliver(to)
-		if peer == nil {
-			done <- answer{}
-			return
+func (n *node) pause() {
+	n.f.locked(func() {
+		if n.paused == nil {
+			n.paused = make(chan struct{})
 		}
-		v := do(peer)
-		done <- answer{v, peer.deliver(n.name) != nil}
 	})
-	var zero T
-	select {
-	case a := <-done:
-		if a.ok {
-			return a.value, nil
-		}
-		return zero, errCut
-	case <-ctx.Done():
-		return zero, ctx.Err()
-	}
 }
 
-func (n *node) Beat(ctx context.Context, to hosts.Host, b member.Beat) (member.Beat, error) {
-	return call(ctx, n, to.Name, func(p *node) member.Beat { return p.member.HandleBeat(b) })
-}
-
-func (n *node) Ask(ctx context.Context, to hosts.Host, a slots.Ask) (slots.Give, error) {
-	return call(ctx, n, to.Name, func(p *node) slots.Give { return p.slots.HandleAsk(n.name, n.inc, a) })
-}
-
-func (n *node) Revoke(ctx context.Context, to string, r slots.Revoke) error {
-	_, err := call(ctx, n, to, func(p *node) bool { p.slots.HandleRevoke(r); return true })
-	return err
-}
-
-func (n *node) Handover(ctx context.Context, to hosts.Host, h slots.Handover) error {
-	_, err := call(ctx, n, to.Name, func(p *node) bool { p.slots.HandleHandover(n.name, h); return true })
-	return err
-}
-
-// Hosts reads the host list with the node's lag.
-func (n *node) Hosts(context.Context) (hosts.List, error) {
-	if !n.gate() {
-		return hosts.List{}, errCut
-	}
-	time.Sleep(latency)
-	n.f.mu.Lock()
-	defer n.f.mu.Unlock()
-	if n.f.listDown {
-		return hosts.List{}, errCut
-	}
-	list := n.f.versions[0].list
-	for _, v := range n.f.versions {
-		if time.Since(v.at) >= n.f.lag[n.name] {
-			list = v.list
-		}
-	}
-	return list, nil
-}
-
-// Load reports a target's state as it was before the lag.
-func (n *node) Load(_ context.Context, address string) (target.Load, error) {
-	if !n.gate() {
-		return target.Load{}, errCut
-	}
-	time.Sleep(latency)
-	n.f.mu.Lock()
-	defer n.f.mu.Unlock()
-	b := n.f.backends[address]
-	was := b.history[0]
-	for _, s := range b.history {
-		if time.Since(s.at) >= n.f.loadLag {
-			was = s
-		}
-	}
-	b.sign(was.state, was.boot)
-	return target.Load{State: was.state, Boot: was.boot, AsOf: units.Duration(n.f.loadLag)}, nil
-}
-
-func (b *backend) become(state target.State, boot string) {
-	b.state, b.boot, b.seen = state, boot, time.Time{}
-	b.history = append(b.history, backendState{time.Now(), state, boot})
-}
-
-// sign notes that someone has seen the target cold.
-func (b *backend) sign(state target.State, boot string) {
-	if state == target.StateCold && b.state == state && boot == b.boot && b.seen.IsZero() {
-		b.seen = time.Now()
-	}
-}
-
-// work has a node make calls to a pool until its end, several at once.
-func (n *node) work(pool string, workers int, pausing time.Duration) {
-	w := &waiters{n: n, pool: pool}
-	for range workers {
-		n.f.wait.Go(func() {
-			for n.ctx.Err() == nil {
-				w.one()
-				time.Sleep(pausing)
-			}
-		})
-	}
-}
-
-// waiters counts the calls of a node that wait for a pool.
-type waiters struct {
-	n       *node
-	pool    string
-	mu      sync.Mutex
-	waiting int
-}
-
-func (w *waiters) add(d int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.waiting += d
-	w.n.slots.Want(w.pool, w.waiting)
-}
-
-// one waits for a slot and makes one call.
-func (w *waiters) one() {
-	n := w.n
-	w.add(1)
-	var hold *slots.Hold
-	var address string
-	for hold == nil && n.ctx.Err() == nil {
-		changed := n.slots.Changed()
-		for _, t := range n.slots.View(w.pool) {
-			if t.Free > 0 && hold == nil && n.gate() {
-				if h, ok := n.slots.Take(t.Name); ok {
-					hold, address = h, t.Address
-				}
-			}
-		}
-		if hold == nil {
-			select {
-			case <-changed:
-			case <-time.After(50 * time.Millisecond):
-			case <-n.ctx.Done():
-			}
+func (n *node) resume() {
+	n.f.locked(func() {
+		if n.paused != nil {
+			close(n.paused)
+			n.paused = nil
 		}
-	}
-	w.add(-1)
-	if hold == nil {
-		return
-	}
-	if time.Sleep(latency); n.f.longCalls {
-		time.Sleep(50 * time.Millisecond) // so that pauses fall between Take and Check
-	}
-	if !n.gate() || hold.Check() != nil {
-		hold.Done(target.Result{Err: errCut}, 0)
-		return
-	}
-	// Long calls are reported as usual ones, so that limits don't shrink for them.
-	hold.Done(n.f.run(n, address), callTime)
-}
-
-// run is a call at a target. It checks the limit while the target is cold.
-func (f *fleet) run(n *node, address string) target.Result {
-	b := f.backends[address]
-	f.mu.Lock()
-	f.started++
-	took := callTime
-	if f.longCalls && f.started%5 == 0 {
-		took = 4800 * time.Millisecond // within the attempt bound
-	}
-	b.running++
-	b.highest = max(b.highest, b.running)
-	if pool, _ := f.bundle.Pool(b.doc.Pool); f.steady && b.running > pool.Limit {
-		f.breaches = append(f.breaches, fmt.Sprintf("%s: %d calls at %s, limit %d", n.name, b.running, b.doc.Name, pool.Limit))
-	}
-	if b.state == target.StateCold && !b.seen.IsZero() && time.Since(b.seen) > f.closing && b.running > b.coldLimit {
-		f.breaches = append(f.breaches, fmt.Sprintf("%s: %d calls at the cold target %s, limit %d, %s after the first sign",
-			n.name, b.running, b.doc.Name, b.coldLimit, time.Since(b.seen)))
-	}
-	f.mu.Unlock()
-	time.Sleep(took)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	b.running--
-	if !n.dead {
-		b.sign(b.state, b.boot)
-	}
-	if last := f.last[n.name]; !last.IsZero() {
-		f.gap = max(f.gap, time.Since(last))
-	}
-	f.completed[n.name]++
-	f.last[n.name] = time.Now()
-	return target.Result{State: b.state, Boot: b.boot, Sent: target.SentYes}
-}
-
-func (f *fleet) done(name string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.completed[name]
+	})
 }
--- a/entry/internal/slots/hold_spec_test.go
+++ b/entry/internal/slots/hold_spec_test.go
@@ -30,10 +30,7 @@
 var _ = Describe("a slot in use", func() {
 	// Guards against a send by a host that was paused, or whose slot has gone.
 	DescribeTable("is refused immediately before the send", func(fault func(f *fleet, n *node), want error) {
-		inBubble(func() {
-			f := newFleet(3, 1, 8)
-			defer f.close()
-			time.Sleep(4 * time.Second)
+		inFleet(3, 1, []int{8}, 4*time.Second, func(f *fleet) {
 			n := f.nodes[without(f.names(), f.homeOf())[0]]
 			h := takeOne(n)
 			n.slots.Want("pool0", 2) // so that free slots are held too
@@ -50,7 +47,7 @@
 	},
 		Entry("when the lease has expired", func(f *fleet, n *node) {
 			for _, other := range f.names() {
-				f.setCut(n.name, other, true)
+				f.setCut(n.name, other)
 				f.nodes[other].pause()
 			}
 			time.Sleep(2100 * time.Millisecond)
@@ -61,27 +58,22 @@
 		Entry("when its data centre was taken out", func(f *fleet, _ *node) {
 			b, err := f.bundle.WithOut("kolkata", true)
 			Expect(err).NotTo(HaveOccurred())
-			f.setBundle(b)
+			f.locked(func() { f.bundle = b })
 		}, slots.ErrOut),
 		Entry("when the target is leaving by the host list", func(f *fleet, _ *node) {
-			f.mu.Lock()
 			list := f.versions[0].list
 			leaving := host("t0")
 			leaving.Role, leaving.State = hosts.RoleTarget, hosts.StateLeaving
 			list.Hosts = append(list.Hosts[:len(list.Hosts):len(list.Hosts)], leaving)
 			list.Version = 2
-			f.versions = append(f.versions, version{at: time.Now(), list: list})
-			f.mu.Unlock()
+			f.locked(func() { f.versions = append(f.versions, version{at: time.Now(), list: list}) })
 			time.Sleep(600 * time.Millisecond)
 		}, slots.ErrLeaving),
 	)
 
 	// Guards against a warm slot used on after the target has said that it is cold.
 	It("is refused once another answer has shown the target cold", func() {
-		inBubble(func() {
-			f := newFleet(3, 1, 8)
-			defer f.close()
-			time.Sleep(4 * time.Second)
+		inFleet(3, 1, []int{8}, 4*time.Second, func(f *fleet) {
 			n := f.nodes["n0"]
 			n.slots.Want("pool0", 2)
 			time.Sleep(100 * time.Millisecond)
@@ -98,10 +90,7 @@
 
 // Guards against idle slots of a target that only its load report shows to be cold.
 var _ = It("loses idle slots when the load report says cold", func() {
-	inBubble(func() {
-		f := newFleet(3, 1, 8)
-		defer f.close()
-		time.Sleep(4 * time.Second)
+	inFleet(3, 1, []int{8}, 4*time.Second, func(f *fleet) {
 		n := f.nodes["n0"]
 		n.slots.Want("pool0", 8)
 		time.Sleep(500 * time.Millisecond)
@@ -132,10 +121,7 @@
 
 // Guards against a slot granted again while the call of a killed holder still runs.
 var _ = It("counts a killed holder's slot until its call has ended", func() {
-	inBubble(func() {
-		f := newFleet(3, 1, 1)
-		defer f.close()
-		time.Sleep(4 * time.Second)
+	inFleet(3, 1, []int{1}, 4*time.Second, func(f *fleet) {
 		rest := without(f.names(), f.homeOf())
 		Expect(takeOne(f.nodes[rest[0]]).Check()).To(Succeed())
 		f.kill(rest[0])
@@ -148,9 +134,7 @@
 
 	// Guards against cold slots granted while calls of the home before still run.
 	It("keeps cold slots back for the whole wait when the home was killed", func() {
-		inBubble(func() {
-			f := newFleet(4, 1, 8)
-			defer f.close()
+		inFleet(4, 1, []int{8}, 0, func(f *fleet) {
 			f.become(0, target.StateCold, "boot0")
 			time.Sleep(20 * time.Second)
 			home := f.homeOf()
@@ -165,9 +149,7 @@
 
 	// Guards against a wait that a graceful shutdown makes needless.
 	It("has no wait when the home hands over", func() {
-		inBubble(func() {
-			f := newFleet(4, 1, 8)
-			defer f.close()
+		inFleet(4, 1, []int{8}, 0, func(f *fleet) {
 			f.become(0, target.StateCold, "boot0")
 			time.Sleep(20 * time.Second)
 			home := f.homeOf()
@@ -184,18 +166,15 @@
 	// use at the time must keep the limit of one taken. At least one of the two
 	// holders isn't the next home.
 	DescribeTable("hands over the slots in use", func(holder int) {
-		inBubble(func() {
-			f := newFleet(4, 1, 1)
-			defer f.close()
-			time.Sleep(20 * time.Second)
+		inFleet(4, 1, []int{1}, 20*time.Second, func(f *fleet) {
 			home := f.homeOf()
 			n := f.nodes[without(f.names(), home)[holder]]
 			h := takeOne(n)
-			f.setCut(n.name, home, true) // its renewals fail, so that only the handover tells
+			f.setCut(n.name, home) // its renewals fail, so that only the handover tells
 			f.nodes[home].member.SetLeaving()
 			f.nodes[home].slots.Leave(context.Background())
 			for _, name := range f.names() {
-				f.setCut(n.name, name, true)
+				f.setCut(n.name, name)
 			}
 			for _, name := range without(without(f.names(), home), n.name) {
 				f.nodes[name].slots.Want("pool0", 1)
--- a/entry/internal/slots/share.go
+++ b/entry/internal/slots/share.go
@@ -56,7 +56,9 @@
 	if r.want > level && pos < rest {
 		s.amount++
 	}
-	s.retry = min(poll*time.Duration(1+max(0, pos-rest)), h.opts.Renew)
+	// The next in line asks again soon, the others after the calls before them.
+	turns := time.Duration(max(0, pos-rest))
+	s.retry = min(poll+turns*max(poll, h.callTime(g)/time.Duration(max(1, capacity))), h.opts.Renew)
 	if capacity == 0 {
 		// Nothing comes free soon: the targets are leaving, or a new home waits.
 		s.retry = h.opts.Renew / 2
@@ -64,6 +66,15 @@
 	return s
 }
 
+// callTime returns the usual latency of the slowest target of a group.
+func (h *home) callTime(g *homeGroup) time.Duration {
+	slowest := 0.0
+	for _, doc := range g.targets {
+		slowest = max(slowest, h.targets[doc.Name].usual)
+	}
+	return time.Duration(slowest * float64(time.Millisecond))
+}
+
 // term is for how long a holder keeps a slot beyond the common level while
 // others want it. It is longer than a renewal, so that slots don't move at each ask.
 const term = time.Second
