Wait shortly for the prefix, leave the region for idle targets only

Cause: a call whose target was full took any free slot and computed its prefix again; with a limit of 8, one free slot of another region was enough to leave, and calls of two regions changed places while the round trip held slots.

Change: a call with a prefix waits up to 100 ms (queue.Options.HomeWait) for the target that has it; a target of another region must have a quarter of its slots free.

The spec fails with waitsForHome returning false.

--- a/entry/internal/queue/queue.go
+++ b/entry/internal/queue/queue.go
@@ -73,6 +73,10 @@
 	// in a pool (defaults 4096 and 1024).
 	MaxPool    int
 	MaxAccount int
+	// HomeWait is how long a call waits for the target that is likely to have its
+	// prefix while others are free: less than the time to compute a prefix (default
+	// 100 ms, none if below 0).
+	HomeWait time.Duration
 	// Plain serves calls in order of arrival and drops none early. The baselines
 	// use it.
 	Plain bool
@@ -107,6 +111,9 @@
 	if opts.MaxAccount == 0 {
 		opts.MaxAccount = 1024
 	}
+	if opts.HomeWait == 0 {
+		opts.HomeWait = 100 * time.Millisecond
+	}
 	q := &Queue{
 		opts: opts, slots: slots, policy: policy, logger: logger.WithName("queue"),
 		pools: map[string]*pool{}, closed: make(chan struct{}),
@@ -194,17 +201,20 @@
 }
 
 // nextLook returns when the job's own state changes: when it may go to another
-// region, or when it can't be served in time any more.
+// target than its preferred one or to another region, or when it can't be served
+// in time any more.
 func (q *Queue) nextLook(w *waiter) time.Duration {
-	const never = 24 * time.Hour
 	now := time.Now()
-	if d := q.spill - now.Sub(w.since); q.spill > 0 && d > 0 {
-		return d
+	next := 24 * time.Hour
+	if !q.opts.Plain && !w.latest.IsZero() {
+		next = max(w.latest.Sub(now)+1, 1)
 	}
-	if q.opts.Plain || w.latest.IsZero() {
-		return never
+	for _, wait := range []time.Duration{q.opts.HomeWait, q.spill} {
+		if d := wait - now.Sub(w.since); d > 0 {
+			next = min(next, d)
+		}
 	}
-	return max(w.latest.Sub(now)+1, 1)
+	return next
 }
 
 // look drops the job when it is late, and hands out slots otherwise: it may now go
@@ -284,13 +294,19 @@
 	return false
 }
 
+// waitsForHome reports whether the job would rather wait for the target that has
+// its prefix than compute the prefix elsewhere.
+func (q *Queue) waitsForHome(p *pool, w *waiter, now time.Time) bool {
+	return q.homes != nil && now.Sub(w.since) < q.opts.HomeWait && !w.isUrgent(now) && q.homeOf(p, w) != ""
+}
+
 // serve places one of the first jobs of the line. A job that no target can take
 // now, since it was tried there before or may not leave the region yet, does not
 // hold up those behind it.
 func (q *Queue) serve(p *pool, l *line, now time.Time) bool {
 	const tries = 4
 	for _, w := range l.jobs[:min(tries, len(l.jobs))] {
-		if q.place(p, w, now) {
+		if !q.waitsForHome(p, w, now) && q.place(p, w, now) {
 			return true
 		}
 	}
--- a/entry/internal/queue/queue_test.go
+++ b/entry/internal/queue/queue_test.go
@@ -260,6 +260,21 @@
 		})
 	})
 
+	// Guards against recomputing a prefix for want of a few milliseconds, and against
+	// waiting for it longer than that would take.
+	It("waits a short time for the target that has the prefix", func() {
+		virtual("aa", queue.Options{HomeWait: 70 * time.Millisecond}, func(b *bench) {
+			policy, _ := route.New("", route.Options{})
+			home := policy.(interface {
+				Home(route.Request, []route.Target) int
+			}).Home(route.Request{Prefix: 1, DataCentre: "a", Region: "a"}, b.f.targets)
+			b.f.targets[1-home].Free = 1
+			slot, err := b.q.Acquire(ctx, queue.Job{Pool: "p", Prefix: 1})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(slot.Waited).To(Equal(70 * time.Millisecond))
+		})
+	})
+
 	// Guards against admission on a wait of the past: an account's own line counts.
 	It("expects a wait of the line over its rate", func() {
 		virtual("a", queue.Options{}, func(b *bench) {
--- a/entry/internal/route/prefix.go
+++ b/entry/internal/route/prefix.go
@@ -9,7 +9,7 @@
 // spareParts sets how many slots of a target of another region must be free before
 // a call goes there: one of so many. With one free slot the target is busy with
 // calls of its own region, which would then go elsewhere in turn.
-const spareParts = 8
+const spareParts = 4
 
 // prefixPolicy keeps the calls of one prefix on one target while that target is
 // not loaded above a bound, and keeps calls in their data centre and region.
