--- /dev/null
+++ b/entry/internal/member/interval_test.go
@@ -0,0 +1,58 @@
+package member_test
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"chivepost/entry/internal/member"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Compares the interval in the heartbeat with a fixed bound of six times the time
+// between rounds, the plain form: it guards against healthy hosts that are suspected
+// when there are so many that each is heard less often.
+var _ = DescribeTable("suspicion of healthy hosts",
+	func(count int, fixedWrong bool) {
+		var names []string
+		for i := range count {
+			names = append(names, fmt.Sprintf("h%02d", i))
+		}
+		inWorld(names, func(w *world) {
+			const fixed = member.SuspectAfter * time.Second // the default time between rounds
+			var mu sync.Mutex
+			gaps, overFixed, overOwn := 0, 0, 0
+			var bound time.Duration
+			for _, c := range w.nodes {
+				last := map[string]time.Time{}
+				c.OnBeat(func(b member.Beat) {
+					mu.Lock()
+					defer mu.Unlock()
+					if at, ok := last[b.Host]; ok {
+						gap := time.Since(at)
+						gaps++
+						if gap > fixed {
+							overFixed++
+						}
+						if gap > member.SuspectAfter*b.Interval {
+							overOwn++
+						}
+						bound = max(bound, member.SuspectAfter*b.Interval)
+					}
+					last[b.Host] = time.Now()
+				})
+			}
+			time.Sleep(2 * time.Minute)
+			mu.Lock()
+			defer mu.Unlock()
+			AddReportEntry("gaps", fmt.Sprintf("hosts %d: gaps %d, over the fixed bound %d, over the published bound %d (%s)",
+				count, gaps, overFixed, overOwn, bound))
+			Expect(overOwn).To(BeZero())
+			Expect(overFixed > 0).To(Equal(fixedWrong))
+		})
+	},
+	Entry("9 hosts", 9, false),
+	Entry("60 hosts", 60, true),
+)
