--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -122,6 +122,8 @@
 		return
 	}
 	c.begin(req)
+	// A caller that reads nothing must not hold the connection and its buffers for good.
+	_ = http.NewResponseController(w).SetWriteDeadline(req.Arrived.Add(req.Pipeline.Deadline() + writeGrace))
 	if req.Body.Stream {
 		c.stream(w, r, req)
 		return
@@ -171,6 +173,9 @@
 	return req, chain.Outcome{}
 }
 
+// writeGrace is the time that a caller has for reading its answer after the deadline.
+const writeGrace = 2 * time.Second
+
 // maxID bounds request ids, in bytes: they are kept in memory and in the log.
 const maxID = 128
 
