--- a/Makefile
+++ b/Makefile
@@ -39,8 +39,8 @@
 clean:
 	rm -rf bin out
 
-# Runs the benchmarks behind docs/CAPACITY.md and extrapolates them; takes about two minutes.
-CAPACITY_ENTRY := member slots claims config route queue peers node
+# Runs the benchmarks behind docs/CAPACITY.md and extrapolates them; takes about three minutes.
+CAPACITY_ENTRY := member slots claims config route queue peers node front
 capacity:
 	@mkdir -p out && uptime | tee out/capacity.txt
 	cd share && $(GO) test -run '^$$' -bench . -benchtime 200ms -count 3 ./bundle >>../out/capacity.txt
--- a/entry/internal/bench/capacity_bench_test.go
+++ b/entry/internal/bench/capacity_bench_test.go
@@ -126,6 +126,8 @@
 	sum += bytes("claims read again after restarts, mean", restarts/nodes*history*claim/day)
 	bytes("all of these without claims", sum)
 	bytes("claims, for each 1% of requests that may not be repeated", perPercent*claim)
+	bytes("at 9 nodes: heartbeats, 8 peers every 0.5 s", 8/0.5*(of("Call/beat wire_bytes")+headers))
+	bytes("at 9 nodes and 31 engines: host list", pollsPerSecond*(of("ReadList/hosts=9 encoded_bytes")+http))
 
 	fmt.Println("\nProcessor time, both ends of each call:")
 	sum = cpu("heartbeats", beatsPerSecond*(ns2(t, m, "Call/beat")+2*ns("HandleBeat/hosts=370")+2*ns("Observe/hosts=370"))+2*ns("Round/hosts=370"))
@@ -141,6 +143,10 @@
 	cpu("claims, for each 1%", perPercent*m.least(t, "ReadClaims/claims=10000 ns/claim"))
 	cpu("claims, for each 1%, one log read for each record", perPercent*2*ns("LoadReport"))
 	cpu("not control: views and choices, 2 views a call", calls*(2*ns("View/engines=1300")+ns("Acquire/targets=130")*216/130))
+	cpu("not control: tokens to callers, 2 million/s in all", 2e6/nodes*m.least(t, "Token cpu-ns/token"))
+	cpu("not control: look-ups of addresses, for each 1,200 callers", 1200/3/nodes*(ns("Usable/hosts=370")+ns("LoadReport")))
+	row("a call that joins a queue of 1,200 accounts", ns("Lines/accounts=1200")/1e6, 0, "ms")
+	row("the hosts' versions in one status answer", nodes*ns("Confirmations/hosts=370")/1e6, 0, "ms")
 
 	fmt.Println("\nMemory:")
 	mb := func(what string, bytes float64) float64 {
