Test that an impatient caller keeps the id of its request

Cause: the patience of chive-call load had no test. Change: a spec with two entry hosts, the first of which never answers. The soak run takes another program for its entry hosts from ENTRY, for trials.

--- /dev/null
+++ b/caller/internal/agent/agent_suite_test.go
@@ -0,0 +1,88 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"chivepost/caller/internal/agent"
+	"chivepost/share/apiv1"
+	"chivepost/share/units"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestAgent(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "agent")
+}
+
+// entries are entry hosts of which the first that gets a request never answers it.
+type entries struct {
+	mu      sync.Mutex
+	servers []*httptest.Server
+	ids     []string
+	hosts   []string
+}
+
+func newEntries() *entries {
+	e := &entries{}
+	for range 2 {
+		e.servers = append(e.servers, httptest.NewServer(e))
+	}
+	return e
+}
+
+func (e *entries) addresses() []string {
+	var out []string
+	for _, s := range e.servers {
+		out = append(out, strings.TrimPrefix(s.URL, "http://"))
+	}
+	return out
+}
+
+func (e *entries) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		_ = json.NewEncoder(w).Encode(apiv1.Address{Addresses: e.addresses(), Hold: units.Duration(time.Minute), Position: 7})
+		return
+	}
+	var body apiv1.Request
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	e.mu.Lock()
+	e.ids, e.hosts = append(e.ids, body.ID), append(e.hosts, r.Host)
+	first := len(e.ids) == 1
+	e.mu.Unlock()
+	if first {
+		<-r.Context().Done()
+		return
+	}
+	_ = json.NewEncoder(w).Encode(apiv1.Answer{ID: body.ID, Output: "out", Length: 3, Checksum: apiv1.Checksum("out")})
+}
+
+var _ = Describe("a caller without patience", func() {
+	// Guards against a repeat under a new id: two hosts could then both run a call
+	// that may run once only, and no check would connect them.
+	It("repeats the request elsewhere under the same id", func() {
+		e := newEntries()
+		for _, s := range e.servers {
+			DeferCleanup(s.Close)
+		}
+		a := agent.New(agent.Options{Entries: e.addresses(), Attempts: 4, Grace: time.Second, Patience: 100 * time.Millisecond})
+		DeferCleanup(a.Close)
+		report := a.Do(context.Background(), agent.Job{
+			Work: "w", Secret: "s", Pipeline: "p", Input: "in", Deadline: 5 * time.Second, Once: true,
+		})
+		Expect(report.Outcome).To(Equal(apiv1.Answered))
+		Expect(report.Attempts).To(Equal(2))
+		Expect(e.ids).To(HaveLen(2))
+		Expect(e.ids[0]).To(HavePrefix("7-"))
+		Expect(e.ids[1]).To(Equal(e.ids[0]))
+		Expect(e.hosts[1]).NotTo(Equal(e.hosts[0]))
+	})
+})
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -58,7 +58,7 @@
   run=$((${RUN[$name]:-0} + 1))
   RUN[$name]=$run
   sed "s|^events = .*|events = $OUT/events/entry-$name.$run.jsonl|" "$OUT/entry-$name.ini" >"$OUT/run/$name.$run.ini"
-  start "$name.$run" bin/chive-entry serve "$OUT/run/$name.$run.ini"
+  start "$name.$run" "${ENTRY:-bin/chive-entry}" serve "$OUT/run/$name.$run.ini"
   PID[$name]=${PIDS[-1]}
   STATE[$name]=up
   note up "$name" "$run"
