--- a/caller/internal/agent/agent_suite_test.go
+++ b/caller/internal/agent/patience_test.go
@@ -7,7 +7,6 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
-	"testing"
 	"time"
 
 	"chivepost/caller/internal/agent"
@@ -18,11 +17,6 @@
 	. "github.com/onsi/gomega"
 )
 
-func TestAgent(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "agent")
-}
-
 // entries are entry hosts of which the first that gets a request never answers it.
 type entries struct {
 	mu      sync.Mutex
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -80,10 +80,12 @@
 	}, log.WithName("peers")), nil
 }
 
-// incarnation tells processes of one host apart; 0 stands for none.
+// incarnation tells processes of one host apart; 0 stands for none. A later process
+// of the same machine gets a higher one, so that peers hear it at once; on another
+// machine under the same name they hear it when the earlier one is silent.
 type incarnation uint64
 
-func newIncarnation() incarnation { return incarnation(rand.Uint64() | 1) }
+func newIncarnation() incarnation { return incarnation(time.Now().UnixNano()) }
 
 func newTargets(s conf.Settings) target.Caller {
 	return target.New(target.Options{DataCentre: s.Host.DataCentre})
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -21,7 +21,7 @@
 	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	for _, o := range settings.Origins() {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Section, o.Key, o.Value, o.From)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", o.Section, o.Key, o.Value, o.From)
 	}
 	return w.Flush()
 }
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -69,7 +69,9 @@
 }
 
 // readLimit keeps a page small, since each record holds a whole configuration.
-const readLimit = 16
+// 370 hosts with 1,300 targets make 411 KB a record, so 4 fit into CallTimeout at
+// 14 Mbit/s.
+const readLimit = 4
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.ConfigMax, 3*time.Second)
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"chivepost/entry/internal/chain"
@@ -82,13 +83,17 @@
 
 // Handle passes req on unless it needs a claim that can't be made now.
 func (f *logFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
-	if f.age() <= f.max {
+	noPosition := strings.HasPrefix(req.Body.ID, "0-")
+	if f.age() <= f.max && !noPosition {
 		return next(ctx, req)
 	}
 	for _, s := range req.Pipeline.Stages() {
 		if pool, ok := req.Config.Pool(s.Pool); ok && !pool.Repeat {
-			return chain.Refused(req.Body.ID, apiv1.ProblemLogDown, http.StatusServiceUnavailable,
-				"stage "+s.Name+" may run at most once and needs the log service")
+			detail := "stage " + s.Name + " may run at most once and needs the log service"
+			if noPosition {
+				detail = "the id was made while the position in the log was not known; ask for an address again"
+			}
+			return chain.Refused(req.Body.ID, apiv1.ProblemLogDown, http.StatusServiceUnavailable, detail)
 		}
 	}
 	return next(ctx, req)
--- a/entry/internal/member/rounds.go
+++ b/entry/internal/member/rounds.go
@@ -34,11 +34,11 @@
 }
 
 // hear records a heartbeat. That of a host which isn't in the list yet is only
-// passed on; one of an earlier incarnation was delayed and says nothing any more.
+// passed on; one of an incarnation that was replaced says nothing any more.
 func (c *Controller) hear(b Beat) {
 	c.mu.Lock()
 	if p, ok := c.peers[b.Host]; ok {
-		if b.Incarnation < p.beat.Incarnation || b.Interval <= 0 {
+		if b.Interval <= 0 || !p.accepts(b.Incarnation, time.Now()) {
 			c.mu.Unlock()
 			return
 		}
--- a/entry/internal/member/view.go
+++ b/entry/internal/member/view.go
@@ -86,6 +86,26 @@
 	listed time.Time // when the host list first named it
 	heard  time.Time // zero: never
 	beat   Beat
+	// replaced is the incarnation before the present one, 0 if none is known.
+	replaced uint64
+}
+
+// accepts reports whether a heartbeat of an incarnation counts. Numbers of
+// incarnations are random, so the order can't be read off them: a new one counts
+// unless it is the one that was replaced, and replaces the present one only when
+// that is silent or has the lower number.
+func (p *peer) accepts(incarnation uint64, now time.Time) bool {
+	present := p.beat.Incarnation
+	switch {
+	case incarnation == present || p.heard.IsZero():
+		return true
+	case incarnation == p.replaced:
+		return false
+	case incarnation < present && now.Sub(p.heard) <= SuspectAfter*p.beat.Interval:
+		return false
+	}
+	p.replaced = present
+	return true
 }
 
 // isSuspected reports whether the peer has been silent for too long.
--- a/entry/internal/node/fakes_test.go
+++ b/entry/internal/node/fakes_test.go
@@ -203,7 +203,6 @@
 // hostList is the platform's list with a lag between a change and its reading.
 type hostList struct {
 	mu      sync.Mutex
-	lag     time.Duration
 	down    bool
 	changes []listChange
 }
@@ -259,7 +258,6 @@
 	state   target.State
 	boot    int
 	running int
-	fail    float64
 	reports []report
 }
 
@@ -376,7 +374,6 @@
 	case <-time.After(took):
 	case <-ctx.Done():
 		if t.pool.Repeat {
-			took = 0
 			break
 		}
 		time.Sleep(took)
--- a/entry/internal/node/history_test.go
+++ b/entry/internal/node/history_test.go
@@ -44,8 +44,6 @@
 	seed  uint64
 	rng   *rand.Rand
 	names []string
-	// undo ends what a fault began.
-	undo []func()
 }
 
 func pick[T any](rng *rand.Rand, list []T) T { return list[rng.IntN(len(list))] }
--- a/entry/internal/node/report.go
+++ b/entry/internal/node/report.go
@@ -13,7 +13,6 @@
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/burn"
-	"chivepost/share/hosts"
 	"chivepost/share/units"
 )
 
@@ -24,7 +23,10 @@
 // random order, so that a large account does not land on one host, those of this
 // region first.
 func (n *Node) Addresses(string) apiv1.Address {
-	position, _ := n.claims.Position()
+	position, ok := n.claims.Position()
+	if !ok {
+		position = 0 // No claim can be made under an id with this position.
+	}
 	return apiv1.Address{
 		Addresses: n.usable(""),
 		Hold:      units.Duration(n.deps.Settings.Timing.Hold),
@@ -55,8 +57,8 @@
 	}
 	shuffle(near)
 	shuffle(far)
-	all := append(near, far...)
-	return all[:min(len(all), maxAddresses)]
+	near = append(near, far...)
+	return near[:min(len(near), maxAddresses)]
 }
 
 func shuffle(list []string) {
@@ -93,8 +95,16 @@
 	for _, t := range n.slots.Targets() {
 		out.Targets = append(out.Targets, targetStatus(t))
 	}
+	confirmed := map[string]config.Confirmation{}
+	for _, c := range n.config.Confirmations() {
+		confirmed[c.Host] = c
+	}
 	for _, h := range n.members.Peers() {
-		out.Hosts = append(out.Hosts, n.hostStatus(h))
+		c := confirmed[h.Name]
+		out.Hosts = append(out.Hosts, apiv1.HostStatus{
+			Name: h.Name, DataCentre: h.DataCentre, Region: h.Region, State: string(h.State),
+			Version: c.Version, Age: units.Duration(c.Age),
+		})
 	}
 	return out
 }
@@ -106,16 +116,6 @@
 	}
 }
 
-func (n *Node) hostStatus(h hosts.Host) apiv1.HostStatus {
-	s := apiv1.HostStatus{Name: h.Name, DataCentre: h.DataCentre, Region: h.Region, State: string(h.State)}
-	for _, c := range n.config.Confirmations() {
-		if c.Host == h.Name {
-			s.Version, s.Age = c.Version, units.Duration(c.Age)
-		}
-	}
-	return s
-}
-
 // holdSlots gives the queue the slots controller's holds as its own interface.
 type holdSlots struct{ *slots.Controller }
 
--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -38,7 +38,6 @@
 type attempts struct {
 	script map[string][]stage.Result
 	made   []string
-	tokens int
 }
 
 func (a *attempts) Attempt(_ context.Context, w stage.Work) stage.Result {
--- a/entry/internal/slots/status.go
+++ b/entry/internal/slots/status.go
@@ -64,6 +64,7 @@
 			Name: doc.Name, DataCentre: doc.DataCentre, Region: doc.Region, Address: doc.Address,
 			State: t.state, Free: t.free(now), InUse: t.inUse, Limit: t.usable(now),
 		}
+		rt.Prepare(h.opts.DataCentre, h.opts.Region)
 		if rt.Limit > 0 {
 			until = earlier(until, t.until)
 		}
--- a/entry/internal/stage/stage.go
+++ b/entry/internal/stage/stage.go
@@ -125,7 +125,7 @@
 		Address:  slot.Target.Address,
 		Input:    w.Input,
 		Model:    w.Model,
-		Fence:    slot.Hold.Fence(),
+		Fence:    slot.Fence(),
 		Priority: w.Job.Priority,
 		Once:     !w.Pool.Repeat,
 	}
@@ -157,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
 	r.budget.Sent(slot.Target.Name)
-	if err := slot.Hold.Check(); err != nil {
+	if err := slot.Check(); err != nil {
 		return target.Result{Err: err}, 0, 0
 	}
 	if w.Ticket != nil {
