--- a/caller/internal/agent/do.go
+++ b/caller/internal/agent/do.go
@@ -167,8 +167,8 @@
 	return addresses[len(r.tried)%len(addresses)]
 }
 
-// hopeless are the refusals that every host would give again.
-var hopeless = map[string]bool{
+// permanent are the refusals that every host would give again.
+var permanent = map[string]bool{
 	apiv1.ProblemBadRequest:   true,
 	apiv1.ProblemUnauthorized: true,
 	apiv1.ProblemNotFound:     true,
@@ -181,7 +181,7 @@
 func (r *run) mayRepeat(at attempt) bool {
 	switch at.outcome {
 	case apiv1.Refused:
-		return !hopeless[at.problem.Type]
+		return !permanent[at.problem.Type]
 	case apiv1.Failed, Broken, Unsent:
 		return true
 	case apiv1.Unknown:
--- a/stand/internal/plan/ports.go
+++ b/stand/internal/plan/ports.go
@@ -21,19 +21,19 @@
 	lastPort  = 32000
 )
 
-// free hands out ports from a start upwards, leaving out those in use.
-type free struct{ next int }
+// freePorts hands out ports from a start upwards, leaving out those in use.
+type freePorts struct{ next int }
 
 // NewPorts returns free ports from base on, or from a random start if base is 0.
 func NewPorts(base int) Ports {
 	if base == 0 {
 		base = firstPort + rand.IntN(lastPort-firstPort-2000)
 	}
-	return &free{next: base}
+	return &freePorts{next: base}
 }
 
 // Next returns an "ip:port" that could be listened on just now.
-func (f *free) Next() (string, error) {
+func (f *freePorts) Next() (string, error) {
 	for ; f.next < lastPort; f.next++ {
 		address := fmt.Sprintf("127.0.0.1:%d", f.next)
 		l, err := net.Listen("tcp", address)
--- a/stand/internal/serve/serve.go
+++ b/stand/internal/serve/serve.go
@@ -31,10 +31,16 @@
 	if err := app.Start(context.Background()); err != nil {
 		return oops.Wrapf(err, "start")
 	}
-	<-app.Wait()
+	end := <-app.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	return oops.Wrapf(app.Stop(ctx), "stop")
+	if err := app.Stop(ctx); err != nil {
+		return oops.Wrapf(err, "stop")
+	}
+	if end.ExitCode != 0 {
+		return oops.Errorf("a listener failed")
+	}
+	return nil
 }
 
 // listen binds all endpoints before any of them serves, so that a taken port stops
