Let callers arrive in groups in the histories

Cause: with the cold limit switched off in the home, 60 histories found nothing: targets were never full. Change: groups of 24 callers, a fault that turns a whole pool cold.

--- a/entry/internal/node/history_test.go
+++ b/entry/internal/node/history_test.go
@@ -128,6 +128,18 @@
 			w.byName[t.Name].set(target.StateCold, h.rng.IntN(2) == 0, w.record)
 			return t.Name + " cold", func() { w.byName[t.Name].set(target.StateWarm, false, w.record) }
 		},
+		func(w *world, h *history) (string, func()) {
+			pool := pick(h.rng, w.doc.Pools).Name
+			set := func(state target.State) {
+				for _, t := range w.doc.Targets {
+					if t.Pool == pool {
+						w.byName[t.Name].set(state, state == target.StateCold, w.record)
+					}
+				}
+			}
+			set(target.StateCold)
+			return "all of " + pool + " cold", func() { set(target.StateWarm) }
+		},
 		func(w *world, h *history) (string, func()) {
 			t := pick(h.rng, w.doc.Targets)
 			w.setListed(t.Name, hosts.StateLeaving)
@@ -336,10 +348,13 @@
 
 	load := rand.New(rand.NewPCG(seed, 3))
 	w.wait.Go(func() {
-		for n := range 150 {
+		// Callers come in groups, so that targets are full and cold limits are reached.
+		for n := range 240 {
 			rng := rand.New(rand.NewPCG(seed, uint64(100+n)))
 			w.wait.Go(func() { w.caller(rng, n, counts) })
-			time.Sleep(time.Duration(load.IntN(300)) * time.Millisecond)
+			if n%24 == 23 {
+				time.Sleep(time.Duration(1000+load.IntN(2000)) * time.Millisecond)
+			}
 		}
 	})
 	kinds := faultList()
