--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -296,7 +296,7 @@
 
 # extra_checks prints sums that chive-call check can't know, and adds to the problems.
 extra_checks() {
-  local broken cut out
+  local broken cut out back
   broken=$(grep -h 'invariant broken\|^panic:\|^fatal error:' "$OUT"/log/*.err | wc -l) || true
   if [ "$broken" -gt 0 ]; then
     grep -H 'invariant broken\|^panic:\|^fatal error:' "$OUT"/log/*.err | head -n 20 >>"$OUT/problems"
@@ -310,7 +310,11 @@
   done
   out=$(grep -c '^on data centre out' "$OUT/out.out") || true
   grep '^on data centre out' "$OUT/out.out" | head -n 20 >>"$OUT/problems" || true
+  awk -f scripts/soak-version.awk "$OUT/journal.tsv" "$OUT"/events/entry-*.jsonl >"$OUT/version.out"
+  back=$(grep -c . "$OUT/version.out") || true
+  head -n 20 "$OUT/version.out" >>"$OUT/problems"
   echo "on data centre out           $out"
+  echo "configuration back or stale  $back"
   echo "cut off by a shutdown        $cut"
   echo "invariant broken             $broken"
   echo "broken at a healthy host     $(grep -c '^healthy' "$OUT/cut.out" || true) (not forbidden)"
