--- a/entry/internal/slots/slots.go
+++ b/entry/internal/slots/slots.go
@@ -1,6 +1,3 @@
-// Package slots divides the calls in flight that each target can take among the
-// entry hosts. The home of a target's group grants slots under leases; holders
-// start calls only with a free slot of an unexpired lease.
 package slots
 
 import (
