Hear a majority of a large fleet while the host list is down

Cause: above nine hosts a few heartbeats a second never reach a majority within view_max, so an outage of the host list would have ended all grants of a large fleet after 3 s. Change: while the host list fails, or NeedMajority says so, rounds go to as many peers as make a majority while a view is fresh; peers are taken in turn from a fixed random order, since a shuffle for each cycle let rounds in a row reach the same ones.

--- a/entry/internal/member/member.go
+++ b/entry/internal/member/member.go
@@ -37,8 +37,9 @@
 	leaving    bool
 	onBeat     []func(Beat)
 	random     *rand.Rand
-	cycle      []string // peers still to come in the current cycle of rounds
+	cycle      []string // all peers in the order of their turns
 	failing    bool     // whether the last reading of the host list failed
+	doubt      bool     // whether a majority must be heard for another reason
 }
 
 type groupKey struct{ key, dataCentre, region string }
@@ -128,6 +129,9 @@
 		if !c.failing && ctx.Err() == nil {
 			c.logger.Error(err, "host list not read", "list_version", c.view.version)
 		}
+		if !c.failing {
+			c.tellAll()
+		}
 		c.failing = true
 		return
 	}
--- a/entry/internal/member/member_spec_test.go
+++ b/entry/internal/member/member_spec_test.go
@@ -245,3 +245,27 @@
 		Expect(w.nodes["h00"].Status().Detail.(member.Detail).Suspected).To(BeEmpty())
 	})
 })
+
+// Guards against a large fleet that loses all homes when the host list is down,
+// since a few heartbeats a second never reach a majority in time.
+var _ = It("hears a majority of a large fleet when the host list is down", func() {
+	var many []string
+	for i := range 41 {
+		many = append(many, fmt.Sprintf("h%02d", i))
+	}
+	inWorld(many, func(w *world) {
+		a := w.nodes["h00"]
+		key := keyOf(a, "h00")
+		a.WonSince(key, "thies", "west")
+		Expect(a.HasMajority(3*time.Second)).To(BeFalse(), "while the list is read")
+		a.NeedMajority(true)
+		time.Sleep(100 * time.Millisecond)
+		Expect(a.HasMajority(3 * time.Second)).To(BeTrue())
+		a.NeedMajority(false)
+		w.setDown(many...)
+		time.Sleep(20 * time.Second)
+		won, ok := a.WonSince(key, "thies", "west")
+		Expect(ok).To(BeTrue())
+		Expect(won).To(BeNumerically(">=", 20*time.Second))
+	})
+})
--- a/entry/internal/member/rounds.go
+++ b/entry/internal/member/rounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chivepost/share/hosts"
@@ -27,10 +28,7 @@
 	c.leaving, c.changed = true, true
 	c.refresh(time.Now())
 	c.mu.Unlock()
-	select {
-	case c.now <- struct{}{}:
-	default:
-	}
+	c.tellAll()
 }
 
 // hear records a heartbeat. That of a host which isn't in the list yet is only
@@ -85,8 +83,38 @@
 	if n+1 <= wholeRound {
 		return c.opts.BeatEvery
 	}
-	rounds := (n + c.opts.FanOut - 1) / c.opts.FanOut
-	return time.Duration(rounds) * c.opts.BeatEvery
+	k := c.fanOut(n)
+	return time.Duration((n+k-1)/k) * c.opts.BeatEvery
+}
+
+// fanOut returns the number of peers per round among n. While a majority must be
+// heard, it is so high that half of the peers are reached while a view is fresh,
+// at the cost of traffic in proportion to n.
+func (c *Controller) fanOut(n int) int {
+	if !c.failing && !c.doubt {
+		return min(c.opts.FanOut, max(n, 1))
+	}
+	rounds := max(1, int((c.opts.ViewMax-c.opts.Poll)/c.opts.BeatEvery))
+	return max(c.opts.FanOut, (n/2+rounds)/rounds)
+}
+
+// NeedMajority says whether a majority must be heard for another reason than an
+// outage of the host list, such as one of the log service.
+func (c *Controller) NeedMajority(need bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if need && !c.doubt {
+		c.tellAll()
+	}
+	c.doubt = need
+}
+
+// tellAll asks for a round of heartbeats to all peers at once.
+func (c *Controller) tellAll() {
+	select {
+	case c.now <- struct{}{}:
+	default:
+	}
 }
 
 func (c *Controller) beatLoop(ctx context.Context) {
@@ -120,7 +148,8 @@
 }
 
 // round returns the peers that get a heartbeat now. Above nine hosts they are
-// drawn from a shuffled cycle, so that the time between two is bounded.
+// taken in turn from a cycle in random order, so that the time between two is
+// bounded and rounds in a row reach different peers.
 func (c *Controller) round(all bool) []hosts.Host {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,18 +161,17 @@
 	for _, h := range others {
 		byName[h.Name] = h
 	}
-	var picked []hosts.Host
-	for len(picked) < c.opts.FanOut {
-		if len(c.cycle) == 0 {
-			for _, h := range others {
-				c.cycle = append(c.cycle, h.Name)
-			}
-			c.random.Shuffle(len(c.cycle), func(i, j int) { c.cycle[i], c.cycle[j] = c.cycle[j], c.cycle[i] })
-		}
-		if h, ok := byName[c.cycle[0]]; ok {
-			picked = append(picked, h)
+	c.cycle = slices.DeleteFunc(c.cycle, func(name string) bool { return byName[name].Name == "" })
+	for _, h := range others {
+		if !slices.Contains(c.cycle, h.Name) {
+			c.cycle = slices.Insert(c.cycle, c.random.IntN(len(c.cycle)+1), h.Name)
 		}
-		c.cycle = c.cycle[1:]
 	}
+	k := min(c.fanOut(len(others)), len(c.cycle))
+	picked := make([]hosts.Host, 0, k)
+	for _, name := range c.cycle[:k] {
+		picked = append(picked, byName[name])
+	}
+	c.cycle = append(c.cycle[k:], c.cycle[:k]...)
 	return picked
 }
