Report wrong heartbeat intervals as a failed spec

Cause: the expectation ran on a goroutine of the controller, so that a wrong interval ended the whole test process instead of failing its spec. Change: the callback counts, the spec expects.

--- a/entry/internal/member/member_spec_test.go
+++ b/entry/internal/member/member_spec_test.go
@@ -229,12 +229,15 @@
 		many = append(many, fmt.Sprintf("h%02d", i))
 	}
 	inWorld(many, func(w *world) {
-		var heard atomic.Int64
+		var heard, wrong atomic.Int64
 		w.nodes["h00"].OnBeat(func(b member.Beat) {
 			heard.Add(1)
-			Expect(b.Interval).To(Equal(5 * time.Second))
+			if b.Interval != 5*time.Second {
+				wrong.Add(1)
+			}
 		})
 		time.Sleep(20 * time.Second)
+		Expect(wrong.Load()).To(BeZero(), "intervals that aren't the length of a cycle")
 		// Four a second sent, as many received, each with an answer.
 		Expect(heard.Load()).To(BeNumerically("~", 160, 25))
 		w.mu.Lock()
