Remove a data race and a time bound from the specs

Cause: workers of the test fleet read a flag without its lock, which failed make test in one of two runs; the spec of the frame rate had a bound that holds only if a sleep is exact. Change: the flag is read under the lock; the bound follows the time that has passed.

--- a/entry/internal/peers/peers_suite_test.go
+++ b/entry/internal/peers/peers_suite_test.go
@@ -254,11 +254,14 @@
 		var got atomic.Int64
 		b.Handle("note", func(context.Context, string, uint64, []byte) (any, error) { got.Add(1); return nil, nil })
 		conn := raw(b)
+		began := time.Now()
 		for range 100 {
 			Expect(conn.Write(ctx, websocket.MessageBinary, frame(1, "note"))).To(Succeed())
 		}
 		time.Sleep(500 * time.Millisecond)
-		Expect(got.Load()).To(BeNumerically("<=", 45), "frames taken in half a second at 50 a second and a burst of 10")
+		taken := float64(got.Load())
+		Expect(taken).To(BeNumerically("<=", 12+50*time.Since(began).Seconds()), "frames taken at 50 a second and a burst of 10")
+		Expect(taken).To(BeNumerically("<", 100))
 		Eventually(got.Load, "4s").Should(Equal(int64(100)))
 	})
 })
--- a/entry/internal/slots/fleet_wire_test.go
+++ b/entry/internal/slots/fleet_wire_test.go
@@ -200,7 +200,7 @@
 	if hold == nil {
 		return
 	}
-	if time.Sleep(latency); n.f.longCalls {
+	if time.Sleep(latency); read(n.f, func() bool { return n.f.longCalls }) {
 		time.Sleep(50 * time.Millisecond) // so that pauses fall between Take and Check
 	}
 	if !n.gate() || hold.Check() != nil {
