--- a/entry/internal/bench/result.go
+++ b/entry/internal/bench/result.go
@@ -39,13 +39,13 @@
 	Policy   string `json:"policy"`
 	Seeds    int    `json:"seeds"`
 	Count
-	Busy       float64          `json:"busy_seconds"`
-	Wasted     float64          `json:"wasted_seconds"`
-	Recomputed int64            `json:"recomputed_tokens"`
-	CrossBytes int64            `json:"cross_region_bytes"`
-	FallOvers  int              `json:"fall_overs"`
-	Retries    int              `json:"retries"`
-	Accounts   map[string]Count `json:"accounts"`
+	Busy         float64          `json:"busy_seconds"`
+	Wasted       float64          `json:"wasted_seconds"`
+	Recomputed   int64            `json:"recomputed_tokens"`
+	CrossBytes   int64            `json:"cross_region_bytes"`
+	ColdRestarts int              `json:"cold_restarts"`
+	Retries      int              `json:"retries"`
+	Accounts     map[string]Count `json:"accounts"`
 	// Seconds counts requests by the second of their arrival.
 	Seconds []Count `json:"seconds"`
 }
@@ -59,7 +59,7 @@
 	r.Wasted += o.Wasted
 	r.Recomputed += o.Recomputed
 	r.CrossBytes += o.CrossBytes
-	r.FallOvers += o.FallOvers
+	r.ColdRestarts += o.ColdRestarts
 	r.Retries += o.Retries
 	if r.Accounts == nil {
 		r.Accounts = map[string]Count{}
@@ -124,13 +124,13 @@
 // WriteTable writes the report as two tables.
 func (r *Report) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 1, ' ', tabwriter.Debug)
-	header := "scenario policy sent attained refused missed wasted tokens/answer bytes/answer fall_overs retries"
+	header := "scenario policy sent attained refused missed wasted tokens/answer bytes/answer cold_restarts retries"
 	_, _ = fmt.Fprintln(t, strings.ReplaceAll(header, " ", "\t "))
 	for _, u := range r.Runs {
 		_, _ = fmt.Fprintf(t, "%s\t %s\t %d\t %.1f%%\t %.1f%%\t %.1f%%\t %.1f%%\t %.0f\t %.0f\t %d\t %d\n",
 			u.Scenario, u.Policy, u.Sent, 100*u.Attainment(), 100*ratio(float64(u.Refused), float64(u.Sent)),
 			100*ratio(float64(u.Missed), float64(u.Sent)), 100*ratio(u.Wasted, u.Busy),
-			u.TokensPerAnswer(), u.BytesPerAnswer(), u.FallOvers, u.Retries)
+			u.TokensPerAnswer(), u.BytesPerAnswer(), u.ColdRestarts, u.Retries)
 	}
 	_, _ = fmt.Fprintln(t)
 	_, _ = fmt.Fprintln(t, "policy\t aim\t want\t figure\t met")
@@ -210,7 +210,7 @@
 	after := own.between(BackAt+10*time.Second, BackAt+15*time.Second)
 	level := 100 * (after.Attainment() - before.Attainment())
 	r.aim(policy, "attainment 10 s after the return against before, points", ">= -1", level, level >= -1)
-	r.aim(policy, "targets above their cold limit", "0", float64(own.FallOvers), own.FallOvers == 0)
+	r.aim(policy, "targets above their cold limit", "0", float64(own.ColdRestarts), own.ColdRestarts == 0)
 }
 
 // judgeAccounts compares the small accounts' attainment with large accounts that
--- a/entry/internal/bench/world.go
+++ b/entry/internal/bench/world.go
@@ -129,7 +129,7 @@
 		return target.Result{Err: errFailed, Sent: target.SentNo}, 0
 	}
 	if n.isCold(now) && n.boot.inFlight >= n.pool.ColdLimit {
-		w.tally.FallOvers++
+		w.tally.ColdRestarts++
 		n.restart(now, time.Second)
 		return target.Result{Err: errFailed, Sent: target.SentMaybe}, 0
 	}
