Use the estimates and budgets as their packages mean them

Cause: the slack of a waiting call was reckoned with the wait counted twice, and retries were counted as first calls, which raised their own budget. Change: ExpectService for the order of waiting calls; only first attempts count towards the budget.

--- a/entry/internal/pipe/pipe.go
+++ b/entry/internal/pipe/pipe.go
@@ -28,9 +28,9 @@
 	Attempt(ctx context.Context, w stage.Work) stage.Result
 }
 
-// Expecter estimates the time that calls to pools take, waiting included.
+// Expecter estimates the time that calls to pools take, without waiting.
 type Expecter interface {
-	Expect(pools []string) time.Duration
+	ExpectService(pools []string) time.Duration
 }
 
 // Claims decides who may make a call that may not be repeated.
@@ -96,7 +96,7 @@
 			Account:  w.req.Account.Name,
 			Share:    w.req.Account.Share,
 			Deadline: w.req.Deadline,
-			Expected: w.expect.Expect(poolsFrom(w.req.Pipeline.Stages(), i)),
+			Expected: w.expect.ExpectService(poolsFrom(w.req.Pipeline.Stages(), i)),
 			Priority: w.req.Body.Priority,
 			Prefix:   xxhash.Sum64String(input[:min(len(input), prefixBytes)]),
 		},
--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -54,7 +54,7 @@
 	return stage.Result{Target: "t", Sent: target.SentYes, Output: w.Input + ">" + w.Stage}
 }
 
-func (a *attempts) Expect([]string) time.Duration { return 0 }
+func (a *attempts) ExpectService([]string) time.Duration { return 0 }
 
 func notSent() stage.Result { return stage.Result{Target: "t", Err: errBroken} }
 func maybe() stage.Result {
--- a/entry/internal/stage/stage.go
+++ b/entry/internal/stage/stage.go
@@ -27,7 +27,7 @@
 	Observe(pool string, waited, took time.Duration)
 }
 
-// Budget counts calls towards the retry budget of each target.
+// Budget counts first calls, towards which the retries at each target are measured.
 type Budget interface {
 	Sent(target string)
 }
@@ -156,7 +156,9 @@
 	call.Timeout = left
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	r.budget.Sent(slot.Target.Name)
+	if w.Number == 0 {
+		r.budget.Sent(slot.Target.Name)
+	}
 	if err := slot.Check(); err != nil {
 		return target.Result{Err: err}, 0, 0
 	}
