Hear a majority while the log is down; name the incarnation in asks to oneself

Cause: above nine hosts an ordinary round of heartbeats reaches no majority in time, which matters only while the log is down; asks to oneself carried incarnation 0.

--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -108,7 +108,7 @@
 	}, deps.Log, puller{bus: deps.Bus, members: n.members}, n.members, log.WithName("config"))
 	n.claims = claims.New(claims.Options{Host: s.Host.Name, Incarnation: deps.Incarnation}, deps.Log, log.WithName("claims"))
 	n.slots = slots.New(slots.Options{
-		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Region: s.Host.Region,
+		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Region: s.Host.Region, Incarnation: deps.Incarnation,
 		Lease: s.Timing.Lease, Margin: s.Timing.Margin, AttemptBound: s.Timing.AttemptBound,
 		ListLag: s.Timing.ListLag, ViewMax: s.Timing.ViewMax,
 	}, n.members, granter{bus: deps.Bus, members: n.members}, deps.Targets, n.current, log.WithName("slots"))
--- a/entry/internal/node/peers.go
+++ b/entry/internal/node/peers.go
@@ -138,6 +138,8 @@
 	} else {
 		b.LogAge = -1
 	}
+	// Without the log, only a majority of hosts shows that the configuration still holds.
+	n.members.NeedMajority(n.config.LogAge() > logAgeMax)
 	b.State = member.StateServing
 	if n.drain.State() == drain.Starting {
 		b.State = member.StateStarting
