--- a/entry/internal/claims/calls.go
+++ b/entry/internal/calls/calls.go
@@ -1,4 +1,6 @@
-package claims
+// Package calls logs when the calls of a service start to fail and when they work
+// again, without a line for each call.
+package calls
 
 import (
 	"time"
@@ -10,16 +12,17 @@
 // service fail. An outage, or an append rate at its limit, would repeat them.
 const linePause = 10 * time.Second
 
-// callState logs when calls of the log service start to fail and when they work again.
-type callState struct {
+// State is the state of one kind of call of the log service. It is not safe for
+// concurrent use.
+type State struct {
 	failing bool
 	// said is set if the current failure was logged; at is when the last one was.
 	said bool
 	at   time.Time
 }
 
-// note takes the outcome of a call.
-func (s *callState) note(logger logr.Logger, call string, err error) {
+// Note takes the outcome of a call and logs a change.
+func (s *State) Note(logger logr.Logger, call string, err error) {
 	failing := err != nil
 	if failing == s.failing {
 		return
@@ -35,3 +38,6 @@
 		logger.Info("log service call works again", "call", call)
 	}
 }
+
+// IsFailing reports whether the last call failed.
+func (s *State) IsFailing() bool { return s.failing }
--- a/entry/internal/claims/acquire.go
+++ b/entry/internal/claims/acquire.go
@@ -146,7 +146,7 @@
 // isLogDown reports whether a claim would most likely wait in vain. Refusing at once
 // keeps requests from piling up in a long outage.
 func (c *Controller) isLogDown() bool {
-	return c.reading.failing && !c.reads.last.IsZero() && time.Since(c.reads.last) > c.opts.ReadWait+c.opts.Patience
+	return c.reading.IsFailing() && !c.reads.last.IsZero() && time.Since(c.reads.last) > c.opts.ReadWait+c.opts.Patience
 }
 
 // advanceParked queues the claims whose position has been reached. Appending only
--- a/entry/internal/claims/append.go
+++ b/entry/internal/claims/append.go
@@ -94,7 +94,7 @@
 func (c *Controller) settleBatch(batch []*item, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing.note(c.logger, "append", err)
+	c.writing.Note(c.logger, "append", err)
 	switch {
 	case err == nil:
 		for _, it := range batch {
--- a/entry/internal/claims/claims.go
+++ b/entry/internal/claims/claims.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/calls"
 	"chivepost/entry/internal/ctrl"
 	"chivepost/share/logsvc"
 )
@@ -105,8 +106,8 @@
 	pending map[itemKey]*item
 	lastID  uint64
 	reads   readState
-	reading callState
-	writing callState
+	reading calls.State
+	writing calls.State
 }
 
 // readState is what the reader knows about its own progress.
@@ -180,7 +181,7 @@
 	defer c.mu.Unlock()
 	d := Detail{
 		Floor: c.index.floor, Next: c.index.next, Keys: len(c.index.requests), Bytes: c.index.bytes,
-		Open: len(c.open), Queued: len(c.queue), Synced: c.reads.synced, Reading: c.reads.synced && !c.reading.failing,
+		Open: len(c.open), Queued: len(c.queue), Synced: c.reads.synced, Reading: c.reads.synced && !c.reading.IsFailing(),
 	}
 	if !c.reads.last.IsZero() {
 		d.LogAge = time.Since(c.reads.last).String()
--- a/entry/internal/claims/reader.go
+++ b/entry/internal/claims/reader.go
@@ -29,7 +29,7 @@
 	c.reads.started++
 	number, from := c.reads.started, c.index.next
 	wait := c.opts.ReadWait
-	if !c.reads.synced || c.reading.failing {
+	if !c.reads.synced || c.reading.IsFailing() {
 		wait = 0 // The end of the stream is not known yet, or not any more.
 	}
 	c.mu.Unlock()
@@ -44,7 +44,7 @@
 		err = c.apply(number, page, began)
 	}
 	c.mu.Lock()
-	c.reading.note(c.logger, "read", err)
+	c.reading.Note(c.logger, "read", err)
 	c.mu.Unlock()
 	if err != nil {
 		c.pause(c.opts.RetryPause)
--- a/entry/internal/config/config.go
+++ b/entry/internal/config/config.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/calls"
 	"chivepost/entry/internal/ctrl"
 	"chivepost/share/bundle"
 	"chivepost/share/logsvc"
@@ -109,7 +110,7 @@
 	random  *rand.Rand
 	changed chan struct{}
 	reads   readState
-	reading callState
+	reading calls.State
 	seen    map[string]*observation
 	// highest is the highest version that a peer has named.
 	highest  int64
--- a/entry/internal/config/reader.go
+++ b/entry/internal/config/reader.go
@@ -27,7 +27,7 @@
 func (c *Controller) readOnce() {
 	c.mu.Lock()
 	from, wait := c.track.read+1, c.opts.ReadWait
-	if !c.reads.synced || c.reading.failing {
+	if !c.reads.synced || c.reading.IsFailing() {
 		wait = 0 // The end of the stream is not known yet, or not any more.
 	}
 	c.mu.Unlock()
@@ -42,7 +42,7 @@
 		err = c.apply(page, began)
 	}
 	c.mu.Lock()
-	c.reading.note(c.logger, "read", err)
+	c.reading.Note(c.logger, "read", err)
 	c.mu.Unlock()
 	if err != nil {
 		c.pause(c.opts.RetryPause, nil)
--- a/entry/internal/config/record.go
+++ b/entry/internal/config/record.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
+	"chivepost/entry/internal/codec"
 )
 
 // recordVersion is the version of the record format. Fields may be added within a
@@ -34,28 +34,9 @@
 
 var errRecord = errors.New("unreadable config record")
 
-var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{
-		DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 4, MaxMapPairs: 64, MaxArrayElements: 64,
-		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
-var encMode = func() cbor.EncMode {
-	m, err := cbor.CoreDetEncOptions().EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
 func encodeRecord(r record) []byte {
 	r.Version = recordVersion
-	data, err := encMode.Marshal(r)
+	data, err := codec.Marshal(r)
 	if err != nil {
 		panic(fmt.Sprintf("encode config record: %v", err)) // Strings, numbers and bytes always encode.
 	}
@@ -64,7 +45,7 @@
 
 func decodeRecord(data []byte) (record, error) {
 	var r record
-	if err := decMode.Unmarshal(data, &r); err != nil {
+	if err := codec.Unmarshal(data, &r); err != nil {
 		return record{}, fmt.Errorf("%w: %w", errRecord, err)
 	}
 	switch {
--- a/entry/internal/node/peers.go
+++ b/entry/internal/node/peers.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
 	"chivepost/entry/internal/config"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/member"
+	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/slots"
 	"chivepost/share/hosts"
 )
@@ -118,7 +118,7 @@
 func handle[B any](bus Bus, kind string, h func(from string, incarnation uint64, body B) (any, error)) {
 	bus.Handle(kind, func(_ context.Context, from string, incarnation uint64, data []byte) (any, error) {
 		var body B
-		if err := cbor.Unmarshal(data, &body); err != nil {
+		if err := peers.Decode(data, &body); err != nil {
 			return nil, oops.Wrapf(err, "decode %s", kind)
 		}
 		return h(from, incarnation, body)
--- a/entry/internal/stage/stage_test.go
+++ b/entry/internal/stage/stage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,7 @@
 	takes    time.Duration
 	checkErr error
 	calls    []target.Call
-	doneAt   time.Duration
+	doneAt   atomic.Int64
 	start    time.Time
 	order    []string
 }
@@ -48,7 +49,7 @@
 }
 func (f *fake) Fence() uint64 { return 7 }
 func (f *fake) Done(target.Result, time.Duration) {
-	f.doneAt = time.Since(f.start)
+	f.doneAt.Store(int64(time.Since(f.start)))
 }
 
 func (f *fake) Run(ctx context.Context, call target.Call, _ func(int, string)) target.Result {
@@ -87,7 +88,7 @@
 			defer cancel()
 			attempt(ctx, f, kind)
 			time.Sleep(10 * time.Second)
-			Expect(f.doneAt).To(Equal(wantDone))
+			Expect(time.Duration(f.doneAt.Load())).To(Equal(wantDone))
 		})
 	},
 	Entry("answered: at once", bundle.KindService, target.Result{Sent: target.SentYes}, time.Second, time.Minute, time.Second),
