--- a/stand/internal/deploy/deploy.go
+++ b/stand/internal/deploy/deploy.go
@@ -78,6 +78,9 @@
 			return nil, oops.With("path", path).Wrapf(err, "section %q", s.Name())
 		}
 	}
+	if d.Doc, err = bundle.ParseDir(filepath.Join(dir, "services")); err != nil {
+		return nil, err
+	}
 	paths, err := filepath.Glob(filepath.Join(dir, "services", "*", "service.ini"))
 	if err != nil {
 		return nil, oops.Wrapf(err, "list service files")
@@ -87,9 +90,6 @@
 		if err != nil {
 			return nil, oops.Wrapf(err, "read service file")
 		}
-		if err := addService(&d.Doc, data); err != nil {
-			return nil, oops.Wrapf(err, "service file %s", p)
-		}
 		d.Services[filepath.Base(filepath.Dir(p))] = data
 	}
 	for _, g := range d.Groups {
--- a/stand/internal/deploy/reader.go
+++ b/stand/internal/deploy/reader.go
@@ -60,10 +60,6 @@
 	return parse(r, key, func(k *ini.Key) (time.Duration, error) { return k.Duration() })
 }
 
-func (r *reader) boolean(key string) bool {
-	return parse(r, key, func(k *ini.Key) (bool, error) { return k.Bool() })
-}
-
 func parse[T any](r *reader, key string, read func(*ini.Key) (T, error)) T {
 	var zero T
 	if !r.section.HasKey(key) {
