Expect the messages of the shared parser in the specs of deployments

Change: the same two faulty files, with the messages that now say more (file, line, key, what is accepted).

--- a/stand/internal/deploy/deploy_suite_test.go
+++ b/stand/internal/deploy/deploy_suite_test.go
@@ -59,6 +59,6 @@
 	Entry(nil, "deployment.ini", "[data_centre a]\nregion = r\n", `key "entry_hosts" is missing`),
 	Entry(nil, "deployment.ini", "[date_centre a]\n", "unknown section"),
 	Entry(nil, "deployment.ini", "[data_centre a]\nregion = r\nentry_hosts = some\n", `key "entry_hosts"`),
-	Entry(nil, "services/lots/service.ini", "[stage a/b]\npool = c\n", `does not follow`),
-	Entry(nil, "services/models/service.ini", "[pool a]\nkind = engine\n", `key "repeat" is missing`),
+	Entry(nil, "services/lots/service.ini", "[stage a/b]\npool = c\n", `[stage a/b]: found unknown pipeline "a"`),
+	Entry(nil, "services/models/service.ini", "[pool a]\nkind = engine\n", `[pool a] repeat: found nothing, want any or never`),
 )
