--- a/scripts/soak-out.awk
+++ b/scripts/soak-out.awk
@@ -1,5 +1,7 @@
 # Reads the journal and the events of the targets of one data centre, dc. Prints each
-# call that began more than 4 s after the data centre had been taken out.
+# call that began more than 4 s after the data centre had been taken out. The clock of
+# the events began between the start of the process, in the journal, and its first log
+# line, at serving (ms): a call counts if it lies in the time for both.
 function value(key,    s) {
   if (!match($0, "\"" key "\":(\"[^\"]*\"|[0-9]+)")) return ""
   s = substr($0, RSTART + length(key) + 3, RLENGTH - length(key) - 3)
@@ -17,6 +19,6 @@
 value("kind") == "started" {
   at = zero + value("at") / 1e6
   for (i = 1; i <= n; i++)
-    if (at > from[i] && at < to[i])
+    if (at > from[i] && at + serving - zero < to[i])
       printf "on data centre out: %s got %s/%s/%s %d ms after %s was taken out\n", value("target"), value("run"), value("stage"), value("attempt"), at - from[i] + 4000, dc
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -289,6 +289,12 @@
   for dc in ${DATA_CENTRES//,/ }; do job bring_in "$dc"; done
 }
 
+# serving_at DC: when the targets of a data centre logged that they serve, in
+# milliseconds since the epoch.
+serving_at() {
+  sed -n '/"serving"/s/.*"ts":\([0-9.]*\).*/\1/p' "$OUT/log/targets-$1.err" | head -n 1 | awk '{printf "%.0f", $1 * 1000}'
+}
+
 # sent_twice counts the request ids that went to more than one host.
 sent_twice() {
   awk -f scripts/soak-ids.awk "$OUT/events/caller.jsonl" "$OUT/events/impatient.jsonl"
@@ -306,7 +312,7 @@
   grep '^cut off' "$OUT/cut.out" | head -n 20 >>"$OUT/problems" || true
   : >"$OUT/out.out"
   for dc in ${DATA_CENTRES//,/ }; do
-    awk -v dc="$dc" -f scripts/soak-out.awk "$OUT/journal.tsv" "$OUT/events/targets-$dc.jsonl" >>"$OUT/out.out"
+    awk -v dc="$dc" -v serving="$(serving_at "$dc")" -f scripts/soak-out.awk "$OUT/journal.tsv" "$OUT/events/targets-$dc.jsonl" >>"$OUT/out.out"
   done
   out=$(grep -c '^on data centre out' "$OUT/out.out") || true
   grep '^on data centre out' "$OUT/out.out" | head -n 20 >>"$OUT/problems" || true
