--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -30,6 +30,8 @@
 // fake stands for the controllers behind the HTTP side.
 type fake struct {
 	config   *bundle.Bundle
+	version  int64
+	next     *bundle.Bundle // in force from the next MayServe on
 	refuses  bool
 	doubt    error
 	out      bool
@@ -40,13 +42,18 @@
 	accepted int
 }
 
-func (f *fake) Current() (*bundle.Bundle, int64) { return f.config, 7 }
+func (f *fake) Current() (*bundle.Bundle, int64) { return f.config, f.version }
 func (f *fake) Addresses(string) apiv1.Address {
 	return apiv1.Address{Addresses: []string{"127.0.0.1:1"}, Hold: units.Duration(3 * time.Second), Position: 5}
 }
 func (f *fake) IsLeaving() bool       { return f.leaving }
 func (f *fake) Enter() (func(), bool) { return func() {}, !f.refuses }
-func (f *fake) MayServe() error       { return f.doubt }
+func (f *fake) MayServe() error {
+	if f.next != nil {
+		f.config, f.version = f.next, f.version+1
+	}
+	return f.doubt
+}
 func (f *fake) IsOut() bool           { return f.out }
 func (f *fake) Others() []string      { return []string{"127.0.0.1:2"} }
 func (f *fake) Add(events.Event)      {}
@@ -139,6 +146,24 @@
 	Expect(f.post(askPath, "secret", good).Code).To(Equal(200))
 })
 
+// Guards against a request under a configuration that was replaced while its body was
+// on its way or the process was stopped, as seen in a soak run (seed 22).
+var _ = It("takes the configuration that is in force when it takes the request", func() {
+	f := newFake()
+	f.next = newFake().config
+	f.answer = func(req *chain.Request) chain.Outcome {
+		Expect(req.Version).To(Equal(int64(1)))
+		Expect(req.Config).To(BeIdenticalTo(f.next))
+		return chain.Answered(req.Body.ID, "x")
+	}
+	Expect(f.post(askPath, "secret", good).Code).To(Equal(200))
+
+	f = newFake()
+	f.next, _ = bundle.New(bundle.Doc{})
+	Expect(f.post(askPath, "secret", good).Code).To(Equal(404))
+	Expect(f.accepted).To(BeZero())
+})
+
 // Guards against an answer without the length and checksum that show it to be whole.
 var _ = It("gives the whole answer", func() {
 	rec := newFake().post(askPath, "secret", good)
