Take the configuration in force after the check of doubts

Change: the filter ready gives the request the configuration in force; the event of a taken request comes after that filter, so refused ones have none.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -125,7 +125,7 @@
 	lc fx.Lifecycle,
 ) (*servers, error) {
 	caller := front.NewCaller(front.Options{
-		Host: s.Host.Name, DataCentre: s.Host.DataCentre, MaxBody: int64(s.Limits.MaxBody),
+		Host: s.Host.Name, MaxBody: int64(s.Limits.MaxBody),
 	}, n.Config(), n, n.Drain(), n.Burn(), n.Run, record, log.WithName("front"))
 	operator := front.NewOperator(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	out := &servers{
--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -50,9 +50,8 @@
 
 // Options bounds what callers may send.
 type Options struct {
-	Host       string
-	DataCentre string
-	MaxBody    int64
+	Host    string
+	MaxBody int64
 }
 
 // Caller serves callers.
@@ -121,7 +120,7 @@
 		writeProblem(w, out.Problem)
 		return
 	}
-	c.begin(req)
+	c.counts.accept()
 	// A caller that reads nothing must not hold the connection and its buffers for good.
 	_ = http.NewResponseController(w).SetWriteDeadline(req.Arrived.Add(req.Pipeline.Deadline() + writeGrace))
 	if req.Body.Stream {
@@ -179,14 +178,6 @@
 // maxID bounds request ids, in bytes: they are kept in memory and in the log.
 const maxID = 128
 
-func (c *Caller) begin(req *chain.Request) {
-	c.counts.accept()
-	c.record.Add(events.Event{
-		Kind: events.Accepted, Host: c.opts.Host, DataCentre: c.opts.DataCentre, Account: req.Account.Name,
-		Request: req.Body.ID, Run: req.Run, Version: req.Version,
-	})
-}
-
 // end accounts for the outcome. A refusal for what the caller did wrong or for a
 // host that is leaving spends no error budget; an answer after the deadline does.
 func (c *Caller) end(req *chain.Request, out chain.Outcome) {
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -8,6 +8,7 @@
 
 	"chivepost/entry/internal/chain"
 	"chivepost/share/apiv1"
+	"chivepost/share/events"
 )
 
 // Doorkeeper says whether this host takes new requests. Enter counts one in.
@@ -30,14 +31,15 @@
 // readyFilter refuses requests while the host must not take new work, and names
 // other hosts. It stands first, so that what it refuses has not been run.
 type readyFilter struct {
-	door  Doorkeeper
-	serve Server
-	dir   Directory
+	door   Doorkeeper
+	serve  Server
+	config Config
+	dir    Directory
 }
 
 // NewReady returns the filter that refuses work this host must not take.
-func NewReady(door Doorkeeper, serve Server, dir Directory) chain.Filter {
-	return &readyFilter{door: door, serve: serve, dir: dir}
+func NewReady(door Doorkeeper, serve Server, config Config, dir Directory) chain.Filter {
+	return &readyFilter{door: door, serve: serve, config: config, dir: dir}
 }
 
 // Name returns the filter's name.
@@ -56,6 +58,47 @@
 	if f.dir.IsOut() {
 		return f.elsewhere(req, apiv1.ProblemMoved, "the data centre of this host has been taken out")
 	}
+	if !f.refresh(req) {
+		return chain.Refused(req.Body.ID, apiv1.ProblemNotFound, http.StatusNotFound, "pipeline "+req.Pipeline.Name())
+	}
+	return next(ctx, req)
+}
+
+// refresh gives req the configuration in force. It comes after MayServe: what was
+// read before may have been replaced while the process was paused or a body was on
+// its way. It reports whether the pipeline still exists.
+func (f *readyFilter) refresh(req *chain.Request) bool {
+	cfg, version := f.config.Current()
+	if version == req.Version {
+		return true
+	}
+	p, ok := cfg.Pipeline(req.Pipeline.Name())
+	if ok {
+		req.Config, req.Version, req.Pipeline = cfg, version, p
+	}
+	return ok
+}
+
+// recordFilter records each request that this host has taken.
+type recordFilter struct {
+	host, dataCentre string
+	record           Recorder
+}
+
+// NewRecord returns the filter that records the requests taken by the host.
+func NewRecord(host, dataCentre string, record Recorder) chain.Filter {
+	return &recordFilter{host: host, dataCentre: dataCentre, record: record}
+}
+
+// Name returns the filter's name.
+func (f *recordFilter) Name() string { return "record" }
+
+// Handle records req and passes it on.
+func (f *recordFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
+	f.record.Add(events.Event{
+		Kind: events.Accepted, Host: f.host, DataCentre: f.dataCentre, Account: req.Account.Name,
+		Request: req.Body.ID, Run: req.Run, Version: req.Version,
+	})
 	return next(ctx, req)
 }
 
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -54,9 +54,9 @@
 	}
 	return f.doubt
 }
-func (f *fake) IsOut() bool           { return f.out }
-func (f *fake) Others() []string      { return []string{"127.0.0.1:2"} }
-func (f *fake) Add(events.Event)      {}
+func (f *fake) IsOut() bool      { return f.out }
+func (f *fake) Others() []string { return []string{"127.0.0.1:2"} }
+func (f *fake) Add(events.Event) {}
 
 type burner struct{ f *fake }
 
@@ -86,7 +86,7 @@
 
 func (f *fake) router() http.Handler {
 	run := chain.New([]chain.Filter{
-		front.NewReady(f, f, f), front.NewDeadline(), front.NewRepeat(),
+		front.NewReady(f, f, f, f), front.NewDeadline(), front.NewRepeat(),
 		front.NewLog(func() time.Duration { return f.age }, 2*time.Second),
 	}, func(_ context.Context, req *chain.Request) chain.Outcome {
 		f.accepted++
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -153,7 +153,8 @@
 	attempts := stage.New(s.Host.Name, n.queue, n.deps.Targets, n.estimator, budgets, n.deps.Record)
 	runner := pipe.New(attempts, n.estimator, n.claims, budgets)
 	filters := []chain.Filter{
-		front.NewReady(n.drain, n.config, n),
+		front.NewReady(n.drain, n.config, n.config, n),
+		front.NewRecord(s.Host.Name, s.Host.DataCentre, n.deps.Record),
 		front.NewDeadline(),
 		front.NewRepeat(),
 		front.NewLog(n.config.LogAge, logAgeMax),
