Record a request's beginning and end in one filter

Cause: a request refused by the filter ready would have had an end without a beginning in the record.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -121,12 +121,12 @@
 	callers, peers, operators *http.Server
 }
 
-func newServers(s conf.Settings, n *node.Node, bus *peers.Transport, record *events.Log, log logr.Logger,
+func newServers(s conf.Settings, n *node.Node, bus *peers.Transport, log logr.Logger,
 	lc fx.Lifecycle,
 ) (*servers, error) {
 	caller := front.NewCaller(front.Options{
 		Host: s.Host.Name, MaxBody: int64(s.Limits.MaxBody),
-	}, n.Config(), n, n.Drain(), n.Burn(), n.Run, record, log.WithName("front"))
+	}, n.Config(), n, n.Drain(), n.Burn(), n.Run, log.WithName("front"))
 	operator := front.NewOperator(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	out := &servers{
 		callers:   newServer(s, caller.Router()),
--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -20,7 +20,6 @@
 	"chivepost/entry/internal/invar"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
-	"chivepost/share/events"
 )
 
 // Config gives the configuration in force; nil before there is one.
@@ -43,11 +42,6 @@
 	Add(pipeline, account string, good bool)
 }
 
-// Recorder takes events for an independent checker.
-type Recorder interface {
-	Add(e events.Event)
-}
-
 // Options bounds what callers may send.
 type Options struct {
 	Host    string
@@ -62,7 +56,6 @@
 	leaver Leaver
 	burner Burner
 	handle chain.Next
-	record Recorder
 	log    logr.Logger
 	runs   runIDs
 	counts *counts
@@ -70,14 +63,14 @@
 
 // NewCaller returns the handler for callers. handle runs a request.
 func NewCaller(opts Options, config Config, naming Naming, leaver Leaver, burner Burner, handle chain.Next,
-	record Recorder, log logr.Logger,
+	log logr.Logger,
 ) *Caller {
 	if opts.MaxBody == 0 {
 		opts.MaxBody = 1 << 20
 	}
 	return &Caller{
 		opts: opts, config: config, naming: naming, leaver: leaver, burner: burner, handle: handle,
-		record: record, log: log, runs: newRunIDs(opts.Host), counts: newCounts(),
+		log: log, runs: newRunIDs(opts.Host), counts: newCounts(),
 	}
 }
 
@@ -188,10 +181,6 @@
 	default:
 		c.burner.Add(req.Pipeline.Name(), req.Account.Name, out.Kind == apiv1.Answered && !late)
 	}
-	c.record.Add(events.Event{
-		Kind: events.Ended, Host: c.opts.Host, Account: req.Account.Name, Request: req.Body.ID, Run: req.Run,
-		Outcome: string(out.Kind), Detail: out.Problem.Detail,
-	})
 }
 
 // stream answers with server-sent events. The status is 200 as soon as the first
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -79,7 +79,12 @@
 	return ok
 }
 
-// recordFilter records each request that this host has taken.
+// Recorder takes events for an independent checker.
+type Recorder interface {
+	Add(e events.Event)
+}
+
+// recordFilter records each request that this host has taken, and its outcome.
 type recordFilter struct {
 	host, dataCentre string
 	record           Recorder
@@ -93,13 +98,18 @@
 // Name returns the filter's name.
 func (f *recordFilter) Name() string { return "record" }
 
-// Handle records req and passes it on.
+// Handle records req, passes it on and records its outcome.
 func (f *recordFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
 	f.record.Add(events.Event{
 		Kind: events.Accepted, Host: f.host, DataCentre: f.dataCentre, Account: req.Account.Name,
 		Request: req.Body.ID, Run: req.Run, Version: req.Version,
 	})
-	return next(ctx, req)
+	out := next(ctx, req)
+	f.record.Add(events.Event{
+		Kind: events.Ended, Host: f.host, Account: req.Account.Name, Request: req.Body.ID, Run: req.Run,
+		Outcome: string(out.Kind), Detail: out.Problem.Detail,
+	})
+	return out
 }
 
 func (f *readyFilter) elsewhere(req *chain.Request, problem, detail string) chain.Outcome {
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -92,7 +92,7 @@
 		f.accepted++
 		return f.answer(req)
 	})
-	return front.NewCaller(front.Options{Host: "h", MaxBody: 200}, f, f, f, burner{f}, run, f, logr.Discard()).Router()
+	return front.NewCaller(front.Options{Host: "h", MaxBody: 200}, f, f, f, burner{f}, run, logr.Discard()).Router()
 }
 
 func (f *fake) post(path, secret, body string) *httptest.ResponseRecorder {
