--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -126,7 +126,7 @@
 ) (*servers, error) {
 	caller := front.NewCaller(front.Options{
 		Host: s.Host.Name, MaxBody: int64(s.Limits.MaxBody),
-	}, n.Config(), n, n.Drain(), n.Burn(), n.Run, log.WithName("front"))
+	}, n.Config(), n, n.Drain(), n.Burn(), n.Run)
 	operator := front.NewOperator(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	out := &servers{
 		callers:   newServer(s, caller.Router()),
--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -13,7 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/gorilla/mux"
 
 	"chivepost/entry/internal/chain"
@@ -56,21 +55,18 @@
 	leaver Leaver
 	burner Burner
 	handle chain.Next
-	log    logr.Logger
 	runs   runIDs
 	counts *counts
 }
 
 // NewCaller returns the handler for callers. handle runs a request.
-func NewCaller(opts Options, config Config, naming Naming, leaver Leaver, burner Burner, handle chain.Next,
-	log logr.Logger,
-) *Caller {
+func NewCaller(opts Options, config Config, naming Naming, leaver Leaver, burner Burner, handle chain.Next) *Caller {
 	if opts.MaxBody == 0 {
 		opts.MaxBody = 1 << 20
 	}
 	return &Caller{
 		opts: opts, config: config, naming: naming, leaver: leaver, burner: burner, handle: handle,
-		log: log, runs: newRunIDs(opts.Host), counts: newCounts(),
+		runs: newRunIDs(opts.Host), counts: newCounts(),
 	}
 }
 
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -17,7 +17,6 @@
 	"chivepost/share/events"
 	"chivepost/share/units"
 
-	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -92,7 +91,7 @@
 		f.accepted++
 		return f.answer(req)
 	})
-	return front.NewCaller(front.Options{Host: "h", MaxBody: 200}, f, f, f, burner{f}, run, logr.Discard()).Router()
+	return front.NewCaller(front.Options{Host: "h", MaxBody: 200}, f, f, f, burner{f}, run).Router()
 }
 
 func (f *fake) post(path, secret, body string) *httptest.ResponseRecorder {
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -140,16 +140,7 @@
 	n.queue = queue.New(queue.Options{
 		DataCentre: s.Host.DataCentre, Region: s.Host.Region, MaxPool: s.Limits.MaxQueue, Plain: plain,
 	}, holdSlots{n.slots}, policy, log.WithName("queue"))
-	budgets := retry.New(retry.Options{
-		P95: func(pool string) (time.Duration, bool) {
-			q := n.estimator.Service(pool)
-			return q.P95, q.Count > 0
-		},
-		Repeatable: func(pool string) bool {
-			p, ok := n.current().Pool(pool)
-			return ok && p.Repeat
-		},
-	})
+	budgets := retry.New(retry.Options{})
 	attempts := stage.New(s.Host.Name, n.queue, n.deps.Targets, n.estimator, budgets, n.deps.Record)
 	runner := pipe.New(attempts, n.estimator, n.claims, budgets)
 	filters := []chain.Filter{
--- a/entry/internal/node/world_test.go
+++ b/entry/internal/node/world_test.go
@@ -197,7 +197,7 @@
 	}
 	p.node = n
 	p.router = front.NewCaller(front.Options{Host: self.Name},
-		n.Config(), n, n.Drain(), n.Burn(), n.Run, logr.Discard()).Router()
+		n.Config(), n, n.Drain(), n.Burn(), n.Run).Router()
 	p.admin = front.NewOperator(self.Name, n.Publisher(), n, 1<<20).Router()
 	w.mu.Lock()
 	w.procs[self.Name] = p
--- a/entry/internal/retry/retry.go
+++ b/entry/internal/retry/retry.go
@@ -9,8 +9,8 @@
 
 // Options sets the budgets. The zero value selects the defaults.
 type Options struct {
-	// Ratio is the part of a target's calls in the window that may be retries and
-	// hedges (default 0.1).
+	// Ratio is the part of a target's calls in the window that may be retries
+	// (default 0.1).
 	Ratio float64
 	// Floor is the number that is allowed per target and window even below the
 	// ratio (default 1); without it a target with little traffic allows none.
@@ -20,11 +20,6 @@
 	// PerStage and PerRequest bound one request (defaults 1 and 2).
 	PerStage   int
 	PerRequest int
-	// P95 returns the P95 of the service time of a pool, and whether it is known.
-	// Without it nothing is hedged.
-	P95 func(pool string) (time.Duration, bool)
-	// Repeatable reports whether calls of the pool may be repeated.
-	Repeatable func(pool string) bool
 }
 
 // Budgets holds the budgets of all targets. It is safe for concurrent use.
@@ -66,16 +61,6 @@
 	b.window(target).add(b.slice(), 1, 0)
 }
 
-// HedgeAfter returns how long to wait for an answer of the pool before a second
-// call is made. It returns false when calls of the pool may not be repeated or
-// the P95 is not known. The second call is subject to Allow.
-func (b *Budgets) HedgeAfter(pool string) (time.Duration, bool) {
-	if b.opts.P95 == nil || b.opts.Repeatable == nil || !b.opts.Repeatable(pool) {
-		return 0, false
-	}
-	return b.opts.P95(pool)
-}
-
 func (b *Budgets) window(target string) *window {
 	w := b.targets[target]
 	if w == nil {
--- a/entry/internal/retry/retry_test.go
+++ b/entry/internal/retry/retry_test.go
@@ -57,22 +57,4 @@
 		Expect(r.Allow("t2", "b")).To(BeTrue())
 		Expect(r.Allow("t3", "c")).To(BeFalse())
 	})
-
-	// Guards against a second call where the first one may not be repeated.
-	DescribeTable("hedge only repeatable calls with a known P95",
-		func(repeatable, known, want bool) {
-			b := retry.New(retry.Options{
-				P95:        func(string) (time.Duration, bool) { return time.Second, known },
-				Repeatable: func(string) bool { return repeatable },
-			})
-			after, ok := b.HedgeAfter("p")
-			Expect(ok).To(Equal(want))
-			if want {
-				Expect(after).To(Equal(time.Second))
-			}
-		},
-		Entry("repeatable", true, true, true),
-		Entry("at most once", false, true, false),
-		Entry("without observations", true, false, false),
-	)
 })
