Transfer the host list only when it has changed

Cause: capacity reckoning: read whole twice a second, the list of 370 hosts and 1,300 engines takes 478 KB/s of a node's 541. Change: entity tags of HTTP in the client and the stand-in; specs of both cases.

--- a/share/hosts/hosts.go
+++ b/share/hosts/hosts.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sync"
 )
 
 // Role says what runs on a host.
@@ -48,11 +49,16 @@
 // HeaderDataCentre names the data centre of the calling host.
 const HeaderDataCentre = "X-Data-Centre"
 
-// Client reads the host list over HTTP.
+// Client reads the host list over HTTP. It is safe for concurrent use.
 type Client struct {
 	base       string
 	http       *http.Client
 	dataCentre string
+
+	mu sync.Mutex
+	// last is the last reading and etag its entity tag, empty without one.
+	last List
+	etag string
 }
 
 // Option changes a Client in New.
@@ -70,18 +76,27 @@
 	return c
 }
 
-// Hosts reads the list once.
+// Hosts reads the list once. The list is transferred only if it has changed since
+// the last reading: read whole twice a second, that of 370 entry hosts and 1,300
+// engines takes 478 KB/s. The caller must not change the slice.
 func (c *Client) Hosts(ctx context.Context) (List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/hosts", http.NoBody)
 	if err != nil {
 		return List{}, fmt.Errorf("build host list request: %w", err)
 	}
 	req.Header.Set(HeaderDataCentre, c.dataCentre)
+	last, etag := c.cached()
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return List{}, fmt.Errorf("read host list: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified && etag != "" {
+		return last, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return List{}, fmt.Errorf("read host list: status %d", resp.StatusCode)
 	}
@@ -89,5 +104,14 @@
 	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
 		return List{}, fmt.Errorf("decode host list: %w", err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last, c.etag = list, resp.Header.Get("ETag")
 	return list, nil
 }
+
+func (c *Client) cached() (List, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last, c.etag
+}
--- /dev/null
+++ b/share/hosts/hosts_test.go
@@ -0,0 +1,53 @@
+package hosts_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"chivepost/share/hosts"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestHosts(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hosts")
+}
+
+// Guards against a list that is transferred at each reading, and against an old one
+// that is kept after a change.
+var _ = It("transfers the list only when it has changed", func() {
+	version, sent := 1, 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		etag := fmt.Sprintf(`"%d"`, version)
+		w.Header().Set("ETag", etag)
+		if r.Header.Get("If-None-Match") == etag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		sent++
+		_, _ = fmt.Fprintf(w, `{"version":%d,"hosts":[{"name":"a"}]}`, version)
+	}))
+	defer server.Close()
+	c := hosts.New(server.URL, server.Client())
+	for _, want := range []int{1, 1, 2} {
+		version = want
+		list, err := c.Hosts(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(list.Version).To(Equal(int64(want)))
+		Expect(list.Hosts).To(HaveLen(1))
+	}
+	Expect(sent).To(Equal(2))
+})
+
+// Guards against an empty list from a service that is down.
+var _ = It("reports a service that does not answer with a list", func() {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	_, err := hosts.New(server.URL, server.Client()).Hosts(context.Background())
+	Expect(err).To(MatchError("read host list: status 404"))
+})
--- a/stand/internal/hostd/hostd.go
+++ b/stand/internal/hostd/hostd.go
@@ -3,9 +3,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -86,7 +88,14 @@
 		return
 	}
 	time.Sleep(faults.Delay.Std())
-	serve.WriteJSON(w, http.StatusOK, s.visible(time.Now()))
+	list := s.visible(time.Now())
+	etag := fmt.Sprintf("%q", strconv.FormatInt(list.Version, 10))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	serve.WriteJSON(w, http.StatusOK, list)
 }
 
 // visible returns the newest list that a reader may see now.
