Scale the start-up period with the cycle of heartbeats

Cause: capacity review: with 370 hosts a cycle takes 46 s, so a host that has started suspected 285 of 369 peers after 10.5 s and asked none of them for slots.

--- a/entry/internal/member/member.go
+++ b/entry/internal/member/member.go
@@ -91,7 +91,7 @@
 		d.Entries = append(d.Entries, h.Name)
 	}
 	for name, p := range c.peers {
-		if p.isSuspected(now, c.opts.StartUp) {
+		if p.isSuspected(now, c.startUp()) {
 			d.Suspected = append(d.Suspected, name)
 		}
 	}
--- a/entry/internal/member/query.go
+++ b/entry/internal/member/query.go
@@ -78,7 +78,7 @@
 	now := time.Now()
 	c.refresh(now)
 	h, ok := c.candidates.winner(key, dataCentre, region)
-	if p := c.peers[h.Name]; p != nil && p.isSuspected(now, c.opts.StartUp) {
+	if p := c.peers[h.Name]; p != nil && p.isSuspected(now, c.startUp()) {
 		return h, false
 	}
 	return h, ok
--- a/entry/internal/member/restart_test.go
+++ b/entry/internal/member/restart_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"time"
 
 	"chivepost/entry/internal/member"
@@ -32,3 +33,25 @@
 		Expect(isAsked()).To(BeFalse(), "a late heartbeat of the earlier one does not count")
 	})
 })
+
+// Guards against a host that suspects most of a large fleet soon after its start,
+// because a cycle of heartbeats takes longer than the start-up period.
+var _ = It("suspects no unheard host before two cycles of heartbeats", func() {
+	var names []string
+	for i := range 120 {
+		names = append(names, fmt.Sprintf("h%03d", i))
+	}
+	inWorld(names[:1], func(w *world) {
+		w.change(func(l *hosts.List) {
+			for _, name := range names[1:] {
+				l.Hosts = append(l.Hosts, entry(name, "mbour", "north"))
+			}
+		})
+		time.Sleep(15 * time.Second)
+		_, ok := w.nodes["h000"].Home("1", "mbour", "north")
+		Expect(ok).To(BeTrue(), "a cycle over 119 peers takes longer")
+		time.Sleep(2 * time.Minute)
+		_, ok = w.nodes["h000"].Home("1", "mbour", "north")
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/entry/internal/member/rounds.go
+++ b/entry/internal/member/rounds.go
@@ -117,6 +117,10 @@
 	}
 }
 
+// startUp returns how long a peer may stay unheard before it is suspected. With many
+// hosts a cycle of heartbeats takes longer than the option: 46 s at 370.
+func (c *Controller) startUp() time.Duration { return max(c.opts.StartUp, 2*c.interval()) }
+
 func (c *Controller) beatLoop(ctx context.Context) {
 	// The first round waits for the host list, which names the peers.
 	timer := time.NewTimer(c.opts.BeatEvery / 10)
