--- a/entry/internal/claims/claims_suite_test.go
+++ b/entry/internal/claims/claims_suite_test.go
@@ -11,7 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"chivepost/entry/internal/claims"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -38,7 +38,7 @@
 	return func() {
 		synctest.Test(suite, func(*testing.T) {
 			defer GinkgoRecover()
-			w := &world{log: logfk.New()}
+			w := &world{log: memlog.New()}
 			defer w.close()
 			body(w, w.start(claims.Options{Host: "a"}), w.start(claims.Options{Host: "b"}))
 		})
@@ -46,9 +46,9 @@
 }
 
 type world struct {
-	log   *logfk.Service
+	log   *memlog.Service
 	nodes []*claims.Controller
-	links []*logfk.Handle
+	links []*memlog.Handle
 }
 
 func (w *world) close() {
--- a/entry/internal/claims/claims_test.go
+++ b/entry/internal/claims/claims_test.go
@@ -10,7 +10,7 @@
 
 	"chivepost/entry/internal/claims"
 	"chivepost/entry/internal/invar"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/logsvc"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -174,7 +174,7 @@
 	It("has its done record written again when a read to the end does not show it", virtual(func(w *world, a, b *claims.Controller) {
 		req, ticket := grant(a)
 		Expect(ticket.Confirm()).To(Succeed())
-		w.log.Inject(logfk.LoseAppend)
+		w.log.Inject(memlog.LoseAppend)
 		ctx, cancel := context.WithTimeout(bg, 5*time.Second)
 		defer cancel()
 		Expect(ticket.Finish(ctx, "booked")).To(Succeed())
@@ -201,7 +201,7 @@
 
 	// Guards against writing a claim twice because the answer to the append was lost.
 	It("a lost answer is settled by reading the claim back", virtual(func(w *world, a, _ *claims.Controller) {
-		w.log.Inject(logfk.LoseAnswer)
+		w.log.Inject(memlog.LoseAnswer)
 		Expect(acquire(a, request(id(a, random))).Kind).To(Equal(claims.Granted))
 		Expect(w.log.Records(stream)).To(HaveLen(1))
 	}))
@@ -209,7 +209,7 @@
 	// Guards against acting on a claim whose caller has been told that nothing was run.
 	It("a claim that lands after the refusal is never granted and is released", virtual(func(w *world, a, b *claims.Controller) {
 		req := request(id(a, random))
-		w.log.Inject(logfk.LandLate)
+		w.log.Inject(memlog.LandLate)
 		d := acquire(a, req)
 		Expect([]any{d.Kind, d.Ticket}).To(Equal([]any{claims.LogDown, (*claims.Ticket)(nil)}))
 		time.Sleep(3 * time.Second)
--- a/entry/internal/claims/random_test.go
+++ b/entry/internal/claims/random_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"chivepost/entry/internal/claims"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 
 	. "github.com/onsi/ginkgo/v2"
 )
@@ -35,7 +35,7 @@
 
 func newRun(t *rapid.T) *run {
 	r := &run{
-		world: &world{log: logfk.New()}, t: t, sends: map[string]int{}, notRun: map[string]bool{},
+		world: &world{log: memlog.New()}, t: t, sends: map[string]int{}, notRun: map[string]bool{},
 		kinds: map[claims.Kind]int{},
 	}
 	for i := range randomNodes {
@@ -103,7 +103,7 @@
 	case "pause":
 		r.links[node].SetPaused(rarely(t))
 	case "fault":
-		r.log.Inject(rapid.SampledFrom([]logfk.Fault{logfk.LoseAnswer, logfk.LoseAppend, logfk.LandLate}).Draw(t, "fault"))
+		r.log.Inject(rapid.SampledFrom([]memlog.Fault{memlog.LoseAnswer, memlog.LoseAppend, memlog.LandLate}).Draw(t, "fault"))
 	case "restart":
 		r.nodes[node].Close()
 		r.nodes[node] = claims.New(r.options(node, uint64(i+2)), r.links[node], logr.Discard())
--- a/entry/internal/config/config_suite_test.go
+++ b/entry/internal/config/config_suite_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/go-logr/logr"
 
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/bundle"
 	"chivepost/share/logsvc"
 
@@ -58,7 +58,7 @@
 
 // world is a log service and nodes that hear each other's heartbeats.
 type world struct {
-	log  *logfk.Service
+	log  *memlog.Service
 	opts Options
 	quit chan struct{}
 
@@ -71,14 +71,14 @@
 type node struct {
 	*Controller
 	w    *world
-	link *logfk.Handle
+	link *memlog.Handle
 	// deaf is set while no heartbeat arrives, noPull while pulls fail.
 	deaf, noPull atomic.Bool
 	heard        map[string]time.Time
 }
 
 func newWorld(n int, opts Options) *world {
-	w := &world{log: logfk.New(), opts: opts, quit: make(chan struct{})}
+	w := &world{log: memlog.New(), opts: opts, quit: make(chan struct{})}
 	for range n {
 		w.start()
 	}
--- a/entry/internal/config/config_test.go
+++ b/entry/internal/config/config_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"chivepost/entry/internal/invar"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/bundle"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,7 +54,7 @@
 
 	// Guards against an answer that is lost: the change must be found by its id, never
 	// written again, and never be reported as not written while it may yet land.
-	DescribeTable("with a lost answer is settled by reading", func(fault logfk.Fault, want, later PublishKind) {
+	DescribeTable("with a lost answer is settled by reading", func(fault memlog.Fault, want, later PublishKind) {
 		virtual(func(w *world, a, _, _ *node) {
 			w.log.Late = 3 * time.Second
 			w.log.Inject(fault)
@@ -64,9 +64,9 @@
 			Expect(w.log.Records(stream)).To(HaveLen(1))
 		})()
 	},
-		Entry("after the append", logfk.LoseAnswer, Accepted, Accepted),
-		Entry("without the append", logfk.LoseAppend, Unknown, Accepted),
-		Entry("before a late append", logfk.LandLate, Unknown, Accepted),
+		Entry("after the append", memlog.LoseAnswer, Accepted, Accepted),
+		Entry("without the append", memlog.LoseAppend, Unknown, Accepted),
+		Entry("before a late append", memlog.LandLate, Unknown, Accepted),
 	)
 
 	It("is refused as not written in an outage", virtual(func(w *world, a, b, _ *node) {
--- a/entry/internal/config/random_test.go
+++ b/entry/internal/config/random_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 
 	. "github.com/onsi/ginkgo/v2"
 )
@@ -85,7 +85,7 @@
 	case "no pull":
 		n.noPull.Store(rarely(t))
 	case "fault":
-		r.log.Inject(rapid.SampledFrom([]logfk.Fault{logfk.LoseAnswer, logfk.LoseAppend, logfk.LandLate}).Draw(t, "fault"))
+		r.log.Inject(rapid.SampledFrom([]memlog.Fault{memlog.LoseAnswer, memlog.LoseAppend, memlog.LandLate}).Draw(t, "fault"))
 	case "restart":
 		n.restart(node)
 		r.last[node] = 0
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -11,14 +11,14 @@
 	"chivepost/share/events"
 )
 
-// Doorkeeper says whether this host takes new requests. Enter counts one in.
-type Doorkeeper interface {
+// Tracker says whether this host takes new requests. Enter counts one in.
+type Tracker interface {
 	Enter() (leave func(), ok bool)
 }
 
-// Server says whether new work may be taken under the configuration in force; the
+// Readiness says whether new work may be taken under the configuration in force; the
 // error says why not.
-type Server interface {
+type Readiness interface {
 	MayServe() error
 }
 
@@ -31,15 +31,15 @@
 // readyFilter refuses requests while the host must not take new work, and names
 // other hosts. It stands first, so that what it refuses has not been run.
 type readyFilter struct {
-	door   Doorkeeper
-	serve  Server
-	config Config
-	dir    Directory
+	tracker Tracker
+	ready   Readiness
+	config  Config
+	dir     Directory
 }
 
 // NewReady returns the filter that refuses work this host must not take.
-func NewReady(door Doorkeeper, serve Server, config Config, dir Directory) chain.Filter {
-	return &readyFilter{door: door, serve: serve, config: config, dir: dir}
+func NewReady(tracker Tracker, ready Readiness, config Config, dir Directory) chain.Filter {
+	return &readyFilter{tracker: tracker, ready: ready, config: config, dir: dir}
 }
 
 // Name returns the filter's name.
@@ -47,12 +47,12 @@
 
 // Handle passes req on if the host takes new work.
 func (f *readyFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
-	leave, ok := f.door.Enter()
+	leave, ok := f.tracker.Enter()
 	if !ok {
 		return f.elsewhere(req, apiv1.ProblemUnready, "the host is starting or shutting down")
 	}
 	defer leave()
-	if err := f.serve.MayServe(); err != nil {
+	if err := f.ready.MayServe(); err != nil {
 		return f.elsewhere(req, apiv1.ProblemUnready, err.Error())
 	}
 	if f.dir.IsOut() {
--- a/entry/internal/logfk/testlog.go
+++ b/entry/internal/memlog/testlog.go
@@ -1,6 +1,6 @@
-// Package logfk is an in-memory log service with faults for tests. Only tests import
+// Package memlog is an in-memory log service with faults for tests. Only tests import
 // it; it lives outside test files because the tests of several packages share it.
-package logfk
+package memlog
 
 import (
 	"context"
--- a/entry/internal/node/history_test.go
+++ b/entry/internal/node/history_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/events"
@@ -106,9 +106,9 @@
 			return fmt.Sprintf("log slow by %s", d), func() { w.logDelay.Store(0) }
 		},
 		func(w *world, h *history) (string, func()) {
-			var faults []logfk.Fault
+			var faults []memlog.Fault
 			for range 5 + h.rng.IntN(20) {
-				faults = append(faults, logfk.Fault(h.rng.IntN(4)))
+				faults = append(faults, memlog.Fault(h.rng.IntN(4)))
 			}
 			w.log.Inject(faults...)
 			return "log loses answers", func() {}
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -47,9 +47,6 @@
 	Hosts(ctx context.Context) (hosts.List, error)
 }
 
-// Handler answers a message of a peer.
-type Handler func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)
-
 // Bus carries messages between entry hosts.
 type Bus interface {
 	Call(ctx context.Context, to hosts.Host, kind string, body, reply any) error
--- a/entry/internal/node/overhead_bench_test.go
+++ b/entry/internal/node/overhead_bench_test.go
@@ -17,7 +17,7 @@
 
 	"chivepost/entry/internal/conf"
 	"chivepost/entry/internal/front"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/events"
@@ -68,7 +68,7 @@
 			},
 			Limits: conf.Limits{MaxQueue: 100}, Routing: conf.Routing{Policy: "chivepost", Admission: true},
 		},
-		Incarnation: 1, Log: logfk.New().Handle(), List: fixedList{hosts.List{Version: 1, Hosts: []hosts.Host{self}}},
+		Incarnation: 1, Log: memlog.New().Handle(), List: fixedList{hosts.List{Version: 1, Hosts: []hosts.Host{self}}},
 		Bus: net.join(self, 1, newGate()), Targets: calls, Record: events.New(io.Discard), Logger: logr.Discard(),
 	})
 	if err != nil {
--- a/entry/internal/node/world_test.go
+++ b/entry/internal/node/world_test.go
@@ -16,7 +16,7 @@
 
 	"chivepost/entry/internal/conf"
 	"chivepost/entry/internal/front"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/events"
@@ -31,7 +31,7 @@
 type world struct {
 	cuts    *cuts
 	net     *network
-	log     *logfk.Service
+	log     *memlog.Service
 	list    *hostList
 	targets map[string]*fakeTarget
 	byName  map[string]*fakeTarget
@@ -53,7 +53,7 @@
 	self   hosts.Host
 	gate   *gate
 	node   *Node
-	log    *logfk.Handle
+	log    *memlog.Handle
 	router http.Handler
 	admin  http.Handler
 	ctx    context.Context
@@ -83,7 +83,7 @@
 
 func newWorld(hostsPerDC int) *world {
 	w := &world{
-		cuts: &cuts{}, log: logfk.New(), list: &hostList{},
+		cuts: &cuts{}, log: memlog.New(), list: &hostList{},
 		targets: map[string]*fakeTarget{}, byName: map[string]*fakeTarget{}, procs: map[string]*proc{},
 	}
 	w.net = &network{cuts: w.cuts, bus: map[string]*bus{}}
@@ -207,7 +207,7 @@
 
 // gatedLog is a host's access to the log, which a pause holds back.
 type gatedLog struct {
-	*logfk.Handle
+	*memlog.Handle
 	gate  *gate
 	delay *atomic.Int64
 }
--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -10,7 +10,7 @@
 
 	"chivepost/entry/internal/chain"
 	"chivepost/entry/internal/claims"
-	"chivepost/entry/internal/logfk"
+	"chivepost/entry/internal/memlog"
 	"chivepost/entry/internal/pipe"
 	"chivepost/entry/internal/retry"
 	"chivepost/entry/internal/stage"
@@ -83,10 +83,10 @@
 }
 
 // inWorld runs f in virtual time with a claims controller on a log without faults.
-func inWorld(f func(log *logfk.Service, c *claims.Controller)) {
+func inWorld(f func(log *memlog.Service, c *claims.Controller)) {
 	synctest.Test(suite, func(*testing.T) {
 		defer GinkgoRecover()
-		log := logfk.New()
+		log := memlog.New()
 		c := claims.New(claims.Options{Host: "h", Incarnation: 1}, log.Handle(), logr.Discard())
 		defer time.Sleep(10 * time.Second)
 		defer c.Close()
@@ -105,7 +105,7 @@
 // Guards against an outcome that says less, or more, than what may have been run.
 var _ = DescribeTable("tells what may have been run",
 	func(script map[string][]stage.Result, outcome apiv1.Outcome, made ...string) {
-		inWorld(func(_ *logfk.Service, c *claims.Controller) {
+		inWorld(func(_ *memlog.Service, c *claims.Controller) {
 			a := &attempts{script: script}
 			Expect(run(a, c, id).Kind).To(Equal(outcome))
 			Expect(a.made).To(Equal(made))
@@ -126,7 +126,7 @@
 // Guards against a busy loop of attempts at targets that refuse at once, as seen in a
 // soak run: 33 calls to one engine within 300 ms.
 var _ = It("pauses between attempts that reach no target", func() {
-	inWorld(func(_ *logfk.Service, c *claims.Controller) {
+	inWorld(func(_ *memlog.Service, c *claims.Controller) {
 		var refusals []stage.Result
 		for range 1000 {
 			refusals = append(refusals, notSent())
@@ -140,7 +140,7 @@
 // Guards against a second run of a call that may not be repeated.
 var _ = Describe("a repeat of a request", func() {
 	It("gets the recorded result", func() {
-		inWorld(func(_ *logfk.Service, c *claims.Controller) {
+		inWorld(func(_ *memlog.Service, c *claims.Controller) {
 			first := run(&attempts{}, c, id)
 			time.Sleep(time.Second)
 			again := &attempts{}
@@ -150,7 +150,7 @@
 	})
 
 	It("is unknown after a lost answer", func() {
-		inWorld(func(_ *logfk.Service, c *claims.Controller) {
+		inWorld(func(_ *memlog.Service, c *claims.Controller) {
 			run(&attempts{script: map[string][]stage.Result{"book": {maybe()}}}, c, id)
 			time.Sleep(time.Second)
 			again := &attempts{}
@@ -163,7 +163,7 @@
 
 	// Guards also against a claim that stays open when its call certainly reached no target.
 	It("is told that the id was released when no connection was had", func() {
-		inWorld(func(_ *logfk.Service, c *claims.Controller) {
+		inWorld(func(_ *memlog.Service, c *claims.Controller) {
 			run(&attempts{script: map[string][]stage.Result{"book": {notSent()}}}, c, id)
 			time.Sleep(time.Second)
 			out := run(&attempts{}, c, id)
@@ -175,7 +175,7 @@
 
 // Guards against a call that is sent though nobody could know of its claim.
 var _ = It("does not call the service while the log is down", func() {
-	inWorld(func(log *logfk.Service, c *claims.Controller) {
+	inWorld(func(log *memlog.Service, c *claims.Controller) {
 		log.SetDown(true)
 		a := &attempts{}
 		out := run(a, c, id)
--- a/entry/internal/slots/controller.go
+++ b/entry/internal/slots/controller.go
@@ -14,7 +14,7 @@
 	"chivepost/share/target"
 )
 
-// tickEvery is the time between two looks at reigns, expiry and limits.
+// tickEvery is the time between two looks at terms, expiry and limits.
 const tickEvery = 100 * time.Millisecond
 
 // sendTries is how often a revocation or handover is sent before the waits of
--- a/entry/internal/slots/home.go
+++ b/entry/internal/slots/home.go
@@ -45,7 +45,7 @@
 	// credit is for how long the home before had been home, told by its handover.
 	credit time.Duration
 	fence  uint64
-	owned  bool // whether fence is of this reign
+	owned  bool // whether fence is of this term
 	uses   map[holderID]use
 	total  int  // sum of uses counted
 	out    bool // whether the revocation for isOut was sent
@@ -57,9 +57,9 @@
 	*group
 	holders map[holderID]*holderRecord
 	pending *pendingHandover
-	// reign is whether this host is home, won when it became so, last when it was
+	// home is whether this host is home, won when it became so, last when it was
 	// last seen to be.
-	reign     bool
+	home      bool
 	won, last time.Time
 }
 
@@ -162,7 +162,7 @@
 	now := time.Now()
 	h.sync(l, now)
 	g := h.groups[a.Group]
-	if g == nil || !h.reigns(g, now) {
+	if g == nil || !h.isHome(g, now) {
 		return Give{Seq: a.Seq, Refused: RefusedNotHome}
 	}
 	if h.leaving {
@@ -264,7 +264,7 @@
 // waited returns for how long this host, and the home that handed over to it,
 // have been home of t without a break.
 func (h *home) waited(t *homeTarget, now time.Time) time.Duration {
-	if !t.group.reign {
+	if !t.group.home {
 		return 0
 	}
 	return min(now.Sub(t.group.won), now.Sub(t.since)) + t.credit
--- a/entry/internal/slots/status.go
+++ b/entry/internal/slots/status.go
@@ -130,7 +130,7 @@
 	now := time.Now()
 	for i := range all {
 		t := h.targets[all[i].Name]
-		if t == nil || !t.group.reign {
+		if t == nil || !t.group.home {
 			continue
 		}
 		s := &all[i]
--- a/entry/internal/slots/reign.go
+++ b/entry/internal/slots/term.go
@@ -20,24 +20,24 @@
 	at       time.Time
 }
 
-// reigns brings the group's reign up to date and reports whether this host is
+// isHome brings the group's term up to date and reports whether this host is
 // home. A group lost to another host, as seen in a fresh view, is handed over.
-func (h *home) reigns(g *homeGroup, now time.Time) bool {
+func (h *home) isHome(g *homeGroup, now time.Time) bool {
 	before := time.Now()
 	won, ok := h.members.WonSince(g.key, g.dataCentre, g.region)
 	if !ok {
-		if g.reign {
-			h.endReign(g)
+		if g.home {
+			h.endTerm(g)
 		}
 		return false
 	}
 	// The start lies between before-won and now-won. Only if all of that is later
-	// than the start known is it another reign, with perhaps another host between.
-	if g.reign && !before.Add(-won).After(g.won) {
+	// than the start known is it another term, with perhaps another host between.
+	if g.home && !before.Add(-won).After(g.won) {
 		g.last = before
 		return true
 	}
-	g.reign, g.won, g.last = true, time.Now().Add(-won), before
+	g.home, g.won, g.last = true, time.Now().Add(-won), before
 	clear(g.holders)
 	for _, doc := range g.targets {
 		t := h.targets[doc.Name]
@@ -51,12 +51,12 @@
 	return true
 }
 
-func (h *home) endReign(g *homeGroup) {
+func (h *home) endTerm(g *homeGroup) {
 	if to, ok := h.members.Home(g.key, g.dataCentre, g.region); ok && to.Name != h.opts.Host && h.members.IsFresh() {
 		handoversCount.Add(1)
 		h.moves = append(h.moves, move{to: to, handover: h.handoverOf(g)})
 	}
-	g.reign = false
+	g.home = false
 }
 
 func (h *home) handoverOf(g *homeGroup) Handover {
@@ -90,7 +90,7 @@
 	if g == nil || !h.members.IsFresh() {
 		return
 	}
-	if !h.reigns(g, now) {
+	if !h.isHome(g, now) {
 		g.pending = &pendingHandover{handover: ho, at: now}
 		return
 	}
@@ -141,7 +141,7 @@
 	}
 }
 
-// tick keeps reigns, expiry and signs up to date without asks. It returns the
+// tick keeps terms, expiry and signs up to date without asks. It returns the
 // targets to poll for load.
 func (h *home) tick(l *layout) []*homeTarget {
 	h.mu.Lock()
@@ -151,7 +151,7 @@
 	h.sweep(now)
 	var due []*homeTarget
 	for _, g := range h.groups {
-		if !h.reigns(g, now) {
+		if !h.isHome(g, now) {
 			continue
 		}
 		for _, doc := range g.targets {
@@ -168,14 +168,14 @@
 	return due
 }
 
-// leave ends all reigns; nothing is granted any more.
+// leave ends all terms; nothing is granted any more.
 func (h *home) leave() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leaving = true
 	for _, g := range h.groups {
-		if g.reign {
-			h.endReign(g)
+		if g.home {
+			h.endTerm(g)
 		}
 	}
 }
@@ -197,7 +197,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t.busy = false
-	if err != nil || !t.group.reign {
+	if err != nil || !t.group.home {
 		return
 	}
 	load.AsOf += units.Duration(took)
