--- a/entry/internal/node/fakes_test.go
+++ b/entry/internal/node/fakes_test.go
@@ -5,15 +5,15 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"chivepost/entry/internal/memlog"
+	"chivepost/share/logsvc"
+
 	"github.com/fxamacker/cbor/v2"
 
-	"chivepost/share/bundle"
-	"chivepost/share/events"
 	"chivepost/share/hosts"
-	"chivepost/share/target"
-	"chivepost/share/units"
 )
 
 // gate holds back everything that crosses the border of a paused process, and
@@ -248,142 +248,29 @@
 	return found, nil
 }
 
-// fakeTarget is one target of the world.
-type fakeTarget struct {
-	doc     bundle.TargetDoc
-	pool    bundle.PoolDoc
-	service time.Duration
-
-	mu      sync.Mutex
-	state   target.State
-	boot    int
-	running int
-	reports []report
-}
-
-type report struct {
-	at   time.Time
-	load target.Load
-}
-
-// reportLag is how old a load report is.
-const reportLag = 500 * time.Millisecond
-
-func (t *fakeTarget) set(state target.State, restart bool, record *events.Log) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if restart {
-		t.boot++
-	}
-	t.state = state
-	t.note()
-	record.Add(events.Event{Kind: events.State, Target: t.doc.Name, DataCentre: t.doc.DataCentre, Detail: string(state)})
-}
-
-func (t *fakeTarget) note() {
-	t.reports = append(t.reports, report{time.Now(), target.Load{
-		State: t.state, Boot: fmt.Sprint(t.boot), Running: t.running, Limit: t.pool.Limit, ColdLimit: t.pool.ColdLimit,
-		AsOf: units.Duration(reportLag),
-	}})
-}
-
-func (t *fakeTarget) load() target.Load {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	found := t.reports[0].load
-	for i, r := range t.reports {
-		if time.Since(r.at) >= reportLag {
-			found = r.load
-			t.reports = append(t.reports[:0:0], t.reports[i:]...)
-			break
-		}
-	}
-	for _, r := range t.reports {
-		if time.Since(r.at) >= reportLag {
-			found = r.load
-		}
-	}
-	return found
-}
-
-// targets is one host's way to all targets.
-type targets struct {
-	world *world
-	self  hosts.Host
+// gatedLog is a host's access to the log, which a pause holds back.
+type gatedLog struct {
+	*memlog.Handle
 	gate  *gate
+	delay *atomic.Int64
 }
 
-func (c targets) Load(_ context.Context, address string) (target.Load, error) {
-	t := c.world.targets[address]
-	if err := c.gate.pass(); err != nil {
-		return target.Load{}, err
-	}
-	if c.world.cuts.has(c.self.DataCentre, t.doc.DataCentre) || c.world.cuts.has(t.doc.DataCentre, c.self.DataCentre) {
-		return target.Load{}, errors.New("no route")
+func (l gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
+	if err := l.gate.pass(); err != nil {
+		return logsvc.Page{}, err
 	}
-	time.Sleep(2 * delay(c.self.DataCentre, t.doc.DataCentre))
-	return t.load(), nil
+	return l.Handle.Read(ctx, stream, from, limit, wait)
 }
 
-// Run makes the call as the target would: once begun it ends, whether or not the
-// caller is still there, unless the call may be repeated and is cancelled.
-func (c targets) Run(ctx context.Context, call target.Call, token func(int, string)) target.Result {
-	t := c.world.targets[call.Address]
-	if c.gate.pass() != nil {
-		return target.Result{Err: errKilled}
-	}
-	if c.world.cuts.has(c.self.DataCentre, t.doc.DataCentre) {
-		return target.Result{Err: errors.New("no connection")}
-	}
-	time.Sleep(delay(c.self.DataCentre, t.doc.DataCentre))
-	done := make(chan target.Result, 1)
-	go func() { done <- t.run(ctx, call, c.world) }()
-	var res target.Result
-	select {
-	case res = <-done:
-	case <-ctx.Done():
-		return target.Result{Sent: target.SentMaybe, Err: ctx.Err()}
-	}
-	time.Sleep(delay(c.self.DataCentre, t.doc.DataCentre))
-	if c.gate.pass() != nil {
-		return target.Result{Sent: target.SentMaybe, Err: errKilled}
-	}
-	if c.world.cuts.has(t.doc.DataCentre, c.self.DataCentre) {
-		return target.Result{Sent: target.SentMaybe, Err: errors.New("answer lost")}
-	}
-	if token != nil && res.Err == nil {
-		for i, piece := range target.Pieces(t.pool.Kind, t.pool.Name, call.Input) {
-			token(i, piece)
-		}
-	}
-	return res
-}
-
-func (t *fakeTarget) run(ctx context.Context, call target.Call, w *world) target.Result {
-	t.mu.Lock()
-	t.running++
-	boot, state, running := fmt.Sprint(t.boot), t.state, t.running
-	w.record.Add(events.Event{
-		Kind: events.Started, Target: t.doc.Name, DataCentre: t.doc.DataCentre, Stage: t.pool.Name, Attempt: call.ID,
-		Request: target.WorkID(call.Input), Load: running, Detail: string(state),
-	})
-	t.note()
-	took := t.service + time.Duration(running)*t.service/8
-	t.mu.Unlock()
-	select {
-	case <-time.After(took):
-	case <-ctx.Done():
-		if t.pool.Repeat {
-			break
-		}
-		time.Sleep(took)
+func (l gatedLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	time.Sleep(time.Duration(l.delay.Load()))
+	if err := l.gate.pass(); err != nil {
+		return 0, err
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.running--
-	t.note()
-	w.record.Add(events.Event{Kind: events.Finished, Target: t.doc.Name, Attempt: call.ID, Load: t.running})
-	return target.Result{
-		Output: target.Expected(t.pool.Kind, t.pool.Name, call.Input), State: t.state, Boot: boot, Sent: target.SentYes,
+	offset, err := l.Handle.Append(ctx, stream, records)
+	if gateErr := l.gate.pass(); gateErr != nil {
+		return 0, gateErr
 	}
+	return offset, err
 }
--- a/entry/internal/node/world_test.go
+++ b/entry/internal/node/world_test.go
@@ -21,7 +21,6 @@
 	"chivepost/share/bundle"
 	"chivepost/share/events"
 	"chivepost/share/hosts"
-	"chivepost/share/logsvc"
 	"chivepost/share/target"
 	"chivepost/share/units"
 )
@@ -205,33 +204,6 @@
 	return p
 }
 
-// gatedLog is a host's access to the log, which a pause holds back.
-type gatedLog struct {
-	*memlog.Handle
-	gate  *gate
-	delay *atomic.Int64
-}
-
-func (l gatedLog) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (logsvc.Page, error) {
-	time.Sleep(time.Duration(l.delay.Load()))
-	if err := l.gate.pass(); err != nil {
-		return logsvc.Page{}, err
-	}
-	return l.Handle.Read(ctx, stream, from, limit, wait)
-}
-
-func (l gatedLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
-	time.Sleep(time.Duration(l.delay.Load()))
-	if err := l.gate.pass(); err != nil {
-		return 0, err
-	}
-	offset, err := l.Handle.Append(ctx, stream, records)
-	if gateErr := l.gate.pass(); gateErr != nil {
-		return 0, gateErr
-	}
-	return offset, err
-}
-
 func (w *world) proc(name string) *proc {
 	w.mu.Lock()
 	defer w.mu.Unlock()
