--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	// Before the start, so that a signal during it leads to a graceful shutdown too.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	app := fx.New(
 		fx.Supply(settings),
 		fx.Provide(newLogger, newIncarnation, newRecord, newTransport, newTargets, newNode, newServers),
@@ -53,8 +56,6 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	<-signals
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTime)
 	defer cancelStop()
--- a/entry/internal/node/node.go
+++ b/entry/internal/node/node.go
@@ -102,8 +102,8 @@
 	}, deps.List, beater{deps.Bus}, n.beat, log.WithName("member"))
 	n.config = config.New(config.Options{
 		Host: s.Host.Name, ConfigMax: s.Timing.ConfigMax, Retention: s.Timing.Retention, Seed: deps.Seed,
-	}, deps.Log, puller{bus: deps.Bus, members: n.members}, n.members, log.WithName("config"))
-	n.claims = claims.New(claims.Options{Host: s.Host.Name, Incarnation: deps.Incarnation}, deps.Log, log.WithName("claims"))
+	}, deps.Log, puller{bus: deps.Bus, members: n.members}, n.members, log)
+	n.claims = claims.New(claims.Options{Host: s.Host.Name, Incarnation: deps.Incarnation}, deps.Log, log)
 	n.slots = slots.New(slots.Options{
 		Host: s.Host.Name, DataCentre: s.Host.DataCentre, Region: s.Host.Region, Incarnation: deps.Incarnation,
 		Lease: s.Timing.Lease, Margin: s.Timing.Margin, AttemptBound: s.Timing.AttemptBound,
@@ -136,7 +136,7 @@
 	n.estimator = admit.NewEstimator()
 	n.queue = queue.New(queue.Options{
 		DataCentre: s.Host.DataCentre, Region: s.Host.Region, MaxPool: s.Limits.MaxQueue, Plain: plain,
-	}, holdSlots{n.slots}, policy, log.WithName("queue"))
+	}, holdSlots{n.slots}, policy, log)
 	budgets := retry.New(retry.Options{})
 	attempts := stage.New(s.Host.Name, n.queue, n.deps.Targets, n.estimator, budgets, n.deps.Record)
 	runner := pipe.New(attempts, n.estimator, n.claims, budgets)
@@ -148,7 +148,7 @@
 		front.NewLog(n.config.LogAge, logAgeMax),
 	}
 	if s.Routing.Admission && !plain {
-		filters = append(filters, admit.NewFilter(admit.Options{}, n.estimator, n.queue, log.WithName("admit")))
+		filters = append(filters, admit.NewFilter(admit.Options{}, n.estimator, n.queue, log))
 	}
 	n.run = chain.New(filters, runner.Run)
 	return nil
--- a/entry/internal/node/report.go
+++ b/entry/internal/node/report.go
@@ -44,7 +44,7 @@
 }
 
 func (n *Node) usable(except string) []string {
-	var near, far []string
+	near, far := []string{}, []string{}
 	b := n.current()
 	for _, h := range n.members.Entries() {
 		switch {
