Test that a repeat is not answered from a digest

Cause: results above 4 KiB are recorded as a digest only; a repeat took the empty result for the answer.

--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -173,6 +174,19 @@
 	})
 })
 
+// Guards against an empty answer to a repeat whose recorded result was too large to keep.
+var _ = It("does not answer a repeat from a digest", func() {
+	inWorld(func(_ *memlog.Service, c *claims.Controller) {
+		large := stage.Result{Target: "t", Sent: target.SentYes, Output: strings.Repeat("x", 5000)}
+		first := run(&attempts{script: map[string][]stage.Result{"book": {large}}}, c, id)
+		Expect(first.Answer.Output).To(HaveLen(5000))
+		time.Sleep(time.Second)
+		out := run(&attempts{}, c, id)
+		Expect(out.Kind).To(Equal(apiv1.Unknown))
+		Expect(out.Problem.Detail).To(ContainSubstring("too large"))
+	})
+})
+
 // Guards against a call that is sent though nobody could know of its claim.
 var _ = It("does not call the service while the log is down", func() {
 	inWorld(func(log *memlog.Service, c *claims.Controller) {
