--- a/entry/internal/pipe/pipe.go
+++ b/entry/internal/pipe/pipe.go
@@ -154,8 +154,11 @@
 	}
 }
 
-// atMostOnce claims the call and makes it. Only a call that certainly reached
-// no target is made again, under the same claim.
+// errTooLarge means that the call was made by an earlier run, whose result can't be
+// given again.
+var errTooLarge = errors.New("an earlier run of this id has made the call; its result was too large to be recorded")
+
+// atMostOnce claims the call and makes it.
 func (w *run) atMostOnce(ctx context.Context, work stage.Work) (string, error) {
 	dec := w.claims.Acquire(ctx, claims.Request{
 		Account: w.req.Account.Name, ID: w.req.Body.ID, Stage: work.Stage, BodyHash: w.bodyHash(),
@@ -164,6 +167,9 @@
 	case claims.Granted:
 	case claims.Done:
 		w.sent, w.once = true, true
+		if dec.Digest != "" {
+			return "", errTooLarge
+		}
 		return dec.Result, nil
 	default:
 		return "", &claimError{kind: dec.Kind}
