Let callers ask that no stage of a request runs twice

Cause: only pools said which calls may not be repeated; a caller had no say for one request. Change: the field once claims each stage of the request.

--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -141,7 +141,7 @@
 		return next(ctx, req)
 	}
 	for _, s := range req.Pipeline.Stages() {
-		if pool, ok := req.Config.Pool(s.Pool); ok && !pool.Repeat {
+		if pool, ok := req.Config.Pool(s.Pool); ok && (!pool.Repeat || req.Body.Once) {
 			detail := "stage " + s.Name + " may run at most once and needs the log service"
 			if noPosition {
 				detail = "the id was made while the position in the log was not known; ask for an address again"
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -135,6 +135,8 @@
 	Entry("a host in a data centre that is out", askPath, "secret", good, func(f *fake) { f.out = true }, 503, apiv1.ProblemMoved),
 	Entry("a call that needs a claim while the log is down", "/v1/pipelines/order/requests", "secret", good,
 		func(f *fake) { f.age = 3 * time.Second }, 503, apiv1.ProblemLogDown),
+	Entry("a request that asks for one run of each stage while the log is down", askPath, "secret", strings.Replace(good, "}", `,"once":true}`, 1),
+		func(f *fake) { f.age = 3 * time.Second }, 503, apiv1.ProblemLogDown),
 	Entry("an id made before the position in the log was known", "/v1/pipelines/order/requests", "secret", strings.Replace(good, "5-", "0-", 1),
 		func(*fake) {}, 503, apiv1.ProblemLogDown),
 )
--- a/entry/internal/pipe/pipe.go
+++ b/entry/internal/pipe/pipe.go
@@ -89,6 +89,7 @@
 	st := w.req.Pipeline.Stages()[i]
 	pool, ok := w.req.Config.Pool(st.Pool)
 	invar.Check(ok, "pipeline %s names no such pool: %s", w.req.Pipeline.Name(), st.Pool)
+	pool.Repeat = pool.Repeat && !w.req.Body.Once
 	work := stage.Work{
 		Run: w.req.Run, Stage: st.Name, Pool: pool, Model: st.Model, Input: input, Timeout: st.Timeout.Std(),
 		Job: queue.Job{
--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -174,6 +174,25 @@
 	})
 })
 
+// Guards against a second run of a stage that its pool would allow to repeat, when the
+// caller has asked for one run.
+var _ = It("runs each stage once when the caller asks for it", func() {
+	inWorld(func(_ *memlog.Service, c *claims.Controller) {
+		once := func(a *attempts) chain.Outcome {
+			req := request(id)
+			req.Body.Once = true
+			return pipe.New(a, a, c, retry.New(retry.Options{})).Run(context.Background(), req)
+		}
+		a := &attempts{script: map[string][]stage.Result{"rank": {maybe()}}}
+		Expect(once(a).Kind).To(Equal(apiv1.Unknown))
+		Expect(a.made).To(Equal([]string{"rank/0"}))
+		time.Sleep(time.Second)
+		again := &attempts{}
+		Expect(once(again).Kind).To(Equal(apiv1.Unknown))
+		Expect(again.made).To(BeEmpty())
+	})
+})
+
 // Guards against an empty answer to a repeat whose recorded result was too large to keep.
 var _ = It("does not answer a repeat from a digest", func() {
 	inWorld(func(_ *memlog.Service, c *claims.Controller) {
--- a/share/apiv1/apiv1.go
+++ b/share/apiv1/apiv1.go
@@ -32,13 +32,16 @@
 }
 
 // Request is the body of POST /v1/pipelines/{name}/requests. ID has the form
-// "<position>-<random>". Deadline counts from the arrival at the entry host.
+// "<position>-<random>". Deadline counts from the arrival at the entry host. Once asks
+// that no stage of the request runs more than once, whatever its pool allows; each
+// stage then needs a claim in the log.
 type Request struct {
 	ID       string         `json:"id"`
 	Deadline units.Duration `json:"deadline"`
 	Priority int            `json:"priority"`
 	Input    string         `json:"input"`
 	Stream   bool           `json:"stream"`
+	Once     bool           `json:"once,omitempty"`
 }
 
 // Answer is a whole answer. Length is the number of bytes of Output, Checksum
