--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Everything is built into bin/; runs write only below out/.
 SHELL := /bin/bash
 GO ?= go
-MODULES := share entry admin stand caller
+MODULES := share platform entry admin stand caller
 PROGRAMS := entry:chive-entry admin:chivectl stand:chive-stand caller:chive-call
 LINT_VERSION := v2.15.0
 LINT := $(CURDIR)/bin/golangci-lint
--- a/entry/cmd/root.go
+++ b/entry/cmd/root.go
@@ -10,6 +10,7 @@
 
 type cli struct {
 	Serve    serveCmd    `cmd:"" default:"withargs" help:"Run an entry host."`
+	Fleet    fleetCmd    `cmd:"" help:"Run an entry host on the platform, with the settings that it gives."`
 	Settings settingsCmd `cmd:"" help:"Check the settings and print those in force with where each came from."`
 	Docs     docsCmd     `cmd:"" help:"Print the reference of all settings as Markdown."`
 }
--- /dev/null
+++ b/entry/internal/batch/job.go
@@ -0,0 +1,131 @@
+// Package batch fills the calls of stage targets. For each stage service one
+// host, its home, takes the pieces of all hosts, decides in which order they are
+// made and packs them into calls, since a call costs much the same for one piece
+// as for many.
+package batch
+
+import (
+	"time"
+)
+
+// Job is all pieces of one stage of one request.
+type Job struct {
+	ID          string        `cbor:"id"` // unique over all hosts
+	Request     string        `cbor:"request"`
+	Service     string        `cbor:"service"`
+	Stage       int           `cbor:"stage"`
+	Pieces      int           `cbor:"pieces"`
+	Key         string        `cbor:"key,omitempty"`
+	Inputs      []string      `cbor:"inputs,omitempty"`
+	TimeLeft    time.Duration `cbor:"time_left"` // until the pieces are of no use
+	DueIn       time.Duration `cbor:"due_in"`    // until the request can no longer be on time
+	Priority    int           `cbor:"priority"`
+	DataCentre  string        `cbor:"data_centre"` // where results are wanted
+	Regions     []string      `cbor:"regions,omitempty"`
+	ResultBytes int64         `cbor:"result_bytes"`
+	IsFirst     bool          `cbor:"is_first"` // no work has gone into the request yet
+}
+
+// Reason says why a job has no results.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone    Reason = ""
+	ReasonBusy    Reason = "busy"    // it would not be done in time
+	ReasonLate    Reason = "late"    // its time is over
+	ReasonGone    Reason = "gone"    // an input no longer exists
+	ReasonFailed  Reason = "failed"  // targets failed too often
+	ReasonUnknown Reason = "unknown" // this host doesn't know the job
+	ReasonDropped Reason = "dropped" // the caller has left
+)
+
+// Result is what became of a job. Handles has one entry for each piece if there
+// is no reason.
+type Result struct {
+	IsDone     bool          `cbor:"is_done"`
+	Handles    []string      `cbor:"handles,omitempty"`
+	Reason     Reason        `cbor:"reason,omitempty"`
+	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
+	Wait       time.Duration `cbor:"wait,omitempty"` // spent waiting for the first call
+}
+
+// entry is a job in the queue of its home.
+type entry struct {
+	job      Job
+	due      time.Time // the job is late after this
+	until    time.Time // and of no use after this
+	added    time.Time
+	started  time.Time // first call; zero: none
+	todo     []int     // pieces still to be sent
+	pending  int       // pieces in calls
+	handles  []string
+	tries    int // calls that failed
+	finish   func(Result)
+	finished bool
+}
+
+func (e *entry) end(r Result) {
+	if e.finished {
+		return
+	}
+	e.finished = true
+	r.IsDone = true
+	if !e.started.IsZero() {
+		r.Wait = e.started.Sub(e.added)
+	}
+	e.finish(r)
+}
+
+// Call is one call to a stage target.
+type Call struct {
+	Target   string
+	Address  string
+	Pieces   []Piece
+	Expected time.Duration // how long it takes, with what waits before it
+	Limit    time.Duration // after which it is given up
+
+	started time.Time
+	bytes   int64
+	entries []*entry
+}
+
+// Piece is one piece of a call.
+type Piece struct {
+	Request  string
+	Stage    int
+	Number   int
+	TimeLeft time.Duration
+	Key      string
+	Inputs   []string
+}
+
+// Made is what became of a piece.
+type Made struct {
+	Handle string
+	Reason Fault // set if there is no handle
+}
+
+// Fault says why a piece has no result.
+type Fault int
+
+// The faults.
+const (
+	FaultNone  Fault = iota
+	FaultLate        // the target found its time over
+	FaultGone        // an input is gone
+	FaultRoom        // the target has no space for the result
+	FaultError       // the piece failed
+)
+
+// Failure is why a call as a whole has no answer.
+type Failure int
+
+// The failures.
+const (
+	FailureNone    Failure = iota
+	FailureRefused         // the target says that it ran nothing: it is full
+	FailureAbsent          // no connection, or another target has the address
+	FailureBroken          // no whole answer
+	FailureTimeout         // no answer within the limit of the call
+)
--- /dev/null
+++ b/entry/internal/maker/maker.go
@@ -0,0 +1,145 @@
+// Package maker makes the calls to stage targets.
+package maker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/table"
+	"chivepost/platform/wire"
+	"chivepost/share/fleet"
+)
+
+const (
+	// channels bounds the connections of a home to one stage target: a call at work,
+	// one that waits, and one that gives up results.
+	channels = 4
+	// maxAnswer bounds the answer to a call: a line for each piece.
+	maxAnswer = 1 << 20
+)
+
+// Dialer sends requests to targets.
+type Dialer interface {
+	Do(ctx context.Context, target, address string, limit int, req dialer.Request) (*dialer.Answer, error)
+}
+
+// Maker implements batch.Caller.
+type Maker struct{ dialer Dialer }
+
+// New returns a maker that sends over d.
+func New(d Dialer) *Maker { return &Maker{dialer: d} }
+
+var faults = map[string]batch.Fault{
+	wire.ReasonLate: batch.FaultLate, wire.ReasonGone: batch.FaultGone, wire.ReasonRoom: batch.FaultRoom, wire.ReasonError: batch.FaultError,
+}
+
+// Run makes one call and returns what became of each piece.
+func (m *Maker) Run(ctx context.Context, c *batch.Call) ([]batch.Made, batch.Failure, error) {
+	pieces := make([]wire.Piece, len(c.Pieces))
+	for i, p := range c.Pieces {
+		pieces[i] = wire.Piece{Request: p.Request, Stage: p.Stage, Number: p.Number, TimeLeft: p.TimeLeft, Key: p.Key, Inputs: p.Inputs}
+	}
+	body, err := wire.EncodePieces(pieces)
+	if err != nil {
+		return nil, batch.FailureBroken, err
+	}
+	status, header, answer, err := m.post(ctx, c.Target, c.Address, wire.PathStageRun, body)
+	switch {
+	case err != nil:
+		return nil, failureOf(ctx, err), err
+	case status == http.StatusMisdirectedRequest:
+		return nil, batch.FailureAbsent, errors.New("another target has the address")
+	case wire.DecodeAnswer(status, header).NotRun:
+		return nil, batch.FailureRefused, fmt.Errorf("refused with status %d", status)
+	case status != http.StatusOK:
+		return nil, batch.FailureBroken, fmt.Errorf("status %d", status)
+	}
+	results, err := wire.DecodeResults(answer, len(pieces))
+	if err != nil {
+		return nil, batch.FailureBroken, err
+	}
+	out := make([]batch.Made, len(results))
+	for i, r := range results {
+		if out[i].Handle = r.Handle; r.Handle == "" {
+			out[i].Reason = batch.FaultError
+			if f, ok := faults[r.Reason]; ok {
+				out[i].Reason = f
+			}
+		}
+	}
+	return out, batch.FailureNone, nil
+}
+
+func failureOf(ctx context.Context, err error) batch.Failure {
+	var send *dialer.SendError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return batch.FailureTimeout
+	case errors.As(err, &send) && !send.Sent:
+		return batch.FailureAbsent
+	}
+	return batch.FailureBroken
+}
+
+// Free gives up results.
+func (m *Maker) Free(ctx context.Context, target, address string, handles []string) error {
+	body, err := wire.EncodeFree(handles)
+	if err != nil {
+		return err
+	}
+	status, _, _, err := m.post(ctx, target, address, wire.PathStageFree, body)
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
+func (m *Maker) post(ctx context.Context, target, address, path string, body []byte) (int, http.Header, []byte, error) {
+	a, err := m.dialer.Do(ctx, target, address, channels, dialer.Request{
+		Method: http.MethodPost, URI: path, Host: address, Header: wire.StageHeader(target), Body: body,
+		KeepAlive: wire.KeepAlive,
+	})
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	defer a.Close()
+	data, err := io.ReadAll(io.LimitReader(a, maxAnswer))
+	if err != nil {
+		return 0, nil, nil, &dialer.SendError{Sent: true, Err: err}
+	}
+	return a.Status, a.Header, data, nil
+}
+
+// Tables tells what is known of the deployment.
+type Tables interface {
+	View() *table.View
+}
+
+// Stock implements batch.Stock from the tables.
+type Stock struct {
+	tables  Tables
+	regions map[string]string // data centre to region
+}
+
+// NewStock returns a stock; regions maps data centres.
+func NewStock(tables Tables, regions map[string]string) *Stock {
+	return &Stock{tables: tables, regions: regions}
+}
+
+// Stage returns the figures of a stage service and its targets that may get work.
+func (s *Stock) Stage(service string) (fleet.Batching, []batch.Target, bool) {
+	v := s.tables.View()
+	if v.Config == nil || v.Config.Services[service].Stage == nil {
+		return fleet.Batching{}, nil, false
+	}
+	var out []batch.Target
+	for _, t := range v.Targets[service] {
+		out = append(out, batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: s.regions[t.DataCentre]})
+	}
+	return *v.Config.Services[service].Stage, out, true
+}
--- /dev/null
+++ b/entry/internal/table/controller.go
@@ -0,0 +1,273 @@
+package table
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/platform/feed"
+)
+
+var (
+	storeReads    = expvar.NewInt("store_reads_count")
+	storeFailures = expvar.NewInt("store_failures_count")
+	badRecords    = expvar.NewInt("store_bad_records_count")
+	peerMerges    = expvar.NewInt("table_peer_merges_count")
+)
+
+const (
+	// operatorWait is how long a reading of operators' records waits for one. A
+	// reading whose connection has gone silent is noticed not much later.
+	operatorWait = 1500 * time.Millisecond
+	// readSlack is what a reading may take besides its wait: many times the
+	// store's usual answer of a few milliseconds.
+	readSlack = 900 * time.Millisecond
+	// targetsEvery is the time between two readings of the targets. It leaves more
+	// than half of the bound for targets that leave.
+	targetsEvery = time.Second
+	// retryEvery is the pause after a failed reading.
+	retryEvery = 300 * time.Millisecond
+	// askAfter is how long readings have failed before peers are asked.
+	askAfter = 500 * time.Millisecond
+	// expireEvery is how often lapsed targets are looked at.
+	expireEvery = 250 * time.Millisecond
+)
+
+// Reader reads one feed of the store.
+type Reader[C any] interface {
+	Newest(ctx context.Context) ([]C, int64, error)
+	Next(ctx context.Context, from int64, wait time.Duration) ([]C, int64, error)
+}
+
+// Peers asks another host for its table.
+type Peers interface {
+	// Fetch returns the table of a peer that knows operators' records from this
+	// offset on or later; false if no such peer answers.
+	Fetch(ctx context.Context, offset, version int64) (Snapshot, bool)
+	// Newest returns the highest operators' offset that a peer has told.
+	Newest() int64
+}
+
+// Controller follows the store.
+type Controller struct {
+	peers  Peers
+	logger logr.Logger
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	view   atomic.Pointer[View]
+
+	mu       sync.Mutex
+	state    *State
+	opFailed time.Time // since when the operators' records can't be read; zero: they can
+	tgFailed time.Time // the same for targets
+}
+
+// New returns a controller that reads until Close.
+func New(operator Reader[feed.OperatorChange], targets Reader[feed.TargetChange], peers Peers, logger logr.Logger) *Controller {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState()}
+	now := time.Now()
+	c.opFailed, c.tgFailed = now, now
+	c.view.Store(c.state.View())
+	c.wait.Go(func() {
+		follow(ctx, operator, 0, operatorWait, func(changes []feed.OperatorChange, next int64, whole bool) int64 {
+			return c.takeOperator(changes, next, whole)
+		}, func(err error) { c.failed(&c.opFailed, "operators' records", err) })
+	})
+	c.wait.Go(func() {
+		follow(ctx, targets, targetsEvery, 0, func(changes []feed.TargetChange, next int64, whole bool) int64 {
+			return c.takeTargets(changes, next, whole)
+		}, func(err error) { c.failed(&c.tgFailed, "targets", err) })
+	})
+	c.wait.Go(func() { c.tend(ctx) })
+	return c
+}
+
+// follow reads a feed until ctx ends: the newest of each key first, then what
+// comes after. take returns the offset to read next.
+func follow[C any](ctx context.Context, r Reader[C], every, wait time.Duration,
+	take func(changes []C, next int64, whole bool) int64, failed func(error),
+) {
+	next, whole := int64(0), true
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, wait+readSlack)
+		var changes []C
+		var end int64
+		var err error
+		if whole {
+			changes, end, err = r.Newest(call)
+		} else {
+			changes, end, err = r.Next(call, next, wait)
+		}
+		cancel()
+		storeReads.Add(1)
+		pause := every
+		switch {
+		case err == nil:
+			next = take(changes, end, whole)
+			whole = false
+		case feed.IsTrimmed(err):
+			whole, pause = true, 0
+		default:
+			storeFailures.Add(1)
+			failed(err)
+			pause = retryEvery
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+	}
+}
+
+func (c *Controller) failed(since *time.Time, what string, err error) {
+	c.mu.Lock()
+	first := since.IsZero()
+	if first {
+		*since = time.Now()
+	}
+	c.mu.Unlock()
+	if first {
+		c.logger.Error(err, "store lost", "what", what)
+	}
+}
+
+func (c *Controller) regained(since *time.Time, what string) {
+	if !since.IsZero() {
+		c.logger.Info("store regained", "what", what, "after", time.Since(*since).String())
+		*since = time.Time{}
+	}
+}
+
+func (c *Controller) takeOperator(changes []feed.OperatorChange, next int64, whole bool) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.regained(&c.opFailed, "operators' records")
+	c.logRejected(c.state.ApplyOperator(changes, next, whole, time.Now()))
+	if len(changes) > 0 || whole {
+		c.publish("store")
+	}
+	return max(next, c.state.OperatorOffset())
+}
+
+func (c *Controller) takeTargets(changes []feed.TargetChange, next int64, whole bool) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.regained(&c.tgFailed, "targets")
+	c.logRejected(c.state.ApplyTargets(changes, next, whole, time.Now()))
+	if len(changes) > 0 || whole {
+		c.view.Store(c.state.View())
+	}
+	return next
+}
+
+func (c *Controller) logRejected(errs []error) {
+	for _, err := range errs {
+		badRecords.Add(1)
+		c.logger.Error(err, "record rejected")
+	}
+}
+
+// publish shows the state to readers and logs what came into force.
+func (c *Controller) publish(source string) {
+	old := c.view.Load()
+	v := c.state.View()
+	c.view.Store(v)
+	if v.Config != nil && (old.Config == nil || old.Config.Version != v.Config.Version) {
+		c.logger.Info("configuration in force", "version", v.Config.Version, "routes", len(v.Config.Routes),
+			"accounts", len(v.Config.Accounts), "source", source, "offset", c.state.OperatorOffset())
+	}
+	for dc := range v.Out {
+		if !old.Out[dc] {
+			c.logger.Info("data centre out", "data_centre", dc, "source", source, "offset", c.state.OperatorOffset())
+		}
+	}
+	for dc := range old.Out {
+		if !v.Out[dc] {
+			c.logger.Info("data centre back", "data_centre", dc, "source", source, "offset", c.state.OperatorOffset())
+		}
+	}
+}
+
+// tend drops lapsed targets, and asks peers while the store can't be read or a
+// peer has read further.
+func (c *Controller) tend(ctx context.Context) {
+	tick := time.NewTicker(expireEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := time.Now()
+		c.mu.Lock()
+		if c.state.Expire(now) {
+			c.view.Store(c.state.View())
+		}
+		offset, version := c.state.OperatorOffset(), int64(0)
+		if cfg := c.state.Config(); cfg != nil {
+			version = cfg.Version
+		}
+		lost := isLost(c.opFailed, now) || isLost(c.tgFailed, now)
+		c.mu.Unlock()
+		if !lost && c.peers.Newest() <= offset {
+			continue
+		}
+		snapshot, ok := c.peers.Fetch(ctx, offset, version)
+		if !ok {
+			continue
+		}
+		c.mu.Lock()
+		if !isLost(c.tgFailed, now) {
+			snapshot.TargetsNext = -1 // the store is better
+		}
+		if c.state.Merge(snapshot, time.Now()) {
+			peerMerges.Add(1)
+			c.publish("peer")
+		}
+		c.mu.Unlock()
+	}
+}
+
+func isLost(since, now time.Time) bool { return !since.IsZero() && now.Sub(since) > askAfter }
+
+// View returns what is known now.
+func (c *Controller) View() *View { return c.view.Load() }
+
+// OperatorOffset returns the offset up to which operators' records are known.
+func (c *Controller) OperatorOffset() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.OperatorOffset()
+}
+
+// Snapshot returns the table for a peer.
+func (c *Controller) Snapshot(peerVersion int64) Snapshot {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Snapshot(peerVersion, time.Now())
+}
+
+// IsStoreLost reports whether the store can't be read at present.
+func (c *Controller) IsStoreLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return isLost(c.opFailed, now) && isLost(c.tgFailed, now)
+}
+
+// Name implements a controller's name.
+func (c *Controller) Name() string { return "table" }
+
+// Close ends the readings.
+func (c *Controller) Close() {
+	c.cancel()
+	c.wait.Wait()
+}
--- /dev/null
+++ b/entry/internal/table/state.go
@@ -0,0 +1,308 @@
+// Package table keeps what a host knows of the deployment: the configuration in
+// force, the data centres taken out and the targets, as the platform's store
+// tells them, or peers while the store can't be reached.
+package table
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"chivepost/platform/feed"
+	"chivepost/share/fleet"
+)
+
+const (
+	// outageAfter is the time without an answer of the store after which entries
+	// that it has dropped are taken for lapsed ones: three readings missed.
+	outageAfter = 3 * time.Second
+	// lapseHold is how long a lapsed target is kept after the store is back; live
+	// targets have written themselves in again by then.
+	lapseHold = 2100 * time.Millisecond
+	// coldAfterReturn is how long the targets of a data centre count as cold after
+	// it is brought back, until their own entries say how long they are.
+	coldAfterReturn = 2 * time.Second
+)
+
+// Target is a target with what the table has worked out.
+type Target struct {
+	fleet.Target
+	ColdUntil time.Time // zero: warm
+}
+
+// IsCold reports whether the target bears little work at a time.
+func (t *Target) IsCold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
+// View is what a host knows at one moment. It is never changed.
+type View struct {
+	Config    *fleet.Config // nil before the first one is known
+	Out       map[string]bool
+	Targets   map[string][]*Target // that may get work, by service
+	ByID      map[string]*Target   // all known ones
+	HasTarget bool                 // the list of targets was read at least once
+}
+
+// Account returns the account of a key.
+func (v *View) Account(key string) (*fleet.Account, bool) { return v.Config.Account(key) }
+
+// State is the part of the table that needs no network. It isn't safe for
+// concurrent use.
+type State struct {
+	config      *fleet.Config
+	out         map[string]bool
+	returned    map[string]time.Time // data centres brought back, and when
+	opOffset    int64
+	targets     map[string]*Target
+	left        map[string]fleet.Target // last entry of targets that have left
+	gone        map[string]time.Time    // lapsed targets, and when they are dropped
+	targetsAt   time.Time               // last reading of the targets
+	targetsNext int64
+	hasTargets  bool
+	returnedAt  time.Time // when the store came back after an outage
+}
+
+// NewState returns an empty state.
+func NewState() *State {
+	return &State{
+		out: map[string]bool{}, returned: map[string]time.Time{}, targets: map[string]*Target{},
+		left: map[string]fleet.Target{}, gone: map[string]time.Time{}, opOffset: -1, targetsNext: -1,
+	}
+}
+
+// Config returns the configuration in force, or nil.
+func (s *State) Config() *fleet.Config { return s.config }
+
+// OperatorOffset returns the offset from which operators' records are still to be read.
+func (s *State) OperatorOffset() int64 { return s.opOffset }
+
+// TargetsOffset returns the offset from which targets' records are still to be read.
+func (s *State) TargetsOffset() int64 { return s.targetsNext }
+
+// ApplyOperator takes changes in order; next is the offset of what follows. With
+// whole set the changes are all that is in force. It returns what was rejected.
+func (s *State) ApplyOperator(changes []feed.OperatorChange, next int64, whole bool, now time.Time) []error {
+	if next < s.opOffset {
+		return nil // a peer has told more already
+	}
+	var rejected []error
+	seen := map[string]bool{}
+	for _, c := range changes {
+		switch {
+		case c.Err != nil:
+			rejected = append(rejected, c.Err)
+		case c.Config != nil:
+			s.adopt(c.Config)
+		case c.IsOut:
+			seen[c.DataCentre] = true
+			s.out[c.DataCentre] = true
+		default:
+			s.bringBack(c.DataCentre, now)
+		}
+	}
+	if whole {
+		for dc := range s.out {
+			if !seen[dc] {
+				s.bringBack(dc, now)
+			}
+		}
+	}
+	s.opOffset = next
+	return rejected
+}
+
+// adopt takes a configuration unless a newer one is in force: it never reverts.
+func (s *State) adopt(c *fleet.Config) {
+	if s.config == nil || c.Version > s.config.Version {
+		s.config = c
+	}
+}
+
+func (s *State) bringBack(dc string, now time.Time) {
+	if s.out[dc] {
+		delete(s.out, dc)
+		s.returned[dc] = now
+	}
+}
+
+// ApplyTargets takes changes in order; next is the offset of what follows. With
+// whole set the changes are all targets that there are.
+func (s *State) ApplyTargets(changes []feed.TargetChange, next int64, whole bool, now time.Time) []error {
+	outage := s.hasTargets && now.Sub(s.targetsAt) > outageAfter
+	if outage {
+		s.returnedAt = now
+	}
+	s.targetsAt, s.targetsNext, s.hasTargets = now, next, true
+	var rejected []error
+	seen := map[string]bool{}
+	for _, c := range changes {
+		switch {
+		case c.Err != nil:
+			// An entry that can't be read names no target; one known before stands.
+			rejected = append(rejected, c.Err)
+			seen[c.ID] = true
+		case c.Entry != nil:
+			seen[c.ID] = true
+			s.put(*c.Entry, now)
+		default:
+			s.remove(c.ID, now)
+		}
+	}
+	if whole {
+		for id := range s.targets {
+			if !seen[id] {
+				s.remove(id, now)
+			}
+		}
+	}
+	return rejected
+}
+
+// put takes an entry unless it is older than what is known: the store may carry
+// out a write seconds late.
+func (s *State) put(e fleet.Target, now time.Time) {
+	if old, ok := s.targets[e.ID]; ok && isOlder(e, old.Target) {
+		return
+	}
+	if old, ok := s.left[e.ID]; ok && (isOlder(e, old) || e.Born == old.Born && e.Sequence == old.Sequence) {
+		return
+	}
+	t := &Target{Target: e}
+	if e.Cold > 0 {
+		t.ColdUntil = now.Add(e.Cold)
+	}
+	s.targets[e.ID] = t
+	delete(s.gone, e.ID)
+	delete(s.left, e.ID)
+}
+
+func isOlder(e, than fleet.Target) bool {
+	if e.Born != than.Born {
+		return e.Born < than.Born
+	}
+	return e.Sequence < than.Sequence
+}
+
+// remove drops a target. Just after an outage of the store a removal may only
+// mean that the entry has lapsed, so it is held for a while.
+func (s *State) remove(id string, now time.Time) {
+	t, ok := s.targets[id]
+	if !ok {
+		return
+	}
+	if !s.returnedAt.IsZero() && now.Sub(s.returnedAt) < lapseHold && !t.Draining {
+		s.gone[id] = s.returnedAt.Add(lapseHold)
+		return
+	}
+	s.drop(id)
+}
+
+func (s *State) drop(id string) {
+	if t, ok := s.targets[id]; ok {
+		s.left[id] = t.Target
+		delete(s.targets, id)
+		delete(s.gone, id)
+	}
+}
+
+// Expire drops lapsed targets whose time is over and reports whether there were any.
+func (s *State) Expire(now time.Time) bool {
+	changed := false
+	for id, at := range s.gone {
+		if !now.Before(at) {
+			s.drop(id)
+			changed = true
+		}
+	}
+	for dc, at := range s.returned {
+		if now.Sub(at) > coldAfterReturn {
+			delete(s.returned, dc)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// View returns the state as it is now.
+func (s *State) View() *View {
+	v := &View{
+		Config: s.config, Out: maps.Clone(s.out), Targets: map[string][]*Target{},
+		ByID: make(map[string]*Target, len(s.targets)), HasTarget: s.hasTargets,
+	}
+	for id, t := range s.targets {
+		if at, ok := s.returned[t.DataCentre]; ok && t.ColdUntil.Before(at.Add(coldAfterReturn)) {
+			back := *t
+			back.ColdUntil = at.Add(coldAfterReturn)
+			t = &back
+		}
+		v.ByID[id] = t
+		if !t.Draining && !s.out[t.DataCentre] {
+			v.Targets[t.Service] = append(v.Targets[t.Service], t)
+		}
+	}
+	for _, list := range v.Targets {
+		slices.SortFunc(list, func(a, b *Target) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+	return v
+}
+
+// Snapshot is what hosts tell each other of their tables.
+type Snapshot struct {
+	Config      *fleet.Config  `cbor:"config"`
+	Out         []string       `cbor:"out"`
+	OpOffset    int64          `cbor:"op_offset"`
+	Targets     []fleet.Target `cbor:"targets"`
+	TargetsNext int64          `cbor:"targets_next"`
+}
+
+// Snapshot returns the state for a peer. The configuration is left out if the
+// peer has the same version.
+func (s *State) Snapshot(peerVersion int64, now time.Time) Snapshot {
+	out := Snapshot{Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.opOffset, TargetsNext: s.targetsNext}
+	if s.config != nil && s.config.Version > peerVersion {
+		out.Config = s.config
+	}
+	for _, t := range s.targets {
+		e := t.Target
+		e.Cold = max(t.ColdUntil.Sub(now), 0)
+		out.Targets = append(out.Targets, e)
+	}
+	return out
+}
+
+// Merge takes what a peer knows where it has read further, and reports whether
+// anything changed.
+func (s *State) Merge(p Snapshot, now time.Time) bool {
+	changed := false
+	if p.Config != nil && (s.config == nil || p.Config.Version > s.config.Version) {
+		p.Config.Index()
+		s.config = p.Config
+		changed = true
+	}
+	if p.OpOffset > s.opOffset {
+		out := map[string]bool{}
+		for _, dc := range p.Out {
+			out[dc] = true
+		}
+		for dc := range s.out {
+			if !out[dc] {
+				s.bringBack(dc, now)
+			}
+		}
+		s.out, s.opOffset = out, p.OpOffset
+		changed = true
+	}
+	if p.TargetsNext > s.targetsNext {
+		changes := make([]feed.TargetChange, len(p.Targets))
+		for i := range p.Targets {
+			changes[i] = feed.TargetChange{ID: p.Targets[i].ID, Entry: &p.Targets[i]}
+		}
+		s.ApplyTargets(changes, p.TargetsNext, true, now)
+		changed = true
+	}
+	return changed
+}
