--- /dev/null
+++ b/entry/internal/batch/desk.go
@@ -0,0 +1,501 @@
+package batch
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"chivepost/share/fleet"
+)
+
+const (
+	// wipFactor bounds the work released to the stages: this many full calls for each
+	// target and stage of the chain. One is at work, and part of one waits.
+	wipFactor = 1.6
+	// onTimeMargin is the factor on the time of a chain of stages within which it is
+	// taken for one that can still be on time.
+	onTimeMargin = 1.15
+	// transit is what a stage takes besides its call.
+	transit = 40 * time.Millisecond
+	// busySpread spreads the time after which refused callers return.
+	busySpread = 0.5
+	// minRetry is the shortest time after which a refused caller may return.
+	minRetry = 200 * time.Millisecond
+	// absentRetry is the time after which a caller may return where a service has no
+	// target.
+	absentRetry = 600 * time.Millisecond
+	// maxRuns is how often the stages of an order run if results are lost.
+	maxRuns = 2
+)
+
+// Desk takes whole orders, releases them to the queues of their stages as far as
+// these keep up, and carries each through its stages. Waiting orders have cost
+// nothing yet, so the desk refuses and reorders among them only. It isn't safe
+// for concurrent use.
+type Desk struct {
+	queues    map[string]*Queue
+	waiting   []*order
+	byID      map[string]*order
+	committed map[string]int // pieces released and not yet made, by service
+	frees     map[string][]string
+	seq       int
+	now       time.Time // of the step under way
+}
+
+// order is an Order on its way.
+type order struct {
+	Order
+	due     time.Time
+	until   time.Time
+	added   time.Time
+	chain   time.Duration   // what its stages take without waiting
+	tails   []time.Duration // what follows each stage
+	load    map[string]int  // pieces by service
+	depth   map[string]int  // place of a service in the chain, from 1
+	state   []stageState
+	left    int // stages under way or to come
+	release time.Time
+	wait    time.Duration
+	runs    int
+	ended   bool
+	finish  func(Result)
+}
+
+type stageState struct {
+	job     string // id in its queue; empty: not begun
+	done    bool
+	handles []string
+	missing int // pieces still counted as committed
+	users   int // stages that still need the results
+	isUsed  bool
+}
+
+// NewDesk returns an empty desk.
+func NewDesk() *Desk {
+	return &Desk{queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, frees: map[string][]string{}}
+}
+
+// SetService tells the desk a stage service's figures and targets.
+func (d *Desk) SetService(name string, spec fleet.Batching, targets []Target) {
+	q := d.queues[name]
+	if q == nil {
+		q = NewQueue(spec)
+		d.queues[name] = q
+	}
+	q.SetSpec(spec)
+	q.SetTargets(targets)
+}
+
+// Services returns the names of the services with a queue.
+func (d *Desk) Services() []string {
+	out := make([]string, 0, len(d.queues))
+	for name := range d.queues {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Submit takes an order, or refuses it at once if it can't be done in time.
+// finish is called once.
+func (d *Desk) Submit(in Order, now time.Time, finish func(Result)) {
+	d.now = now
+	o := &order{Order: in, added: now, due: now.Add(in.DueIn), until: now.Add(in.TimeLeft), finish: finish}
+	if !o.prepare(d.queues) {
+		o.end(Result{Reason: ReasonFailed})
+		return
+	}
+	if after, ok := d.admits(o, now); !ok {
+		o.end(Result{Reason: ReasonBusy, RetryAfter: after})
+		return
+	}
+	d.byID[o.ID] = o
+	d.waiting = append(d.waiting, o)
+}
+
+// prepare works out the shape of an order; false if a service isn't known.
+func (o *order) prepare(queues map[string]*Queue) bool {
+	n := len(o.Stages)
+	o.state, o.tails = make([]stageState, n), make([]time.Duration, n)
+	o.load, o.depth = map[string]int{}, map[string]int{}
+	depth := make([]int, n)
+	own := make([]time.Duration, n)
+	for i, s := range o.Stages {
+		if o.pieces(i) == 0 {
+			continue
+		}
+		q := queues[s.Service]
+		if q == nil {
+			return false
+		}
+		o.load[s.Service] += o.pieces(i)
+		own[i] = q.spec.Call + time.Duration(max(q.spec.Batch/2, 1))*q.spec.Item + transit
+	}
+	for _, s := range o.Stages {
+		for _, a := range s.After {
+			o.state[a].isUsed = true
+			o.state[a].users++
+		}
+	}
+	// Stages may stand in any order; as many passes as stages settle everything.
+	for range o.Stages {
+		for i, s := range o.Stages {
+			for _, a := range s.After {
+				o.tails[a] = max(o.tails[a], o.tails[i]+own[i])
+				depth[i] = max(depth[i], depth[a]+1)
+			}
+		}
+	}
+	for i, s := range o.Stages {
+		o.chain = max(o.chain, o.tails[i]+own[i])
+		o.depth[s.Service] = max(o.depth[s.Service], depth[i]+1)
+	}
+	return true
+}
+
+func (o *order) pieces(i int) int {
+	if i < len(o.Pieces) {
+		return o.Pieces[i]
+	}
+	return 0
+}
+
+func (o *order) end(r Result) {
+	if o.ended {
+		return
+	}
+	o.ended = true
+	r.IsDone, r.Wait = true, o.wait
+	o.finish(r)
+}
+
+// isOnTime reports whether a waiting order can still be on time.
+func (o *order) isOnTime(now time.Time) bool {
+	return !now.Add(time.Duration(onTimeMargin * float64(o.chain))).After(o.due)
+}
+
+// compare orders waiting orders: those that can be on time first, then by
+// priority, then by what is due first.
+func compare(a, b *order, now time.Time) int {
+	x, y := a.isOnTime(now), b.isOnTime(now)
+	if x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due.Compare(b.due), a.added.Compare(b.added))
+}
+
+// admits reports whether an order would be done in time behind the work that
+// goes before it, and otherwise after how long its caller may return.
+func (d *Desk) admits(o *order, now time.Time) (time.Duration, bool) {
+	wait := time.Duration(0)
+	for service, pieces := range o.load {
+		rate := d.queues[service].rate(now)
+		if rate == 0 {
+			if !d.queues[service].hasTargets() {
+				return spread(absentRetry), false
+			}
+			wait = max(wait, absentRetry)
+			continue
+		}
+		ahead := d.committed[service] + pieces
+		for _, w := range d.waiting {
+			if compare(w, o, now) <= 0 {
+				ahead += w.load[service]
+			}
+		}
+		wait = max(wait, time.Duration(float64(ahead)/rate*float64(time.Second)))
+	}
+	if now.Add(wait + o.chain).Before(o.until) {
+		return 0, true
+	}
+	return spread(max(wait-o.chain, minRetry)), false
+}
+
+func spread(d time.Duration) time.Duration {
+	return max(time.Duration((1+busySpread*(rand.Float64()-0.5))*float64(d)), minRetry)
+}
+
+// Plan releases waiting orders and returns the calls to be made now.
+func (d *Desk) Plan(now time.Time) map[string][]*Call {
+	d.now = now
+	d.expire(now)
+	d.releaseAll(now)
+	var out map[string][]*Call
+	for name, q := range d.queues {
+		if calls := q.Plan(now); len(calls) > 0 {
+			if out == nil {
+				out = map[string][]*Call{}
+			}
+			out[name] = calls
+		}
+	}
+	return out
+}
+
+func (d *Desk) expire(now time.Time) {
+	for _, o := range slices.Clone(d.waiting) {
+		if now.Add(o.chain).After(o.until) {
+			d.drop(o, Result{Reason: ReasonLate})
+		}
+	}
+	for id, o := range d.byID {
+		if o.ended && now.After(o.until) {
+			delete(d.byID, id) // its results end by themselves
+		}
+	}
+	for name, q := range d.queues {
+		q.Expire(now)
+		d.free(name, q.Orphans())
+	}
+}
+
+// releaseAll starts waiting orders in their order while their services have room.
+// An order without room keeps those behind it from overtaking it at its service.
+func (d *Desk) releaseAll(now time.Time) {
+	if len(d.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(d.waiting, func(a, b *order) int { return compare(a, b, now) })
+	blocked := map[string]bool{}
+	kept := d.waiting[:0]
+	var started []*order
+	for _, o := range d.waiting {
+		if d.hasRoom(o, blocked, now) {
+			for service, n := range o.load {
+				d.committed[service] += n
+			}
+			started = append(started, o)
+			continue
+		}
+		kept = append(kept, o)
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+	for _, o := range started {
+		d.begin(o, now)
+	}
+}
+
+func (d *Desk) hasRoom(o *order, blocked map[string]bool, now time.Time) bool {
+	room := true
+	for service, pieces := range o.load {
+		q := d.queues[service]
+		full := wipFactor * float64(o.depth[service]) * q.capacity(now)
+		if blocked[service] {
+			room = false
+		} else if float64(d.committed[service]+pieces) > full && d.committed[service] > 0 || full == 0 {
+			room = false
+		}
+	}
+	if !room {
+		for service := range o.load {
+			blocked[service] = true
+		}
+	}
+	return room
+}
+
+// begin starts the stages of an order that need no others.
+func (d *Desk) begin(o *order, now time.Time) {
+	o.release, o.left = now, len(o.Stages)
+	o.wait += now.Sub(o.added)
+	o.runs++
+	for i := range o.state {
+		o.state[i].missing = o.pieces(i)
+	}
+	for i := range o.Stages {
+		if len(o.Stages[i].After) == 0 && !o.ended {
+			d.startStage(o, i, now)
+		}
+	}
+}
+
+func (d *Desk) startStage(o *order, i int, now time.Time) {
+	s := o.Stages[i]
+	if o.pieces(i) == 0 {
+		d.stageDone(o, i, nil, now)
+		return
+	}
+	d.seq++
+	job := Job{
+		ID: o.ID + "#" + strconv.Itoa(d.seq), Request: o.Request, Stage: i, Pieces: o.pieces(i), Priority: o.Priority,
+		DataCentre: o.DataCentre, Regions: o.Regions, ResultBytes: s.ResultBytes,
+		TimeLeft: o.until.Sub(now) - o.tails[i], DueIn: o.due.Sub(now) - o.tails[i],
+	}
+	if len(s.After) == 0 {
+		job.Key = o.Key
+	}
+	for _, a := range s.After {
+		job.Inputs = append(job.Inputs, o.state[a].handles...)
+	}
+	o.state[i].job = job.ID
+	d.queues[s.Service].Add(job, now, func(r Result) { d.outcome(o, i, r) })
+}
+
+// outcome takes the result of a stage.
+func (d *Desk) outcome(o *order, i int, r Result) {
+	if o.ended {
+		return
+	}
+	now := d.now
+	o.wait += r.Wait
+	if r.Reason == ReasonNone {
+		d.stageDone(o, i, r.Handles, now)
+		return
+	}
+	if r.Reason == ReasonGone && o.runs < maxRuns && now.Add(o.chain).Before(o.until) {
+		d.restart(o)
+		return
+	}
+	d.drop(o, r)
+}
+
+// restart puts an order whose results were lost back among those that wait.
+func (d *Desk) restart(o *order) {
+	d.clear(o)
+	for i := range o.state {
+		used := o.state[i].isUsed
+		o.state[i] = stageState{isUsed: used}
+	}
+	for _, s := range o.Stages {
+		for _, a := range s.After {
+			o.state[a].users++
+		}
+	}
+	d.waiting = append(d.waiting, o)
+}
+
+func (d *Desk) stageDone(o *order, i int, handles []string, now time.Time) {
+	st := &o.state[i]
+	st.done, st.handles = true, handles
+	d.committed[o.Stages[i].Service] -= st.missing
+	st.missing = 0
+	o.left--
+	for _, a := range o.Stages[i].After {
+		if o.state[a].users--; o.state[a].users == 0 {
+			d.free(o.Stages[a].Service, o.state[a].handles)
+			o.state[a].handles = nil
+		}
+	}
+	if o.left == 0 {
+		var out []string
+		for k := range o.state {
+			if !o.state[k].isUsed {
+				out = append(out, o.state[k].handles...)
+			}
+		}
+		o.end(Result{Handles: out})
+		return
+	}
+	for k, s := range o.Stages {
+		if o.state[k].job == "" && !o.state[k].done && slices.Contains(s.After, i) && d.isReady(o, k) {
+			d.startStage(o, k, now)
+		}
+	}
+}
+
+func (d *Desk) isReady(o *order, k int) bool {
+	for _, a := range o.Stages[k].After {
+		if !o.state[a].done {
+			return false
+		}
+	}
+	return true
+}
+
+// drop ends an order without results.
+func (d *Desk) drop(o *order, r Result) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(w *order) bool { return w == o })
+	o.end(r)
+	d.clear(o)
+	delete(d.byID, o.ID)
+}
+
+// clear takes the work of an order back.
+func (d *Desk) clear(o *order) {
+	for i := range o.state {
+		st := &o.state[i]
+		service := o.Stages[i].Service
+		d.committed[service] -= st.missing
+		st.missing = 0
+		if st.job != "" && !st.done {
+			d.queues[service].Drop(st.job)
+		}
+		d.free(service, st.handles)
+		st.handles = nil
+	}
+}
+
+// Drop ends an order whose caller has left, or gives up the results of one that
+// is done.
+func (d *Desk) Drop(id string) {
+	if o := d.byID[id]; o != nil {
+		d.drop(o, Result{Reason: ReasonDropped})
+	}
+}
+
+func (d *Desk) free(service string, handles []string) {
+	if len(handles) > 0 {
+		d.frees[service] = append(d.frees[service], handles...)
+	}
+}
+
+// Frees returns the results given up since it was last called, by service and
+// target.
+func (d *Desk) Frees(now time.Time) map[string]map[string][]string {
+	out := map[string]map[string][]string{}
+	for service, handles := range d.frees {
+		if targets := d.queues[service].Free(handles, now); len(targets) > 0 {
+			out[service] = targets
+		}
+	}
+	clear(d.frees)
+	return out
+}
+
+// Address returns where a target of a service is.
+func (d *Desk) Address(service, target string) (string, bool) {
+	q := d.queues[service]
+	if q == nil {
+		return "", false
+	}
+	return q.Address(target)
+}
+
+// HasFrees reports whether results were given up.
+func (d *Desk) HasFrees() bool { return len(d.frees) > 0 }
+
+// Done takes the outcome of a call.
+func (d *Desk) Done(service string, c *Call, made []Made, failure Failure, now time.Time) {
+	d.now = now
+	if q := d.queues[service]; q != nil {
+		q.Done(c, made, failure, now)
+	}
+}
+
+// Waiting returns the number of orders that have not begun.
+func (d *Desk) Waiting() int { return len(d.waiting) }
+
+// Queued returns the number of pieces that wait at a service.
+func (d *Desk) Queued(service string) int {
+	if q := d.queues[service]; q != nil {
+		return q.Len()
+	}
+	return 0
+}
+
+// room describes the results at a target, for the log.
+func (d *Desk) room(service, target string) string {
+	q := d.queues[service]
+	if q == nil || q.engines[target] == nil {
+		return ""
+	}
+	e := q.engines[target]
+	return fmt.Sprintf("%d results, %d of %d bytes, %d calls, ratio %.2f", len(e.held), e.bytes, q.spec.RoomBytes, len(e.calls), e.ratio)
+}
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -12,10 +12,10 @@
 )
 
 var (
-	callsMade   = expvar.NewInt("stage_calls_count")
-	piecesSent  = expvar.NewInt("stage_pieces_count")
-	callsFailed = expvar.NewInt("stage_calls_failed_count")
-	jobsRefused = expvar.NewInt("stage_jobs_refused_count")
+	callsMade     = expvar.NewInt("stage_calls_count")
+	piecesSent    = expvar.NewInt("stage_pieces_count")
+	callsFailed   = expvar.NewInt("stage_calls_failed_count")
+	ordersRefused = expvar.NewInt("stage_orders_refused_count")
 )
 
 const (
@@ -23,8 +23,10 @@
 	tickEvery = 100 * time.Millisecond
 	// freeEvery is how long results that were given up are gathered before their
 	// targets are told.
-	freeEvery = 60 * time.Millisecond
-	// forgetAfter is how long a job whose host doesn't ask for it is kept.
+	freeEvery = 10 * time.Millisecond
+	// freeTime bounds the call that tells a target.
+	freeTime = time.Second
+	// forgetAfter is how long an order whose host doesn't ask for it is kept.
 	forgetAfter = 2500 * time.Millisecond
 )
 
@@ -39,7 +41,7 @@
 	Stage(service string) (fleet.Batching, []Target, bool)
 }
 
-// Home keeps the queues of the services that this host is home of.
+// Home runs the stages of requests for which this host is home.
 type Home struct {
 	caller Caller
 	stock  Stock
@@ -48,26 +50,26 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 
-	mu     sync.Mutex
-	queues map[string]*Queue
-	jobs   map[string]*ticket
-	frees  map[string]map[string][]string // service, target, handles
+	mu      sync.Mutex
+	desk    *Desk
+	tickets map[string]*ticket
+	telling bool // results given up are about to be told
 }
 
-// ticket is a job that another host, or this one, waits for.
+// ticket is an order that a host waits for.
 type ticket struct {
-	service string
-	result  Result
-	done    chan struct{}
-	asked   time.Time
+	result Result
+	done   chan struct{}
+	isDone bool
+	asked  time.Time
 }
 
-// New returns a home without jobs.
+// New returns a home without orders.
 func New(caller Caller, stock Stock, logger logr.Logger) *Home {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		caller: caller, stock: stock, logger: logger, ctx: ctx, cancel: cancel,
-		queues: map[string]*Queue{}, jobs: map[string]*ticket{}, frees: map[string]map[string][]string{},
+		desk: NewDesk(), tickets: map[string]*ticket{},
 	}
 	h.wait.Go(func() { h.tick() })
 	return h
@@ -84,51 +86,39 @@
 		}
 		h.mu.Lock()
 		now := time.Now()
-		for id, t := range h.jobs {
+		for id, t := range h.tickets {
 			if now.Sub(t.asked) > forgetAfter {
-				if q := h.queues[t.service]; q != nil {
-					q.Drop(id)
-				}
-				delete(h.jobs, id)
+				h.desk.Drop(id)
+				delete(h.tickets, id)
 			}
 		}
-		for service := range h.queues {
-			h.advance(service, now)
-		}
+		h.refresh(h.desk.Services())
+		h.advance(now)
 		h.mu.Unlock()
 	}
 }
 
-// queue returns the queue of a service, or nil if there is no such service.
-func (h *Home) queue(service string) *Queue {
-	spec, targets, ok := h.stock.Stage(service)
-	q := h.queues[service]
-	if !ok {
-		return q
-	}
-	if q == nil {
-		q = NewQueue(spec)
-		h.queues[service] = q
+// refresh tells the desk what is known of services.
+func (h *Home) refresh(services []string) {
+	for _, name := range services {
+		if spec, targets, ok := h.stock.Stage(name); ok {
+			h.desk.SetService(name, spec, targets)
+		}
 	}
-	q.SetSpec(spec)
-	q.SetTargets(targets)
-	return q
 }
 
 // advance makes the calls that can be made now.
-func (h *Home) advance(service string, now time.Time) {
-	q := h.queue(service)
-	if q == nil {
-		return
-	}
-	q.Expire(now)
-	if lost := q.Orphans(); len(lost) > 0 {
-		h.free(service, q, lost)
+func (h *Home) advance(now time.Time) {
+	for service, calls := range h.desk.Plan(now) {
+		for _, c := range calls {
+			callsMade.Add(1)
+			piecesSent.Add(int64(len(c.Pieces)))
+			h.wait.Go(func() { h.run(service, c) })
+		}
 	}
-	for _, c := range q.Plan(now) {
-		callsMade.Add(1)
-		piecesSent.Add(int64(len(c.Pieces)))
-		h.wait.Go(func() { h.run(service, c) })
+	if h.desk.HasFrees() && !h.telling {
+		h.telling = true
+		time.AfterFunc(freeEvery, h.tellFrees)
 	}
 }
 
@@ -139,15 +129,16 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	h.logger.V(1).Info("stage call", "service", service, "target", c.Target, "pieces", len(c.Pieces), "took", now.Sub(c.started).String(),
+		"expected", c.Expected.String(), "waiting", h.desk.Waiting(), "queued", h.desk.Queued(service), "failure", int(failure),
+		"room", h.desk.room(service, c.Target))
 	if failure != FailureNone {
 		callsFailed.Add(1)
 		h.logger.Info("stage call failed", "service", service, "target", c.Target, "pieces", len(c.Pieces),
 			"took", now.Sub(c.started).String(), "expected", c.Expected.String(), "failure", int(failure), "err", errText(err))
 	}
-	if q := h.queues[service]; q != nil {
-		q.Done(c, made, failure, now)
-		h.advance(service, now)
-	}
+	h.desk.Done(service, c, made, failure, now)
+	h.advance(now)
 }
 
 func errText(err error) string {
@@ -157,38 +148,37 @@
 	return err.Error()
 }
 
-// Submit takes a job. Taking one again changes nothing.
-func (h *Home) Submit(j Job) {
+// Submit takes an order. Taking one again changes nothing.
+func (h *Home) Submit(o Order) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	if t := h.jobs[j.ID]; t != nil {
+	if t := h.tickets[o.ID]; t != nil {
 		t.asked = now
 		return
 	}
-	t := &ticket{service: j.Service, done: make(chan struct{}), asked: now}
-	h.jobs[j.ID] = t
-	finish := func(r Result) {
-		t.result = r
+	t := &ticket{done: make(chan struct{}), asked: now}
+	h.tickets[o.ID] = t
+	var services []string
+	for _, s := range o.Stages {
+		services = append(services, s.Service)
+	}
+	h.refresh(services)
+	h.desk.Submit(o, now, func(r Result) {
+		t.result, t.isDone = r, true
 		close(t.done)
 		if r.Reason == ReasonBusy {
-			jobsRefused.Add(1)
+			ordersRefused.Add(1)
 		}
-	}
-	q := h.queue(j.Service)
-	if q == nil {
-		finish(Result{IsDone: true, Reason: ReasonFailed})
-		return
-	}
-	q.Add(j, now, finish)
-	h.advance(j.Service, now)
+	})
+	h.advance(now)
 }
 
-// Await waits for a job for up to wait. A result that isn't done may be asked
+// Await waits for an order for up to wait. A result that isn't done may be asked
 // for again.
 func (h *Home) Await(ctx context.Context, id string, wait time.Duration) Result {
 	h.mu.Lock()
-	t := h.jobs[id]
+	t := h.tickets[id]
 	if t != nil {
 		t.asked = time.Now()
 	}
@@ -207,59 +197,36 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.jobs, id)
+	delete(h.tickets, id)
 	return t.result
 }
 
-// Drop ends a job whose caller has left.
+// Drop ends an order whose caller has left, or gives up the results of one that
+// is done.
 func (h *Home) Drop(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t := h.jobs[id]; t != nil {
-		if q := h.queues[t.service]; q != nil {
-			q.Drop(id)
-		}
-		delete(h.jobs, id)
-	}
-}
-
-// Free gives up results. Their targets are told in one call each.
-func (h *Home) Free(service string, handles []string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if q := h.queues[service]; q != nil {
-		h.free(service, q, handles)
-		h.advance(service, time.Now())
-	}
-}
-
-func (h *Home) free(service string, q *Queue, handles []string) {
-	first := len(h.frees) == 0
-	for target, list := range q.Free(handles) {
-		if h.frees[service] == nil {
-			h.frees[service] = map[string][]string{}
-		}
-		h.frees[service][target] = append(h.frees[service][target], list...)
-	}
-	if first && len(h.frees) > 0 {
-		time.AfterFunc(freeEvery, h.tellFrees)
-	}
+	delete(h.tickets, id)
+	h.desk.Drop(id)
+	h.advance(time.Now())
 }
 
+// tellFrees tells targets which results were given up.
 func (h *Home) tellFrees() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.telling = false
 	if h.ctx.Err() != nil {
 		return
 	}
-	for service, targets := range h.frees {
+	for service, targets := range h.desk.Frees(time.Now()) {
 		for target, handles := range targets {
-			address, ok := h.queues[service].Address(target)
+			address, ok := h.desk.Address(service, target)
 			if !ok {
 				continue
 			}
 			h.wait.Go(func() {
-				ctx, cancel := context.WithTimeout(h.ctx, time.Second)
+				ctx, cancel := context.WithTimeout(h.ctx, freeTime)
 				defer cancel()
 				if err := h.caller.Free(ctx, target, address, handles); err != nil {
 					h.logger.V(1).Info("results not freed", "target", target, "results", len(handles), "err", err.Error())
@@ -267,18 +234,14 @@
 			})
 		}
 	}
-	clear(h.frees)
+	h.advance(time.Now())
 }
 
-// Waiting returns the number of pieces that wait.
+// Waiting returns the number of orders that have not begun.
 func (h *Home) Waiting() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := 0
-	for _, q := range h.queues {
-		n += q.Len()
-	}
-	return n
+	return h.desk.Waiting()
 }
 
 // Name implements a controller's name.
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -6,24 +6,38 @@
 
 import (
 	"time"
+
+	"chivepost/share/fleet"
 )
 
 // Job is all pieces of one stage of one request.
 type Job struct {
-	ID          string        `cbor:"id"` // unique over all hosts
-	Request     string        `cbor:"request"`
-	Service     string        `cbor:"service"`
-	Stage       int           `cbor:"stage"`
-	Pieces      int           `cbor:"pieces"`
-	Key         string        `cbor:"key,omitempty"`
-	Inputs      []string      `cbor:"inputs,omitempty"`
-	TimeLeft    time.Duration `cbor:"time_left"` // until the pieces are of no use
-	DueIn       time.Duration `cbor:"due_in"`    // until the request can no longer be on time
-	Priority    int           `cbor:"priority"`
-	DataCentre  string        `cbor:"data_centre"` // where results are wanted
-	Regions     []string      `cbor:"regions,omitempty"`
-	ResultBytes int64         `cbor:"result_bytes"`
-	IsFirst     bool          `cbor:"is_first"` // no work has gone into the request yet
+	ID          string
+	Request     string
+	Stage       int
+	Pieces      int
+	Key         string
+	Inputs      []string
+	TimeLeft    time.Duration // until the pieces are of no use
+	DueIn       time.Duration // until the request can no longer be on time
+	Priority    int
+	DataCentre  string // where results are wanted
+	Regions     []string
+	ResultBytes int64
+}
+
+// Order is all stages of one request.
+type Order struct {
+	ID         string        `cbor:"id"` // unique over all hosts
+	Request    string        `cbor:"request"`
+	Stages     []fleet.Stage `cbor:"stages"`
+	Pieces     []int         `cbor:"pieces"` // of each stage; 0: the stage is left out
+	Key        string        `cbor:"key"`
+	TimeLeft   time.Duration `cbor:"time_left"` // until the results are of no use
+	DueIn      time.Duration `cbor:"due_in"`    // until the request can no longer be on time
+	Priority   int           `cbor:"priority"`
+	DataCentre string        `cbor:"data_centre"` // where results are wanted
+	Regions    []string      `cbor:"regions,omitempty"`
 }
 
 // Reason says why a job has no results.
@@ -40,14 +54,15 @@
 	ReasonDropped Reason = "dropped" // the caller has left
 )
 
-// Result is what became of a job. Handles has one entry for each piece if there
-// is no reason.
+// Result is what became of a job or an order. Without a reason Handles has one
+// entry for each piece, of an order for each piece of the stages that no other
+// one needs.
 type Result struct {
 	IsDone     bool          `cbor:"is_done"`
 	Handles    []string      `cbor:"handles,omitempty"`
 	Reason     Reason        `cbor:"reason,omitempty"`
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
-	Wait       time.Duration `cbor:"wait,omitempty"` // spent waiting for the first call
+	Wait       time.Duration `cbor:"wait,omitempty"` // before the first call, of an order over all stages
 }
 
 // entry is a job in the queue of its home.
@@ -85,9 +100,11 @@
 	Expected time.Duration // how long it takes, with what waits before it
 	Limit    time.Duration // after which it is given up
 
-	started time.Time
-	bytes   int64
-	entries []*entry
+	started  time.Time
+	own      time.Duration // without the way and what waits before it
+	isQueued bool          // another call was at work as it was made
+	bytes    int64
+	entries  []*entry
 }
 
 // Piece is one piece of a call.
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,14 +12,27 @@
 	// maxTries is how many calls of a job may fail.
 	maxTries = 4
 	// roomShare is the part of a target's space for results that is planned with:
-	// sizes are approximate.
-	roomShare = 0.85
-	// awayPenalty ranks pieces whose results are wanted elsewhere behind those that
-	// are this much less urgent, so that results seldom cross links.
-	awayPenalty = 60 * time.Millisecond
+	// sizes are approximate, and a piece without space costs only its way.
+	roomShare = 0.97
+	// minFill is the part of what waits, or of a full call, for which a target must
+	// have space while results that it holds are about to be freed.
+	minFill = 0.6
+	// lifeWeight is the weight of a new measurement of how long results are held.
+	lifeWeight = 0.1
+	// pathWeight is the weight of a longer way than the shortest one seen.
+	pathWeight = 0.05
+	// maxPath bounds how much longer than the shortest a way is believed to be.
+	maxPath = 60 * time.Millisecond
+	// recoverEvery is the time in which a slow target without calls is believed to
+	// have become half as slow.
+	recoverEvery = 2 * time.Second
+	// awayWait is how long a MB of results waits for a target where it is wanted
+	// rather than cross links, and maxAwayWait bounds that for large ones.
+	awayWait    = 150 * time.Millisecond
+	maxAwayWait = 320 * time.Millisecond
 	// slowFrom is the ratio of measured to expected time from which on a target gets
 	// work only when no faster one is free.
-	slowFrom = 1.8
+	slowFrom = 2.0
 	// ratioWeight is the weight of a new measurement of that ratio.
 	ratioWeight = 0.4
 	// limitFactor and limitExtra bound a call: slow targets take several times as long.
@@ -33,15 +45,10 @@
 	fullPause   = 120 * time.Millisecond
 	// maxPause bounds the growing pause of a target that fails again and again.
 	maxPause = 5 * time.Second
+	// callLead is how long a call is on its way to a target and its answer back.
+	callLead = 25 * time.Millisecond
 	// roomPause is how long a target without space gets no call.
 	roomPause = 200 * time.Millisecond
-	// busySpread spreads the time after which refused callers return.
-	busySpread = 0.5
-	// minRetry is the shortest time after which a refused caller may return.
-	minRetry = 150 * time.Millisecond
-	// admitMargin is taken off the time left when a job is admitted, for what
-	// follows the stage.
-	admitMargin = 150 * time.Millisecond
 )
 
 // Target is a stage target as the queue sees it.
@@ -58,7 +65,9 @@
 	calls   []*Call
 	held    map[string]held // results by handle
 	bytes   int64           // of results held and of those being made
-	ratio   float64         // measured to expected time
+	ratio   float64         // measured to expected time, without the way
+	path    time.Duration   // the way to the target and back; negative: not known
+	judged  time.Time       // when the ratio was last measured
 	pause   time.Time
 	pauses  int // in a row
 	present bool
@@ -66,6 +75,7 @@
 
 type held struct {
 	bytes int64
+	made  time.Time // when its call began
 	until time.Time
 }
 
@@ -75,7 +85,9 @@
 	jobs    []*entry
 	byID    map[string]*entry
 	engines map[string]*engine
-	orphans []string // results of jobs that have ended otherwise
+	orphans []string      // results of jobs that have ended otherwise
+	life    time.Duration // mean time from the beginning of a call to the freeing of its results
+	size    float64       // mean bytes of a result
 }
 
 // NewQueue returns an empty queue.
@@ -100,51 +112,45 @@
 	return q.spec.Call + time.Duration(q.spec.Batch)*q.spec.Item
 }
 
-// rate returns the pieces a second that the targets at hand make in full calls.
+// rate returns the pieces a second that the targets at hand make: in full calls,
+// or as space for results comes free.
 func (q *Queue) rate(now time.Time) float64 {
 	sum := 0.0
 	for _, e := range q.engines {
-		if e.present && !now.Before(e.pause) {
-			sum += float64(q.spec.Batch*max(q.spec.Slots, 1)) / (q.fullCall().Seconds() * max(e.ratio, 1))
+		if !e.present || now.Before(e.pause) {
+			continue
 		}
+		r := float64(q.spec.Batch*max(q.spec.Slots, 1)) / (q.fullCall().Seconds() * max(e.ratio, 1))
+		if q.life > 0 && q.size > 0 && q.spec.RoomBytes > 0 {
+			r = min(r, roomShare*float64(q.spec.RoomBytes)/q.size/q.life.Seconds())
+		}
+		sum += r
 	}
 	return sum
 }
 
-// Add takes a job, or refuses it at once if it can't be done in time. finish is
-// called once.
+// Add takes a job. finish is called once.
 func (q *Queue) Add(j Job, now time.Time, finish func(Result)) {
 	e := &entry{job: j, added: now, due: now.Add(j.DueIn), until: now.Add(j.TimeLeft), finish: finish, handles: make([]string, j.Pieces)}
 	for i := range j.Pieces {
 		e.todo = append(e.todo, i)
 	}
-	if j.IsFirst {
-		if wait, ok := q.admits(e, now); !ok {
-			retry := max(time.Duration((1+busySpread*(rand.Float64()-0.5))*float64(wait)), minRetry)
-			e.end(Result{Reason: ReasonBusy, RetryAfter: retry})
-			return
-		}
-	}
 	q.jobs = append(q.jobs, e)
 	q.byID[j.ID] = e
 }
 
-// admits reports whether a new job would be done in time behind the jobs that go
-// before it, and otherwise after how long it would.
-func (q *Queue) admits(e *entry, now time.Time) (time.Duration, bool) {
-	rate := q.rate(now)
-	if rate == 0 {
-		return q.fullCall(), len(q.engines) == 0 || len(q.jobs) == 0
-	}
-	ahead := 0
-	for _, o := range q.jobs {
-		if q.compare(o, e, now) <= 0 {
-			ahead += len(o.todo)
+// capacity returns the pieces that the targets at hand take in one full call each.
+func (q *Queue) capacity(now time.Time) float64 {
+	return q.rate(now) * q.fullCall().Seconds()
+}
+
+func (q *Queue) hasTargets() bool {
+	for _, e := range q.engines {
+		if e.present {
+			return true
 		}
 	}
-	wait := time.Duration(float64(ahead+e.job.Pieces) / rate * float64(time.Second))
-	need := wait + q.fullCall()
-	return wait, now.Add(need + admitMargin).Before(e.until)
+	return false
 }
 
 // isOnTime reports whether a job can still be done before it is late.
@@ -173,7 +179,7 @@
 	for _, t := range targets {
 		e := q.engines[t.ID]
 		if e == nil {
-			e = &engine{held: map[string]held{}, ratio: 1}
+			e = &engine{held: map[string]held{}, ratio: 1, path: -1}
 			q.engines[t.ID] = e
 		}
 		e.target, e.present = t, true
@@ -193,6 +199,12 @@
 }
 
 func (q *Queue) finish(e *entry, r Result) {
+	if e.finished {
+		return
+	}
+	delete(q.byID, e.job.ID)
+	e.todo = nil
+	q.jobs = slices.DeleteFunc(q.jobs, func(o *entry) bool { return o == e })
 	if r.Reason != ReasonNone {
 		for _, h := range e.handles {
 			if h != "" {
@@ -201,9 +213,6 @@
 		}
 	}
 	e.end(r)
-	delete(q.byID, e.job.ID)
-	e.todo = nil
-	q.jobs = slices.DeleteFunc(q.jobs, func(o *entry) bool { return o == e })
 }
 
 // Expire ends jobs that can no longer be done in time and forgets results whose
@@ -225,11 +234,12 @@
 }
 
 // Free notes that results were given up and returns their targets.
-func (q *Queue) Free(handles []string) map[string][]string {
+func (q *Queue) Free(handles []string, now time.Time) map[string][]string {
 	out := map[string][]string{}
 	for _, h := range handles {
 		for id, e := range q.engines {
 			if r, ok := e.held[h]; ok {
+				q.life += time.Duration(lifeWeight * float64(now.Sub(r.made)-q.life))
 				e.bytes -= r.bytes
 				delete(e.held, h)
 				out[id] = append(out[id], h)
@@ -264,7 +274,7 @@
 	}
 	slices.SortStableFunc(q.jobs, func(a, b *entry) int { return q.compare(a, b, now) })
 	for {
-		e := q.freeEngine(now, len(out) > 0)
+		e := q.freeEngine(now)
 		if e == nil {
 			return out
 		}
@@ -285,21 +295,30 @@
 	return b
 }
 
+// isNearlyDone reports whether a target is done with its call by the time that
+// another one gets there.
+func isNearlyDone(e *engine, now time.Time) bool {
+	c := e.calls[len(e.calls)-1]
+	return now.Add(callLead).After(c.started.Add(c.Expected))
+}
+
 // freeEngine returns the target that would start a call soonest, or nil. A call
-// beyond those at work waits at the target only if it is full, so that the next
-// one starts without a pause and no piece is tied to a target too early.
-func (q *Queue) freeEngine(now time.Time, _ bool) *engine {
+// beyond those at work waits at the target only if it is full or the one before
+// it is nearly done, so that the next one starts without a pause and no piece is
+// tied to a target too early.
+func (q *Queue) freeEngine(now time.Time) *engine {
 	waiting := q.Len()
 	if waiting == 0 {
 		return nil
 	}
+	q.recover(now)
 	var best *engine
 	for _, e := range q.engines {
 		if !e.present || now.Before(e.pause) {
 			continue
 		}
 		n := len(e.calls)
-		if n >= max(q.spec.Slots, 1) && (n >= max(q.spec.Slots, 1)+1 || q.spec.Queue < 1 || waiting < q.spec.Batch || e.ratio > slowFrom) {
+		if slots := max(q.spec.Slots, 1); n >= slots && (n > slots || q.spec.Queue < 1 || e.ratio > slowFrom || waiting < q.spec.Batch && !isNearlyDone(e, now)) {
 			continue
 		}
 		if best == nil || q.isBetter(e, best) {
@@ -312,6 +331,15 @@
 	return best
 }
 
+// recover lets slow targets without calls be tried again.
+func (q *Queue) recover(now time.Time) {
+	for _, e := range q.engines {
+		if e.ratio > slowFrom && len(e.calls) == 0 && now.Sub(e.judged) > recoverEvery {
+			e.ratio, e.judged = 1+(e.ratio-1)/2, now
+		}
+	}
+}
+
 func (q *Queue) isBetter(a, b *engine) bool {
 	if len(a.calls) != len(b.calls) {
 		return len(a.calls) < len(b.calls)
@@ -344,23 +372,22 @@
 func (q *Queue) fill(e *engine, now time.Time) *Call {
 	room := int64(roomShare*float64(q.spec.RoomBytes)) - e.bytes
 	c := &Call{Target: e.target.ID, Address: e.target.Address, started: now}
-	order := q.jobs
-	if len(q.engines) > 1 {
-		order = slices.Clone(q.jobs)
-		slices.SortStableFunc(order, func(a, b *entry) int {
-			x, y := q.isOnTime(a, now), q.isOnTime(b, now)
-			if x != y || a.job.Priority != b.job.Priority {
-				return 0
-			}
-			return q.dueAt(a, e).Compare(q.dueAt(b, e))
-		})
-	}
+	order := slices.Clone(q.jobs)
+	slices.SortStableFunc(order, func(a, b *entry) int {
+		x, y := q.isOnTime(a, now), q.isOnTime(b, now)
+		if x != y || a.job.Priority != b.job.Priority {
+			return 0
+		}
+		return q.dueAt(a, e).Compare(q.dueAt(b, e))
+	})
+	waiting, short := q.Len(), false
 	for _, j := range order {
-		if !allows(j.job.Regions, e.target.Region) {
+		if !allows(j.job.Regions, e.target.Region) || q.shouldWait(j, e, now) {
 			continue
 		}
 		for len(j.todo) > 0 && len(c.Pieces) < q.spec.Batch {
 			if q.spec.RoomBytes > 0 && c.bytes+j.job.ResultBytes > room && (len(c.Pieces) > 0 || e.bytes > 0) {
+				short = true
 				break
 			}
 			n := j.todo[0]
@@ -382,9 +409,15 @@
 	if len(c.Pieces) == 0 {
 		return nil
 	}
+	if short && e.bytes > 0 && float64(len(c.Pieces)) < minFill*float64(min(waiting, q.spec.Batch)) {
+		q.takeBack(c)
+		return nil
+	}
 	own := q.spec.Call + time.Duration(len(c.Pieces))*q.spec.Item
-	c.Expected = own
+	c.own = own
+	c.Expected = own + max(e.path, 0)
 	if n := len(e.calls); n > 0 {
+		c.isQueued = true
 		before := e.calls[n-1]
 		c.Expected += max(before.started.Add(before.Expected).Sub(now), 0)
 	}
@@ -394,11 +427,69 @@
 	return c
 }
 
+// takeBack undoes the packing of a call.
+func (q *Queue) takeBack(c *Call) {
+	for i := len(c.entries) - 1; i >= 0; i-- {
+		j := c.entries[i]
+		j.pending--
+		j.todo = append([]int{c.Pieces[i].Number}, j.todo...)
+		if j.started.Equal(c.started) {
+			j.started = time.Time{}
+		}
+	}
+}
+
+// dueAt ranks a job for a target: one whose results are wanted elsewhere goes
+// behind.
 func (q *Queue) dueAt(j *entry, e *engine) time.Time {
 	if j.job.DataCentre == e.target.DataCentre {
 		return j.due
 	}
-	return j.due.Add(awayPenalty)
+	return j.due.Add(crossing(j))
+}
+
+// crossing returns how long the results of a job wait rather than cross links.
+func crossing(j *entry) time.Duration {
+	bytes := j.job.ResultBytes * int64(j.job.Pieces)
+	return min(time.Duration(float64(awayWait)*float64(bytes)/1e6), maxAwayWait)
+}
+
+// shouldWait reports whether a job is better left for a target where its results
+// are wanted: one is free soon, and the job has the time.
+func (q *Queue) shouldWait(j *entry, e *engine, now time.Time) bool {
+	if j.job.DataCentre == e.target.DataCentre {
+		return false
+	}
+	bears := crossing(j)
+	if slack := j.due.Sub(now) - q.fullCall(); slack < bears {
+		return false
+	}
+	engines, ahead := 0, 0
+	soonest := time.Duration(1<<62 - 1)
+	for _, o := range q.engines {
+		if !o.present || now.Before(o.pause) || o.ratio > slowFrom || o.target.DataCentre != j.job.DataCentre {
+			continue
+		}
+		engines++
+		wait := time.Duration(0)
+		if n := len(o.calls); n > 0 {
+			wait = max(o.calls[n-1].started.Add(o.calls[n-1].Expected).Sub(now), 0)
+		}
+		soonest = min(soonest, wait)
+	}
+	if engines == 0 {
+		return false
+	}
+	for _, o := range q.jobs {
+		if o == j {
+			break
+		}
+		if o.job.DataCentre == j.job.DataCentre {
+			ahead += len(o.todo)
+		}
+	}
+	calls := ahead / (q.spec.Batch * engines)
+	return soonest+time.Duration(calls)*q.fullCall() <= bears
 }
 
 func allows(regions []string, region string) bool {
@@ -422,8 +513,9 @@
 			m = made[i]
 		}
 		if m.Handle != "" && e != nil {
-			e.held[m.Handle] = held{bytes: j.job.ResultBytes, until: now.Add(q.spec.HoldFor)}
+			e.held[m.Handle] = held{bytes: j.job.ResultBytes, made: c.started, until: now.Add(q.spec.HoldFor)}
 			e.bytes += j.job.ResultBytes
+			q.size += lifeWeight * (float64(j.job.ResultBytes) - q.size)
 		}
 		if j.finished {
 			if m.Handle != "" {
@@ -468,14 +560,23 @@
 // judge learns from a call how fast a target is and whether it is to be left alone.
 func (q *Queue) judge(e *engine, c *Call, failure Failure, now time.Time) {
 	took := now.Sub(c.started)
-	ratio := float64(took) / float64(c.Expected)
 	switch failure {
 	case FailureNone:
-		e.ratio += ratioWeight * (ratio - e.ratio)
-		e.pauses = 0
+		if !c.isQueued {
+			way := max(took-c.own, 0)
+			if e.path < 0 || way < e.path {
+				e.path = way
+			} else if way < 2*e.path+maxPath {
+				e.path += time.Duration(pathWeight * float64(way-e.path))
+			}
+		}
+		ratio := float64(took-max(e.path, 0)) / float64(c.Expected-max(e.path, 0))
+		e.ratio += ratioWeight * (max(ratio, 0.5) - e.ratio)
+		e.pauses, e.judged = 0, now
 		return
 	case FailureTimeout:
-		e.ratio = max(e.ratio, ratio)
+		e.ratio = max(e.ratio, float64(took)/float64(c.Expected))
+		e.judged = now
 	}
 	pause := map[Failure]time.Duration{
 		FailureRefused: fullPause, FailureAbsent: absentPause, FailureBroken: brokenPause, FailureTimeout: absentPause,
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -88,6 +88,10 @@
 			c.giveUp(failure, reason)
 			return nil
 		}
+		if c.started && c.results != nil {
+			// The results were given up as the stream began.
+			return errResultsGone
+		}
 	}
 }
 
--- a/entry/internal/edge/front.go
+++ b/entry/internal/edge/front.go
@@ -46,10 +46,12 @@
 	waitFactor = 4
 	// waitAim is the part of a route's aim that a target has at least.
 	waitAim = 0.45
+	// afterStages is what a request needs after its last stage to be on time.
+	afterStages = 150 * time.Millisecond
 	// resumeGap is the silence within a stream after which it is resumed elsewhere.
 	resumeGap = 2 * time.Second
 	// stageTries is how often the stages run for a request whose results were lost.
-	stageTries = 2
+	stageTries = 3
 )
 
 // Tables tells what is known of the deployment.
@@ -59,7 +61,7 @@
 
 // Stages runs the stages of a request.
 type Stages interface {
-	Run(ctx context.Context, req graph.Request, services map[string]fleet.Service) (*graph.Results, error)
+	Run(ctx context.Context, order batch.Order, due, until time.Time) (*graph.Results, error)
 }
 
 // Book chooses targets.
@@ -295,13 +297,16 @@
 			return
 		}
 		err := c.attempts(ctx)
-		if !errors.Is(err, errResultsGone) || try == stageTries || time.Now().Add(c.route.Aim/2).After(c.until) {
-			if errors.Is(err, errResultsGone) {
-				c.refuse("results of stages were lost", 0)
-			}
+		if !errors.Is(err, errResultsGone) {
 			return
 		}
-		c.results.Free()
+		if try == stageTries {
+			c.refuse("results of stages were lost", 0)
+			return
+		}
+		if c.results != nil {
+			c.results.Free()
+		}
 	}
 }
 
@@ -314,11 +319,10 @@
 		return nil
 	}
 	var err error
-	c.results, err = c.f.stages.Run(ctx, graph.Request{
-		ID: c.req.ID, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey,
-		Due: c.start.Add(c.route.Aim), Until: c.until, Priority: c.priority,
+	c.results, err = c.f.stages.Run(ctx, batch.Order{
+		Request: c.req.ID, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority,
 		DataCentre: c.f.opts.DataCentre, Regions: c.regions,
-	}, c.config.Services)
+	}, c.start.Add(c.route.Aim-afterStages), c.until.Add(-afterStages))
 	c.staged = time.Since(c.start)
 	if err == nil {
 		c.waited = c.results.Waited
@@ -370,6 +374,9 @@
 
 // reject answers with a status of the system's own.
 func (c *call) reject(status int, reason string) bool {
+	if c.started {
+		c.abort(reason) // a status can't follow a head
+	}
 	c.status, c.reason = status, reason
 	wire.SetID(c.w.Header(), c.req.ID)
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- /dev/null
+++ b/entry/internal/model/model.go
@@ -0,0 +1,483 @@
+// Package model plays the load of a deployment against models of its stage
+// targets, in virtual time and with the desk as it runs in the product.
+package model
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"chivepost/entry/internal/batch"
+	"chivepost/share/fleet"
+)
+
+// Service is a stage service with its targets' data centres.
+type Service struct {
+	Name    string
+	Spec    fleet.Batching
+	Targets []string // data centre of each
+}
+
+// Stage is one stage of a kind of request.
+type Stage struct {
+	Service string
+	After   []int
+	Mean    float64 // pieces
+	Spread  float64 // of their number, log-normal; 0: always the mean
+	Share   float64 // of the requests that have the stage; 0: all
+	Bytes   int64
+	Work    float64 // factor on the time of a piece; 0: 1
+}
+
+// Kind is a kind of request.
+type Kind struct {
+	Name      string
+	PerSecond float64
+	Aim       time.Duration
+	Timeout   time.Duration
+	Worth     float64
+	LateWorth float64
+	Priority  int
+	Stages    []Stage
+	After     time.Duration // what the request takes after its stages
+	Retries   int
+}
+
+// Burst multiplies the arrivals of a kind, or of all, for a while.
+type Burst struct {
+	Kind   string // empty: all
+	At     time.Duration
+	For    time.Duration
+	Factor float64
+}
+
+// Fault slows or stops targets for a while.
+type Fault struct {
+	Service string
+	Targets int // the first ones
+	At      time.Duration
+	For     time.Duration
+	Slow    float64 // factor on the time of a call; 0: calls get no answer
+}
+
+// Load is a deployment under load.
+type Load struct {
+	Services []Service
+	Kinds    []Kind
+	Bursts   []Burst
+	Faults   []Fault
+	// Hosts is the number of desks; 1 is a home for all, more are hosts each on its own.
+	Hosts  int
+	Length time.Duration
+	Seed   uint64
+	// Transit is the time between a desk and a target, one way.
+	Transit time.Duration
+}
+
+// Outcome sums up how a load was served.
+type Outcome struct {
+	Asked, OnTime, Late, Refused, Failed int
+	Owed, Earned                         float64
+	Calls, Pieces                        int
+	Wasted                               time.Duration // of targets, for results that nobody used
+	Busy                                 time.Duration // of targets
+	NoRoom                               int           // pieces that found no space
+	Crossed                              int64         // bytes of results made outside the data centre where they were wanted
+	HeldLate                             int           // requests that were refused after more than a quarter of their time limit
+	ByKind                               map[string]*KindOutcome
+}
+
+// KindOutcome is the outcome of one kind.
+type KindOutcome struct {
+	Asked, OnTime, Served int
+	Owed, Earned          float64
+}
+
+// Share returns the part of the credit that was earned.
+func (o Outcome) Share() float64 { return o.Earned / o.Owed }
+
+// Served returns the part of the requests that were answered.
+func (o Outcome) Served() float64 { return float64(o.OnTime+o.Late) / float64(o.Asked) }
+
+// PerCall returns the mean number of pieces in a call.
+func (o Outcome) PerCall() float64 { return float64(o.Pieces) / float64(max(o.Calls, 1)) }
+
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// target is the model of a stage target: it works on one call at a time.
+type target struct {
+	service    *Service
+	index      int
+	dataCentre string
+	freeAt     time.Time
+	waiting    int
+	held       map[string]int64 // results and their bytes
+	bytes      int64
+}
+
+type request struct {
+	kind   *Kind
+	dc     string
+	sent   time.Time // by the caller, first of all
+	tries  int
+	pieces []int
+	key    string
+}
+
+type world struct {
+	load    Load
+	rand    *rand.Rand
+	now     time.Time
+	start   time.Time
+	queue   events
+	seq     int
+	desks   []*batch.Desk
+	targets map[string]*target
+	views   map[string][]batch.Target
+	zones   []string
+	out     Outcome
+	made    map[string]time.Duration // work by request
+	ids     int
+	work    map[string][]float64 // request to the factor of each stage
+	sizes   map[string][]float64 // request to the bytes of a result of each stage
+	places  map[string]string    // request to its data centre
+}
+
+// Run plays a load and returns how it was served.
+func Run(l Load) Outcome {
+	if l.Hosts == 0 {
+		l.Hosts = 1
+	}
+	if l.Transit == 0 {
+		l.Transit = 20 * time.Millisecond
+	}
+	w := &world{
+		load: l, rand: rand.New(rand.NewPCG(l.Seed, 1)), targets: map[string]*target{}, views: map[string][]batch.Target{},
+		made: map[string]time.Duration{}, work: map[string][]float64{}, sizes: map[string][]float64{}, places: map[string]string{}, out: Outcome{ByKind: map[string]*KindOutcome{}},
+	}
+	w.start = time.Unix(1_700_000_000, 0)
+	w.now = w.start
+	seen := map[string]bool{}
+	for i := range l.Services {
+		s := &l.Services[i]
+		for k, dc := range s.Targets {
+			id := s.Name + "-" + strconv.Itoa(k)
+			w.targets[id] = &target{service: s, index: k, dataCentre: dc, held: map[string]int64{}}
+			w.views[s.Name] = append(w.views[s.Name], batch.Target{ID: id, Address: id, DataCentre: dc, Region: dc})
+			if !seen[dc] {
+				seen[dc] = true
+				w.zones = append(w.zones, dc)
+			}
+		}
+	}
+	for range l.Hosts {
+		w.desks = append(w.desks, batch.NewDesk())
+	}
+	for i := range l.Kinds {
+		w.out.ByKind[l.Kinds[i].Name] = &KindOutcome{}
+		w.arrive(&l.Kinds[i])
+	}
+	for i := range w.desks {
+		w.tick(i)
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w.out
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{at: w.now.Add(d), seq: w.seq, do: do})
+}
+
+// tailTime is how long the model runs on after the last arrival.
+const tailTime = 25 * time.Second
+
+func (w *world) tick(desk int) {
+	w.advance(desk)
+	if w.now.Sub(w.start) < w.load.Length+tailTime {
+		w.after(100*time.Millisecond, func() { w.tick(desk) })
+	}
+}
+
+// arrive makes the arrivals of a kind, one after the other.
+func (w *world) arrive(k *Kind) {
+	rate := k.PerSecond
+	at := w.now.Sub(w.start)
+	for _, b := range w.load.Bursts {
+		if (b.Kind == "" || b.Kind == k.Name) && at >= b.At && at < b.At+b.For {
+			rate *= b.Factor
+		}
+	}
+	gap := time.Duration(w.rand.ExpFloat64() / rate * float64(time.Second))
+	w.after(gap, func() {
+		if w.now.Sub(w.start) > w.load.Length {
+			return
+		}
+		w.request(k)
+		w.arrive(k)
+	})
+}
+
+func (w *world) count(s Stage) int {
+	if s.Share > 0 && w.rand.Float64() >= s.Share {
+		return 0
+	}
+	mean := s.Mean
+	if mean == 0 {
+		mean = 1
+	}
+	if s.Spread == 0 {
+		return int(math.Round(mean))
+	}
+	return max(int(math.Round(mean*math.Exp(s.Spread*w.rand.NormFloat64()-s.Spread*s.Spread/2))), 1)
+}
+
+func (w *world) request(k *Kind) {
+	r := &request{kind: k, dc: w.zones[w.rand.IntN(len(w.zones))], sent: w.now}
+	for _, s := range k.Stages {
+		r.pieces = append(r.pieces, w.count(s))
+	}
+	w.out.Asked++
+	w.out.Owed += k.Worth
+	w.out.ByKind[k.Name].Asked++
+	w.out.ByKind[k.Name].Owed += k.Worth
+	w.try(r)
+}
+
+// sizeSpread is how far the sizes of results are from what is announced.
+const sizeSpread = 0.15
+
+// try sends a request to a desk.
+func (w *world) try(r *request) {
+	k := r.kind
+	w.ids++
+	id := strconv.Itoa(w.ids)
+	stages := make([]fleet.Stage, len(k.Stages))
+	factors := make([]float64, len(k.Stages))
+	for i, s := range k.Stages {
+		stages[i] = fleet.Stage{Service: s.Service, After: s.After, ResultBytes: s.Bytes}
+		if factors[i] = s.Work; s.Work == 0 {
+			factors[i] = 1
+		}
+	}
+	w.work[id], w.places[id] = factors, r.dc
+	w.sizes[id] = make([]float64, len(k.Stages))
+	for i, s := range k.Stages {
+		w.sizes[id][i] = float64(s.Bytes) * (1 + sizeSpread*(2*w.rand.Float64()-1))
+	}
+	desk := w.rand.IntN(len(w.desks))
+	w.refresh(desk)
+	begun := w.now
+	left := r.sent.Add(k.Timeout).Sub(w.now) - k.After
+	w.desks[desk].Submit(batch.Order{
+		ID: id, Request: id, Stages: stages, Pieces: r.pieces, Key: "k", TimeLeft: left,
+		DueIn: r.sent.Add(k.Aim).Sub(w.now) - k.After, Priority: k.Priority, DataCentre: r.dc,
+	}, w.now, func(res batch.Result) { w.ended(r, id, desk, begun, res) })
+	w.advance(desk)
+}
+
+// ended takes the result of a request's stages.
+func (w *world) ended(r *request, id string, desk int, begun time.Time, res batch.Result) {
+	if res.Reason == batch.ReasonNone {
+		w.after(r.kind.After, func() {
+			w.desks[desk].Drop(id)
+			w.served(r)
+		})
+		return
+	}
+	w.out.Wasted += w.made[id]
+	if w.now.Sub(begun) > r.kind.Timeout/4 {
+		w.out.HeldLate++
+	}
+	back := res.RetryAfter
+	if back == 0 {
+		back = 400 * time.Millisecond
+	}
+	left := r.sent.Add(r.kind.Timeout).Sub(w.now)
+	if r.tries < r.kind.Retries && back < left/3 {
+		r.tries++
+		w.after(back, func() { w.try(r) })
+		return
+	}
+	if res.Reason == batch.ReasonBusy {
+		w.out.Refused++
+	} else {
+		w.out.Failed++
+	}
+}
+
+func (w *world) served(r *request) {
+	took := w.now.Sub(r.sent)
+	k := w.out.ByKind[r.kind.Name]
+	earned := 0.0
+	switch {
+	case took <= r.kind.Aim:
+		w.out.OnTime++
+		k.OnTime++
+		earned = r.kind.Worth
+	case took <= r.kind.Timeout:
+		w.out.Late++
+		earned = r.kind.LateWorth
+	default:
+		w.out.Failed++
+		return
+	}
+	k.Served++
+	k.Earned += earned
+	w.out.Earned += earned
+}
+
+func (w *world) refresh(desk int) {
+	for i := range w.load.Services {
+		s := &w.load.Services[i]
+		w.desks[desk].SetService(s.Name, s.Spec, w.views[s.Name])
+	}
+}
+
+// advance makes the calls that a desk plans.
+func (w *world) advance(desk int) {
+	w.refresh(desk)
+	for service, calls := range w.desks[desk].Plan(w.now) {
+		for _, c := range calls {
+			w.call(desk, service, c)
+		}
+	}
+	for _, targets := range w.desks[desk].Frees(w.now) {
+		for id, handles := range targets {
+			w.after(freeDelay+w.load.Transit, func() { w.targets[id].free(handles) })
+		}
+	}
+}
+
+// freeDelay is how long a home gathers results that were given up.
+const freeDelay = 10 * time.Millisecond
+
+func (t *target) free(handles []string) {
+	for _, h := range handles {
+		t.bytes -= t.held[h]
+		delete(t.held, h)
+	}
+}
+
+func (w *world) call(desk int, service string, c *batch.Call) {
+	w.out.Calls++
+	w.out.Pieces += len(c.Pieces)
+	t := w.targets[c.Target]
+	done := false
+	finish := func(made []batch.Made, f batch.Failure) {
+		if done {
+			return
+		}
+		done = true
+		w.desks[desk].Done(service, c, made, f, w.now)
+		w.advance(desk)
+	}
+	w.after(c.Limit, func() { finish(nil, batch.FailureTimeout) })
+	w.after(w.load.Transit, func() {
+		if t.waiting > t.service.Spec.Queue {
+			w.after(w.load.Transit, func() { finish(nil, batch.FailureRefused) })
+			return
+		}
+		slow, dead := w.fault(t)
+		if dead {
+			return // no answer
+		}
+		begin := w.now
+		if t.freeAt.After(begin) {
+			begin = t.freeAt
+		}
+		t.waiting++
+		took := time.Duration(0)
+		made := make([]batch.Made, len(c.Pieces))
+		// The end is known once the turn comes; until then a full call is assumed.
+		t.freeAt = begin.Add(time.Duration(slow * float64(w.callTime(t, c))))
+		w.after(begin.Sub(w.now), func() {
+			took = w.makePieces(t, c, made)
+			took = time.Duration(slow * float64(took))
+			w.out.Busy += took
+			w.after(took, func() {
+				t.waiting--
+				for i := range made {
+					if h := made[i].Handle; h != "" {
+						w.after(t.service.Spec.HoldFor, func() { t.free([]string{h}) })
+					}
+				}
+				w.after(w.load.Transit, func() { finish(made, batch.FailureNone) })
+			})
+		})
+	})
+}
+
+// callTime returns what a call takes if all its pieces have space.
+func (w *world) callTime(t *target, c *batch.Call) time.Duration {
+	took := t.service.Spec.Call
+	for _, p := range c.Pieces {
+		took += time.Duration(w.work[p.Request][p.Stage] * float64(t.service.Spec.Item))
+	}
+	return took
+}
+
+// makePieces makes the pieces of a call for which there is space and returns its time.
+func (w *world) makePieces(t *target, c *batch.Call, made []batch.Made) time.Duration {
+	took := t.service.Spec.Call
+	for i, p := range c.Pieces {
+		size := int64(w.sizes[p.Request][p.Stage])
+		if t.bytes+size > t.service.Spec.RoomBytes {
+			made[i].Reason = batch.FaultRoom
+			w.out.NoRoom++
+			continue
+		}
+		h := c.Target + "/" + p.Request + "/" + strconv.Itoa(p.Stage) + "/" + strconv.Itoa(p.Number)
+		made[i].Handle = h
+		t.held[h] = size
+		t.bytes += size
+		own := time.Duration(w.work[p.Request][p.Stage] * float64(t.service.Spec.Item))
+		took += own
+		w.made[p.Request] += own + t.service.Spec.Call/time.Duration(len(c.Pieces))
+		if w.places[p.Request] != t.dataCentre {
+			w.out.Crossed += size
+		}
+	}
+	return took
+}
+
+func (w *world) fault(t *target) (slow float64, dead bool) {
+	at := w.now.Sub(w.start)
+	for _, f := range w.load.Faults {
+		if f.Service == t.service.Name && t.index < f.Targets && at >= f.At && at < f.At+f.For {
+			if f.Slow == 0 {
+				return 1, true
+			}
+			return f.Slow, false
+		}
+	}
+	return 1, false
+}
