Give each region a home for its stages where targets are many

Ruled out: the stage targets (a third idle) and the store.

Change: with three targets a region or more for each stage service, each region has its own home among its stronger hosts, and uses its own targets.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -179,6 +179,7 @@
 	self := roster.Host{
 		Name: s.HostName, Front: s.FrontAddress, Peer: s.PeerAddress, Gossip: gossip,
 		DataCentre: s.DataCentre, Region: s.Region, Incarnation: time.Now().UnixMilli(),
+		Power: int(1000 * s.Cores),
 	}
 	r, err := roster.New(roster.Options{Self: self, Seeds: seeds}, feed.Hosts(client),
 		func(ctx context.Context, value []byte) error { return feed.PutHost(ctx, client, s.HostName, value) },
@@ -260,9 +261,10 @@
 }
 
 func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, log logr.Logger) stageParts {
-	home := batch.New(maker.New(d), maker.NewStock(t, s.DataCentres), log.WithName("batch"))
+	stock := maker.NewStock(t, s.DataCentres)
+	home := batch.New(maker.New(d), stock, log.WithName("batch"))
 	graph.Serve(bus, home)
-	return stageParts{Home: home, Runner: graph.New(s.HostName, r, bus, home)}
+	return stageParts{Home: home, Runner: graph.New(s.HostName, s.Region, r, bus, home, stock)}
 }
 
 func newFront(s boot.Settings, f *fleetState, t *table.Controller, runner *graph.Runner, book *pick.Book, d *dialer.Pool, log logr.Logger) *edge.Front {
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -36,9 +36,9 @@
 	Free(ctx context.Context, target, address string, handles []string) error
 }
 
-// Stock tells the service's figures and its targets at hand.
+// Stock tells a service's figures and its targets at hand, in a region or in all.
 type Stock interface {
-	Stage(service string) (fleet.Batching, []Target, bool)
+	Stage(service, region string) (fleet.Batching, []Target, bool)
 }
 
 // Home runs the stages of requests for which this host is home.
@@ -51,13 +51,14 @@
 	wait   sync.WaitGroup
 
 	mu      sync.Mutex
-	desk    *Desk
+	desks   map[string]*Desk // by region; the empty one has all targets
 	tickets map[string]*ticket
 	telling bool // results given up are about to be told
 }
 
 // ticket is an order that a host waits for.
 type ticket struct {
+	desk   *Desk
 	result Result
 	done   chan struct{}
 	isDone bool
@@ -69,7 +70,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		caller: caller, stock: stock, logger: logger, ctx: ctx, cancel: cancel,
-		desk: NewDesk(), tickets: map[string]*ticket{},
+		desks: map[string]*Desk{}, tickets: map[string]*ticket{},
 	}
 	h.wait.Go(func() { h.tick() })
 	return h
@@ -88,41 +89,43 @@
 		now := time.Now()
 		for id, t := range h.tickets {
 			if now.Sub(t.asked) > forgetAfter {
-				h.desk.Drop(id)
+				t.desk.Drop(id)
 				delete(h.tickets, id)
 			}
 		}
-		h.refresh(h.desk.Services())
-		h.advance(now)
+		for region, d := range h.desks {
+			h.refresh(d, region, d.Services())
+			h.advance(d, now)
+		}
 		h.mu.Unlock()
 	}
 }
 
-// refresh tells the desk what is known of services.
-func (h *Home) refresh(services []string) {
+// refresh tells a desk what is known of services.
+func (h *Home) refresh(d *Desk, region string, services []string) {
 	for _, name := range services {
-		if spec, targets, ok := h.stock.Stage(name); ok {
-			h.desk.SetService(name, spec, targets)
+		if spec, targets, ok := h.stock.Stage(name, region); ok {
+			d.SetService(name, spec, targets)
 		}
 	}
 }
 
 // advance makes the calls that can be made now.
-func (h *Home) advance(now time.Time) {
-	for service, calls := range h.desk.Plan(now) {
+func (h *Home) advance(d *Desk, now time.Time) {
+	for service, calls := range d.Plan(now) {
 		for _, c := range calls {
 			callsMade.Add(1)
 			piecesSent.Add(int64(len(c.Pieces)))
-			h.wait.Go(func() { h.run(service, c) })
+			h.wait.Go(func() { h.run(d, service, c) })
 		}
 	}
-	if h.desk.HasFrees() && !h.telling {
+	if d.HasFrees() && !h.telling {
 		h.telling = true
 		time.AfterFunc(freeEvery, h.tellFrees)
 	}
 }
 
-func (h *Home) run(service string, c *Call) {
+func (h *Home) run(d *Desk, service string, c *Call) {
 	ctx, cancel := context.WithTimeout(h.ctx, c.Limit)
 	made, failure, err := h.caller.Run(ctx, c)
 	cancel()
@@ -130,15 +133,15 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	h.logger.V(1).Info("stage call", "service", service, "target", c.Target, "pieces", len(c.Pieces), "took", now.Sub(c.started).String(),
-		"expected", c.Expected.String(), "waiting", h.desk.Waiting(), "queued", h.desk.Queued(service), "failure", int(failure),
-		"room", h.desk.room(service, c.Target))
+		"expected", c.Expected.String(), "waiting", d.Waiting(), "queued", d.Queued(service), "failure", int(failure),
+		"room", d.room(service, c.Target))
 	if failure != FailureNone {
 		callsFailed.Add(1)
 		h.logger.Info("stage call failed", "service", service, "target", c.Target, "pieces", len(c.Pieces),
 			"took", now.Sub(c.started).String(), "expected", c.Expected.String(), "failure", int(failure), "err", errText(err))
 	}
-	h.desk.Done(service, c, made, failure, now)
-	h.advance(now)
+	d.Done(service, c, made, failure, now)
+	h.advance(d, now)
 }
 
 func errText(err error) string {
@@ -157,21 +160,26 @@
 		t.asked = now
 		return
 	}
-	t := &ticket{done: make(chan struct{}), asked: now}
+	d := h.desks[o.Region]
+	if d == nil {
+		d = NewDesk()
+		h.desks[o.Region] = d
+	}
+	t := &ticket{desk: d, done: make(chan struct{}), asked: now}
 	h.tickets[o.ID] = t
 	var services []string
 	for _, s := range o.Stages {
 		services = append(services, s.Service)
 	}
-	h.refresh(services)
-	h.desk.Submit(o, now, func(r Result) {
+	h.refresh(d, o.Region, services)
+	d.Submit(o, now, func(r Result) {
 		t.result, t.isDone = r, true
 		close(t.done)
 		if r.Reason == ReasonBusy {
 			ordersRefused.Add(1)
 		}
 	})
-	h.advance(now)
+	h.advance(d, now)
 }
 
 // Await waits for an order for up to wait. A result that isn't done may be asked
@@ -207,8 +215,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.tickets, id)
-	h.desk.Drop(id)
-	h.advance(time.Now())
+	for _, d := range h.desks {
+		d.Drop(id)
+		h.advance(d, time.Now())
+	}
 }
 
 // tellFrees tells targets which results were given up.
@@ -219,29 +229,35 @@
 	if h.ctx.Err() != nil {
 		return
 	}
-	for service, targets := range h.desk.Frees(time.Now()) {
-		for target, handles := range targets {
-			address, ok := h.desk.Address(service, target)
-			if !ok {
-				continue
-			}
-			h.wait.Go(func() {
-				ctx, cancel := context.WithTimeout(h.ctx, freeTime)
-				defer cancel()
-				if err := h.caller.Free(ctx, target, address, handles); err != nil {
-					h.logger.V(1).Info("results not freed", "target", target, "results", len(handles), "err", err.Error())
+	for _, d := range h.desks {
+		for service, targets := range d.Frees(time.Now()) {
+			for target, handles := range targets {
+				if address, ok := d.Address(service, target); ok {
+					h.wait.Go(func() { h.tellFree(target, address, handles) })
 				}
-			})
+			}
 		}
+		h.advance(d, time.Now())
+	}
+}
+
+func (h *Home) tellFree(target, address string, handles []string) {
+	ctx, cancel := context.WithTimeout(h.ctx, freeTime)
+	defer cancel()
+	if err := h.caller.Free(ctx, target, address, handles); err != nil {
+		h.logger.V(1).Info("results not freed", "target", target, "results", len(handles), "err", err.Error())
 	}
-	h.advance(time.Now())
 }
 
 // Waiting returns the number of orders that have not begun.
 func (h *Home) Waiting() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.desk.Waiting()
+	n := 0
+	for _, d := range h.desks {
+		n += d.Waiting()
+	}
+	return n
 }
 
 // Name implements a controller's name.
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -38,6 +38,7 @@
 	Priority   int           `cbor:"priority"`
 	DataCentre string        `cbor:"data_centre"` // where results are wanted
 	Regions    []string      `cbor:"regions,omitempty"`
+	Region     string        `cbor:"region,omitempty"` // whose targets are used; empty: all
 }
 
 // Reason says why a job has no results.
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -1,11 +1,12 @@
-// Package graph has the stages of a request run at their home, which is one host
-// for all requests as long as hosts reach each other.
+// Package graph has the stages of a request run at their home: one host for all
+// requests, or one for those of each region where the targets are many.
 package graph
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/roster"
+	"chivepost/share/fleet"
 	"chivepost/share/hosts"
 )
 
@@ -38,10 +40,15 @@
 
 // Homes tells which host is home of a key.
 type Homes interface {
-	Home(key string) (roster.Host, bool)
+	Home(key, region string) (roster.Host, bool)
 	Avoid(name string)
 }
 
+// Splitter tells whether each region's targets are enough for a home of their own.
+type Splitter interface {
+	IsSplit(stages []fleet.Stage) bool
+}
+
 // Bus calls other hosts.
 type Bus interface {
 	Call(ctx context.Context, to hosts.Host, kind string, body, reply any) error
@@ -62,13 +69,15 @@
 	homes Homes
 	bus   Bus
 	local *batch.Home
+	split Splitter
+	area  string // region of this host
 	seq   atomic.Uint64
 	start string // tells the orders of two processes of a host apart
 }
 
-// New returns a runner for the host of this name.
-func New(self string, homes Homes, bus Bus, local *batch.Home) *Runner {
-	return &Runner{self: self, homes: homes, bus: bus, local: local, start: strconv.FormatInt(time.Now().UnixNano(), 36)}
+// New returns a runner for the host of this name and region.
+func New(self, region string, homes Homes, bus Bus, local *batch.Home, split Splitter) *Runner {
+	return &Runner{self: self, area: region, homes: homes, bus: bus, local: local, split: split, start: strconv.FormatInt(time.Now().UnixNano(), 36)}
 }
 
 // Results are the results that the request itself needs.
@@ -89,11 +98,14 @@
 // Run makes the results of all stages of an order, whose ID it sets. The order
 // must be done by until, and is late after due.
 func (r *Runner) Run(ctx context.Context, order batch.Order, due, until time.Time) (*Results, error) {
+	if order.Region = ""; r.split.IsSplit(order.Stages) && allows(order.Regions, r.area) {
+		order.Region = r.area
+	}
 	for range maxHomes {
 		now := time.Now()
 		order.ID = r.self + "/" + r.start + "/" + strconv.FormatUint(r.seq.Add(1), 36)
 		order.TimeLeft, order.DueIn = until.Sub(now), due.Sub(now)
-		home, isOther := r.homes.Home(homeKey)
+		home, isOther := r.homes.Home(homeKey+order.Region, order.Region)
 		if !isOther {
 			home = roster.Host{}
 		}
@@ -113,6 +125,10 @@
 	return nil, &Error{Reason: batch.ReasonFailed}
 }
 
+func allows(regions []string, region string) bool {
+	return len(regions) == 0 || slices.Contains(regions, region)
+}
+
 var errNoAnswer = errors.New("the home of the stages doesn't answer")
 
 // runAt runs an order at a home; an error means that the home doesn't answer.
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -131,15 +131,38 @@
 	return &Stock{tables: tables, regions: regions}
 }
 
-// Stage returns the figures of a stage service and its targets that may get work.
-func (s *Stock) Stage(service string) (fleet.Batching, []batch.Target, bool) {
+// Stage returns the figures of a stage service and its targets that may get work,
+// in a region or in all.
+func (s *Stock) Stage(service, region string) (fleet.Batching, []batch.Target, bool) {
 	v := s.tables.View()
 	if v.Config == nil || v.Config.Services[service].Stage == nil {
 		return fleet.Batching{}, nil, false
 	}
 	var out []batch.Target
 	for _, t := range v.Targets[service] {
-		out = append(out, batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: s.regions[t.DataCentre]})
+		if r := s.regions[t.DataCentre]; region == "" || r == region {
+			out = append(out, batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: r})
+		}
 	}
 	return *v.Config.Services[service].Stage, out, true
 }
+
+// splitFrom is the number of targets a region from which on each region has a
+// home of its own: enough for calls to be filled, and for the loss of one.
+const splitFrom = 3
+
+// IsSplit reports whether the stages' services have enough targets for a home in
+// each region.
+func (s *Stock) IsSplit(stages []fleet.Stage) bool {
+	regions := map[string]bool{}
+	for _, r := range s.regions {
+		regions[r] = true
+	}
+	v := s.tables.View()
+	for _, st := range stages {
+		if len(v.Targets[st.Service]) < splitFrom*len(regions) {
+			return false
+		}
+	}
+	return len(regions) > 1
+}
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +34,7 @@
 	DataCentre  string
 	Region      string
 	Incarnation int64 // grows with each start of the process
+	Power       int   // processor share, thousandths of a core
 }
 
 // beat is what is told of a host in each round.
@@ -230,23 +232,33 @@
 	return x ^ x>>33
 }
 
-// home returns the host that is home of a key, among those alive and not to be
-// avoided; ok is false if it is this host.
-func (s *state) home(key string, now time.Time) (Host, bool) {
-	best, found := score(key, s.self.Name), false
-	var out Host
-	if s.beat.IsLeaving {
-		best = 0
-	}
+// strongPart is the part of the strongest host's processor share that a host must
+// have to be a home: homes do work for all others.
+const strongPart = 0.75
+
+// home returns the host that is home of a key, among those of a region that are
+// alive, not to be avoided and strong; ok is false if it is this host. Without
+// such hosts in the region, and for no region, all are candidates.
+func (s *state) home(key, region string, now time.Time) (Host, bool) {
+	var fit []Host
 	for _, m := range s.members {
-		if !m.isAlive(now) || now.Before(m.avoid) {
-			continue
-		}
-		if p := score(key, m.host.Name); p > best || p == best && !found {
-			best, out, found = p, m.host, true
+		if m.isAlive(now) && !now.Before(m.avoid) {
+			fit = append(fit, m.host)
 		}
 	}
-	return out, found
+	if !s.beat.IsLeaving || len(fit) == 0 {
+		fit = append(fit, s.self)
+	}
+	if near := slices.DeleteFunc(slices.Clone(fit), func(h Host) bool { return h.Region != region }); len(near) > 0 {
+		fit = near
+	}
+	strongest := 0
+	for _, h := range fit {
+		strongest = max(strongest, h.Power)
+	}
+	fit = slices.DeleteFunc(fit, func(h Host) bool { return float64(h.Power) < strongPart*float64(strongest) })
+	best := slices.MaxFunc(fit, func(a, b Host) int { return cmp.Compare(score(key, a.Name), score(key, b.Name)) })
+	return best, best.Name != s.self.Name
 }
 
 // rank returns the place of this host for a key among all hosts that count; 0
