Learn what pieces, stages and the rest of a request take

Cause: in bursts most requests were a little late: the home took two thirds of the time that light pieces are announced with for granted, and its estimate of a chain left out the waiting in its stages and what the model target takes.

Change: times of pieces by class, of stages and of what follows the stages are learned; the oldest live host is home, so that the home seldom changes; space taken by results that a new home doesn't know of is allowed for.

--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -14,12 +14,14 @@
 const (
 	// wipFactor bounds the work released to the stages: this many full calls for each
 	// target and stage of the chain. One is at work, and part of one waits.
-	wipFactor = 1.6
+	wipFactor = 1.1
 	// onTimeMargin is the factor on the time of a chain of stages within which it is
 	// taken for one that can still be on time.
-	onTimeMargin = 1.15
+	onTimeMargin = 1.0
+	// estimateEvery is how often the chains of waiting orders are estimated anew.
+	estimateEvery = 50 * time.Millisecond
 	// transit is what a stage takes besides its call.
-	transit = 40 * time.Millisecond
+	transit = 20 * time.Millisecond
 	// busySpread spreads the time after which refused callers return.
 	busySpread = 0.5
 	// minRetry is the shortest time after which a refused caller may return.
@@ -43,6 +45,7 @@
 	frees     map[string][]string
 	seq       int
 	now       time.Time // of the step under way
+	estimated time.Time // when waiting orders were last estimated
 }
 
 // order is an Order on its way.
@@ -122,17 +125,14 @@
 	o.state, o.tails = make([]stageState, n), make([]time.Duration, n)
 	o.load, o.depth = map[string]int{}, map[string]int{}
 	depth := make([]int, n)
-	own := make([]time.Duration, n)
 	for i, s := range o.Stages {
 		if o.pieces(i) == 0 {
 			continue
 		}
-		q := queues[s.Service]
-		if q == nil {
+		if queues[s.Service] == nil {
 			return false
 		}
 		o.load[s.Service] += o.pieces(i)
-		own[i] = q.spec.Call + time.Duration(max(q.spec.Batch/2, 1))*q.spec.Item + transit
 	}
 	for _, s := range o.Stages {
 		for _, a := range s.After {
@@ -144,18 +144,39 @@
 	for range o.Stages {
 		for i, s := range o.Stages {
 			for _, a := range s.After {
-				o.tails[a] = max(o.tails[a], o.tails[i]+own[i])
 				depth[i] = max(depth[i], depth[a]+1)
 			}
 		}
 	}
 	for i, s := range o.Stages {
-		o.chain = max(o.chain, o.tails[i]+own[i])
 		o.depth[s.Service] = max(o.depth[s.Service], depth[i]+1)
 	}
+	o.estimate(queues)
 	return true
 }
 
+// estimate works out what the stages of an order take as things are now.
+func (o *order) estimate(queues map[string]*Queue) {
+	own := make([]time.Duration, len(o.Stages))
+	for i, s := range o.Stages {
+		o.tails[i] = 0
+		if o.pieces(i) > 0 {
+			own[i] = queues[s.Service].typical() + transit
+		}
+	}
+	o.chain = 0
+	for range o.Stages {
+		for i, s := range o.Stages {
+			for _, a := range s.After {
+				o.tails[a] = max(o.tails[a], o.tails[i]+own[i])
+			}
+		}
+	}
+	for i := range o.Stages {
+		o.chain = max(o.chain, o.tails[i]+own[i])
+	}
+}
+
 func (o *order) pieces(i int) int {
 	if i < len(o.Pieces) {
 		return o.Pieces[i]
@@ -225,6 +246,12 @@
 func (d *Desk) Plan(now time.Time) map[string][]*Call {
 	d.now = now
 	d.expire(now)
+	if now.Sub(d.estimated) > estimateEvery {
+		d.estimated = now
+		for _, o := range d.waiting {
+			o.estimate(d.queues)
+		}
+	}
 	d.releaseAll(now)
 	var out map[string][]*Call
 	for name, q := range d.queues {
@@ -324,7 +351,7 @@
 	}
 	d.seq++
 	job := Job{
-		ID: o.ID + "#" + strconv.Itoa(d.seq), Request: o.Request, Stage: i, Pieces: o.pieces(i), Priority: o.Priority,
+		ID: o.ID + "#" + strconv.Itoa(d.seq), Request: o.Request, Class: o.Route + "/" + strconv.Itoa(i), Stage: i, Pieces: o.pieces(i), Priority: o.Priority,
 		DataCentre: o.DataCentre, Regions: o.Regions, ResultBytes: s.ResultBytes,
 		TimeLeft: o.until.Sub(now) - o.tails[i], DueIn: o.due.Sub(now) - o.tails[i],
 	}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -14,6 +14,7 @@
 type Job struct {
 	ID          string
 	Request     string
+	Class       string // pieces of one class take alike long
 	Stage       int
 	Pieces      int
 	Key         string
@@ -30,6 +31,7 @@
 type Order struct {
 	ID         string        `cbor:"id"` // unique over all hosts
 	Request    string        `cbor:"request"`
+	Route      string        `cbor:"route"`
 	Stages     []fleet.Stage `cbor:"stages"`
 	Pieces     []int         `cbor:"pieces"` // of each stage; 0: the stage is left out
 	Key        string        `cbor:"key"`
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +24,15 @@
 	pathWeight = 0.05
 	// maxPath bounds how much longer than the shortest a way is believed to be.
 	maxPath = 60 * time.Millisecond
+	// latencyWeight is the weight of a new measurement of a job's time.
+	latencyWeight = 0.05
+	// itemWeight is the weight of a call's error in the times of its pieces, and
+	// minItem and maxItem bound them against what is announced.
+	itemWeight = 0.3
+	minItem    = 0.1
+	maxItem    = 3.0
+	// maxClasses bounds the classes that are told apart.
+	maxClasses = 1024
 	// recoverEvery is the time in which a slow target without calls is believed to
 	// have become half as slow.
 	recoverEvery = 2 * time.Second
@@ -47,8 +57,8 @@
 	maxPause = 5 * time.Second
 	// callLead is how long a call is on its way to a target and its answer back.
 	callLead = 25 * time.Millisecond
-	// roomPause is how long a target without space gets no call.
-	roomPause = 200 * time.Millisecond
+	// roomPause is how long a target that had no space is taken for full.
+	roomPause = 350 * time.Millisecond
 )
 
 // Target is a stage target as the queue sees it.
@@ -81,18 +91,22 @@
 
 // Queue holds the waiting jobs of one service. It isn't safe for concurrent use.
 type Queue struct {
-	spec    fleet.Batching
-	jobs    []*entry
-	byID    map[string]*entry
-	engines map[string]*engine
-	orphans []string      // results of jobs that have ended otherwise
-	life    time.Duration // mean time from the beginning of a call to the freeing of its results
-	size    float64       // mean bytes of a result
+	spec     fleet.Batching
+	jobs     []*entry
+	byID     map[string]*entry
+	engines  map[string]*engine
+	orphans  []string // results of jobs that have ended otherwise
+	phantoms int
+	life     time.Duration      // mean time from the beginning of a call to the freeing of its results
+	size     float64            // mean bytes of a result
+	mean     float64            // mean factor on the time of a piece; 0: not known
+	latency  time.Duration      // mean time from a job's coming to its results
+	items    map[string]float64 // factor on the time of a piece, by class
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(spec fleet.Batching) *Queue {
-	return &Queue{spec: spec, byID: map[string]*entry{}, engines: map[string]*engine{}}
+	return &Queue{spec: spec, byID: map[string]*entry{}, engines: map[string]*engine{}, items: map[string]float64{}}
 }
 
 // SetSpec takes the service's figures from a newer configuration.
@@ -107,9 +121,62 @@
 	return n
 }
 
-// fullCall is the time that a full call takes.
+// fullCall is the time that a full call takes, with pieces of the mean class.
 func (q *Queue) fullCall() time.Duration {
-	return q.spec.Call + time.Duration(q.spec.Batch)*q.spec.Item
+	f := 1.0
+	if q.mean > 0 {
+		f = q.mean
+	}
+	return q.spec.Call + time.Duration(f*float64(q.spec.Batch)*float64(q.spec.Item))
+}
+
+// item returns the time of a piece of a class.
+func (q *Queue) item(class string) time.Duration {
+	f, ok := q.items[class]
+	if !ok {
+		f = 1
+	}
+	return time.Duration(f * float64(q.spec.Item))
+}
+
+// learn corrects the times of pieces by what a call took besides its way.
+func (q *Queue) learn(c *Call, took time.Duration) {
+	if q.spec.Item <= 0 {
+		return
+	}
+	counts := map[string]float64{}
+	squares := 0.0
+	for _, j := range c.entries {
+		counts[j.job.Class]++
+	}
+	for _, n := range counts {
+		squares += n * n
+	}
+	err := float64(took-c.own) / float64(q.spec.Item)
+	sum, n := 0.0, 0.0
+	for class, k := range counts {
+		f, ok := q.items[class]
+		if !ok {
+			if len(q.items) >= maxClasses {
+				continue
+			}
+			f = 1
+		}
+		f = min(max(f+itemWeight*err*k/squares, minItem), maxItem)
+		q.items[class] = f
+		sum, n = sum+f*k, n+k
+	}
+	if n > 0 {
+		if q.mean == 0 {
+			q.mean = 1
+		}
+		q.mean += latencyWeight * (sum/n - q.mean)
+	}
+}
+
+// typical is what a stage takes now, in calls and in waiting for them.
+func (q *Queue) typical() time.Duration {
+	return max(q.spec.Call+time.Duration(max(q.spec.Batch/2, 1))*q.spec.Item/2, q.latency)
 }
 
 // rate returns the pieces a second that the targets at hand make: in full calls,
@@ -155,7 +222,7 @@
 
 // isOnTime reports whether a job can still be done before it is late.
 func (q *Queue) isOnTime(e *entry, now time.Time) bool {
-	return !now.Add(q.spec.Call + time.Duration(len(e.todo))*q.spec.Item).After(e.due)
+	return !now.Add(q.spec.Call + time.Duration(len(e.todo))*q.item(e.job.Class)).After(e.due)
 }
 
 // compare orders jobs: those that can be on time first, then by priority, then
@@ -413,7 +480,10 @@
 		q.takeBack(c)
 		return nil
 	}
-	own := q.spec.Call + time.Duration(len(c.Pieces))*q.spec.Item
+	own := q.spec.Call
+	for _, j := range c.entries {
+		own += q.item(j.job.Class)
+	}
 	c.own = own
 	c.Expected = own + max(e.path, 0)
 	if n := len(e.calls); n > 0 {
@@ -536,6 +606,7 @@
 	case m.Handle != "":
 		j.handles[number] = m.Handle
 		if len(j.todo) == 0 && j.pending == 0 {
+			q.latency += time.Duration(latencyWeight * float64(now.Sub(j.added)-q.latency))
 			q.finish(j, Result{Handles: j.handles})
 		}
 		return
@@ -546,7 +617,13 @@
 		q.finish(j, Result{Reason: ReasonLate})
 		return
 	case m.Reason == FaultRoom && e != nil:
-		e.pause = later(e.pause, now.Add(roomPause))
+		// Results that this host doesn't know of take the space.
+		if rest := int64(roomShare*float64(q.spec.RoomBytes)) - e.bytes; rest > 0 {
+			q.phantoms++
+			h := fmt.Sprintf("unknown %d", q.phantoms)
+			e.held[h] = held{bytes: rest, made: now, until: now.Add(roomPause)}
+			e.bytes += rest
+		}
 	case failure == FailureNone:
 		j.tries++
 	}
@@ -569,6 +646,9 @@
 			} else if way < 2*e.path+maxPath {
 				e.path += time.Duration(pathWeight * float64(way-e.path))
 			}
+			if e.ratio < slowFrom {
+				q.learn(c, took-e.path)
+			}
 		}
 		ratio := float64(took-max(e.path, 0)) / float64(c.Expected-max(e.path, 0))
 		e.ratio += ratioWeight * (max(ratio, 0.5) - e.ratio)
--- a/entry/internal/edge/front.go
+++ b/entry/internal/edge/front.go
@@ -46,7 +46,7 @@
 	waitFactor = 4
 	// waitAim is the part of a route's aim that a target has at least.
 	waitAim = 0.45
-	// afterStages is what a request needs after its last stage to be on time.
+	// afterStages is what a request needs after its last stage at least.
 	afterStages = 150 * time.Millisecond
 	// resumeGap is the silence within a stream after which it is resumed elsewhere.
 	resumeGap = 2 * time.Second
@@ -92,13 +92,14 @@
 	book    Book
 	dialer  Dialer
 	logger  logr.Logger
+	tails   tails
 	active  atomic.Int64
 	leaving atomic.Bool
 }
 
 // New returns a handler for callers.
 func New(opts Options, tables Tables, stages Stages, book Book, d Dialer, logger logr.Logger) *Front {
-	return &Front{opts: opts, tables: tables, stages: stages, book: book, dialer: d, logger: logger}
+	return &Front{opts: opts, tables: tables, stages: stages, book: book, dialer: d, logger: logger, tails: tails{by: map[string]*tail{}}}
 }
 
 // Active returns the number of requests under way.
@@ -320,9 +321,9 @@
 	}
 	var err error
 	c.results, err = c.f.stages.Run(ctx, batch.Order{
-		Request: c.req.ID, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority,
+		Request: c.req.ID, Route: c.route.Name, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority,
 		DataCentre: c.f.opts.DataCentre, Regions: c.regions,
-	}, c.start.Add(c.route.Aim-afterStages), c.until.Add(-afterStages))
+	}, c.start.Add(c.route.Aim-c.f.tails.of(c.route.Name)), c.until.Add(-afterStages))
 	c.staged = time.Since(c.start)
 	if err == nil {
 		c.waited = c.results.Waited
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -241,6 +241,9 @@
 // begin writes the head of a stream.
 func (c *call) begin(a *dialer.Answer) {
 	c.first = time.Since(c.start)
+	if c.staged > 0 {
+		c.f.tails.note(c.route.Name, c.first-c.staged)
+	}
 	c.started, c.status = true, a.Status
 	copyHeader(c.w.Header(), wire.Returned(a.Header))
 	c.w.WriteHeader(a.Status)
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -26,8 +26,6 @@
 )
 
 const (
-	// homeKey is what the home of stages is chosen by.
-	homeKey = "stages"
 	// pollFor is how long a home keeps a host waiting before it says that an order
 	// goes on.
 	pollFor = 400 * time.Millisecond
@@ -38,9 +36,9 @@
 	maxHomes = 4
 )
 
-// Homes tells which host is home of a key.
+// Homes tells which host is home of a region.
 type Homes interface {
-	Home(key, region string) (roster.Host, bool)
+	Home(region string) (roster.Host, bool)
 	Avoid(name string)
 }
 
@@ -105,7 +103,7 @@
 		now := time.Now()
 		order.ID = r.self + "/" + r.start + "/" + strconv.FormatUint(r.seq.Add(1), 36)
 		order.TimeLeft, order.DueIn = until.Sub(now), due.Sub(now)
-		home, isOther := r.homes.Home(homeKey+order.Region, order.Region)
+		home, isOther := r.homes.Home(order.Region)
 		if !isOther {
 			home = roster.Host{}
 		}
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -298,7 +298,7 @@
 	begun := w.now
 	left := r.sent.Add(k.Timeout).Sub(w.now) - k.After
 	w.desks[desk].Submit(batch.Order{
-		ID: id, Request: id, Stages: stages, Pieces: r.pieces, Key: "k", TimeLeft: left,
+		ID: id, Request: id, Route: k.Name, Stages: stages, Pieces: r.pieces, Key: "k", TimeLeft: left,
 		DueIn: r.sent.Add(k.Aim).Sub(w.now) - k.After, Priority: k.Priority, DataCentre: r.dc,
 	}, w.now, func(res batch.Result) { w.ended(r, id, desk, begun, res) })
 	w.advance(desk)
--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -264,12 +264,12 @@
 	IsAvoided bool // it didn't answer a call of late
 }
 
-// Home returns the host that is home of a key, if possible in a region; ok is
-// false if it is this host.
-func (c *Controller) Home(key, region string) (Host, bool) {
+// Home returns the home of a region, or of all for the empty one; ok is false if
+// it is this host.
+func (c *Controller) Home(region string) (Host, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.home(key, region, time.Now())
+	return c.state.home(region, time.Now())
 }
 
 // Rank returns the place of this host for a key among all hosts; 0 is the first.
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -236,10 +236,12 @@
 // have to be a home: homes do work for all others.
 const strongPart = 0.75
 
-// home returns the host that is home of a key, among those of a region that are
-// alive, not to be avoided and strong; ok is false if it is this host. Without
-// such hosts in the region, and for no region, all are candidates.
-func (s *state) home(key, region string, now time.Time) (Host, bool) {
+// home returns the home of a region: the host that has run for longest among those
+// of the region that are alive, not to be avoided and strong; ok is false if it is
+// this host. A host that has started again doesn't take work back, so the home
+// changes only when it must. Without hosts in the region, and for no region, all
+// are candidates.
+func (s *state) home(region string, now time.Time) (Host, bool) {
 	var fit []Host
 	for _, m := range s.members {
 		if m.isAlive(now) && !now.Before(m.avoid) {
@@ -257,7 +259,9 @@
 		strongest = max(strongest, h.Power)
 	}
 	fit = slices.DeleteFunc(fit, func(h Host) bool { return float64(h.Power) < strongPart*float64(strongest) })
-	best := slices.MaxFunc(fit, func(a, b Host) int { return cmp.Compare(score(key, a.Name), score(key, b.Name)) })
+	best := slices.MinFunc(fit, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), strings.Compare(a.Name, b.Name))
+	})
 	return best, best.Name != s.self.Name
 }
 
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -22,7 +22,7 @@
 const (
 	// operatorWait is how long a reading of operators' records waits for one. A
 	// reading whose connection has gone silent is noticed not much later.
-	operatorWait = 1500 * time.Millisecond
+	operatorWait = 3 * time.Second
 	// readSlack is what a reading may take besides its wait: many times the
 	// store's usual answer of a few milliseconds.
 	readSlack = 900 * time.Millisecond
