Keep stage results when their home is lost, and start homes calmly

After all hosts were killed at 34 s each of seven took itself for the home and 250 calls found targets full.

Ruled out: asking targets for their free space (each question is paid as a health check and says nothing of whose results they are).

Change: answers to polls carry the results that there are, and an order goes on from them at another home; a host waits for two rounds of gossip before it acts as home; the measured life of results is bounded; a full target is left alone for longer each time.

--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -336,13 +336,62 @@
 	for i := range o.state {
 		o.state[i].missing = o.pieces(i)
 	}
+	d.takeOver(o)
 	for i := range o.Stages {
-		if len(o.Stages[i].After) == 0 && !o.ended {
+		if o.state[i].job == "" && !o.state[i].done && !o.ended && d.isReady(o, i) {
 			d.startStage(o, i, now)
 		}
 	}
 }
 
+// takeOver takes the results that an order already has from another home.
+func (d *Desk) takeOver(o *order) {
+	made := o.Made
+	o.Made = nil // only once: results that prove gone are made again
+	if len(made) != len(o.Stages) {
+		return
+	}
+	for i, m := range made {
+		st := &o.state[i]
+		if !m.IsDone || st.done || len(m.Handles) != o.pieces(i) && len(m.Handles) > 0 {
+			continue
+		}
+		st.done, st.handles = true, m.Handles
+		d.committed[o.Stages[i].Service] -= st.missing
+		st.missing = 0
+		o.left--
+		if q := d.queues[o.Stages[i].Service]; q != nil {
+			q.adopt(m.Handles, o.Stages[i].ResultBytes, d.now)
+		}
+	}
+	for i, s := range o.Stages {
+		if o.state[i].done {
+			for _, a := range s.After {
+				o.state[a].users--
+			}
+		}
+	}
+	d.endIfDone(o)
+}
+
+// Made returns what there is of the stages of an order under way.
+func (d *Desk) Made(id string) []Made {
+	o := d.byID[id]
+	if o == nil || o.ended {
+		return nil
+	}
+	var out []Made
+	for i := range o.state {
+		if o.state[i].done && o.pieces(i) > 0 && out == nil {
+			out = make([]Made, len(o.state))
+		}
+	}
+	for i := range out {
+		out[i] = Made{IsDone: o.state[i].done, Handles: o.state[i].handles}
+	}
+	return out
+}
+
 func (d *Desk) startStage(o *order, i int, now time.Time) {
 	s := o.Stages[i]
 	if o.pieces(i) == 0 {
@@ -410,14 +459,7 @@
 			o.state[a].handles = nil
 		}
 	}
-	if o.left == 0 {
-		var out []string
-		for k := range o.state {
-			if !o.state[k].isUsed {
-				out = append(out, o.state[k].handles...)
-			}
-		}
-		o.end(Result{Handles: out})
+	if d.endIfDone(o) {
 		return
 	}
 	for k, s := range o.Stages {
@@ -427,6 +469,21 @@
 	}
 }
 
+// endIfDone ends an order whose stages are all done.
+func (d *Desk) endIfDone(o *order) bool {
+	if o.left > 0 {
+		return false
+	}
+	var out []string
+	for k := range o.state {
+		if !o.state[k].isUsed {
+			out = append(out, o.state[k].handles...)
+		}
+	}
+	o.end(Result{Handles: out})
+	return true
+}
+
 func (d *Desk) isReady(o *order, k int) bool {
 	for _, a := range o.Stages[k].After {
 		if !o.state[a].done {
@@ -499,7 +556,7 @@
 func (d *Desk) HasFrees() bool { return len(d.frees) > 0 }
 
 // Done takes the outcome of a call.
-func (d *Desk) Done(service string, c *Call, made []Made, failure Failure, now time.Time) {
+func (d *Desk) Done(service string, c *Call, made []Outcome, failure Failure, now time.Time) {
 	d.now = now
 	if q := d.queues[service]; q != nil {
 		q.Done(c, made, failure, now)
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -32,7 +32,7 @@
 
 // Caller makes calls to stage targets.
 type Caller interface {
-	Run(ctx context.Context, c *Call) ([]Made, Failure, error)
+	Run(ctx context.Context, c *Call) ([]Outcome, Failure, error)
 	Free(ctx context.Context, target, address string, handles []string) error
 }
 
@@ -199,7 +199,9 @@
 	select {
 	case <-t.done:
 	case <-timer.C:
-		return Result{}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return Result{Made: t.desk.Made(id)}
 	case <-ctx.Done():
 		return Result{}
 	}
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -41,6 +41,13 @@
 	DataCentre string        `cbor:"data_centre"` // where results are wanted
 	Regions    []string      `cbor:"regions,omitempty"`
 	Region     string        `cbor:"region,omitempty"` // whose targets are used; empty: all
+	Made       []Made        `cbor:"made,omitempty"`   // by stage, at a home that was lost
+}
+
+// Made is what is there of a stage.
+type Made struct {
+	IsDone  bool     `cbor:"is_done"`
+	Handles []string `cbor:"handles,omitempty"` // empty once no stage needs them
 }
 
 // Reason says why a job has no results.
@@ -65,6 +72,7 @@
 	Handles    []string      `cbor:"handles,omitempty"`
 	Reason     Reason        `cbor:"reason,omitempty"`
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
+	Made       []Made        `cbor:"made,omitempty"` // by stage, of an order that isn't done
 	Wait       time.Duration `cbor:"wait,omitempty"` // before the first call, of an order over all stages
 }
 
@@ -120,8 +128,8 @@
 	Inputs   []string
 }
 
-// Made is what became of a piece.
-type Made struct {
+// Outcome is what became of a piece.
+type Outcome struct {
 	Handle string
 	Reason Fault // set if there is no handle
 }
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"chivepost/share/fleet"
@@ -18,6 +19,9 @@
 	// minFill is the part of what waits, or of a full call, for which a target must
 	// have space while results that it holds are about to be freed.
 	minFill = 0.6
+	// maxLife bounds how long results are believed to be held, in full calls: one for
+	// the results to be made, and for the next stage to take them up.
+	maxLife = 3
 	// lifeWeight is the weight of a new measurement of how long results are held.
 	lifeWeight = 0.1
 	// pathWeight is the weight of a longer way than the shortest one seen.
@@ -189,7 +193,7 @@
 		}
 		r := float64(q.spec.Batch*max(q.spec.Slots, 1)) / (q.fullCall().Seconds() * max(e.ratio, 1))
 		if q.life > 0 && q.size > 0 && q.spec.RoomBytes > 0 {
-			r = min(r, roomShare*float64(q.spec.RoomBytes)/q.size/q.life.Seconds())
+			r = min(r, roomShare*float64(q.spec.RoomBytes)/q.size/min(q.life, maxLife*q.fullCall()).Seconds())
 		}
 		sum += r
 	}
@@ -324,6 +328,20 @@
 	return out
 }
 
+// adopt notes results that another home had made. A handle begins with the
+// address of its maker.
+func (q *Queue) adopt(handles []string, bytes int64, now time.Time) {
+	for _, h := range handles {
+		for _, e := range q.engines {
+			if strings.HasPrefix(h, e.target.Address+"/") {
+				e.held[h] = held{bytes: bytes, made: now, until: now.Add(q.spec.HoldFor)}
+				e.bytes += bytes
+				break
+			}
+		}
+	}
+}
+
 // Address returns where a target is.
 func (q *Queue) Address(id string) (string, bool) {
 	e := q.engines[id]
@@ -568,7 +586,7 @@
 
 // Done takes the outcome of a call. made has an entry for each piece if failure
 // is FailureNone.
-func (q *Queue) Done(c *Call, made []Made, failure Failure, now time.Time) {
+func (q *Queue) Done(c *Call, made []Outcome, failure Failure, now time.Time) {
 	e := q.engines[c.Target]
 	if e != nil {
 		e.calls = slices.DeleteFunc(e.calls, func(o *Call) bool { return o == c })
@@ -578,7 +596,7 @@
 	counted := map[*entry]bool{}
 	for i, j := range c.entries {
 		j.pending--
-		m := Made{Reason: FaultError}
+		m := Outcome{Reason: FaultError}
 		if failure == FailureNone {
 			m = made[i]
 		}
@@ -601,7 +619,7 @@
 	}
 }
 
-func (q *Queue) takePiece(j *entry, number int, m Made, failure Failure, e *engine, now time.Time) {
+func (q *Queue) takePiece(j *entry, number int, m Outcome, failure Failure, e *engine, now time.Time) {
 	switch {
 	case m.Handle != "":
 		j.handles[number] = m.Handle
@@ -661,9 +679,11 @@
 	pause := map[Failure]time.Duration{
 		FailureRefused: fullPause, FailureAbsent: absentPause, FailureBroken: brokenPause, FailureTimeout: absentPause,
 	}[failure]
-	if failure != FailureRefused {
-		pause = min(pause<<min(e.pauses, 4), maxPause)
-		e.pauses++
+	limit := maxPause
+	if failure == FailureRefused {
+		limit = q.fullCall()
 	}
+	pause = min(pause<<min(e.pauses, 4), limit)
+	e.pauses++
 	e.pause = later(e.pause, now.Add(pause))
 }
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -32,6 +32,8 @@
 	// pollSlack is what an answer of a home may take besides: several round trips
 	// between regions.
 	pollSlack = 350 * time.Millisecond
+	// settleEvery is how often a host that has just started looks for others.
+	settleEvery = 50 * time.Millisecond
 	// maxHomes is how many homes are tried for one request.
 	maxHomes = 4
 )
@@ -40,6 +42,8 @@
 type Homes interface {
 	Home(region string) (roster.Host, bool)
 	Avoid(name string)
+	// IsSettled reports whether this host has had the time to hear of the others.
+	IsSettled() bool
 }
 
 // Splitter tells whether each region's targets are enough for a home of their own.
@@ -99,6 +103,9 @@
 	if order.Region = ""; r.split.IsSplit(order.Stages) && allows(order.Regions, r.area) {
 		order.Region = r.area
 	}
+	if err := r.settle(ctx); err != nil {
+		return nil, err
+	}
 	for range maxHomes {
 		now := time.Now()
 		order.ID = r.self + "/" + r.start + "/" + strconv.FormatUint(r.seq.Add(1), 36)
@@ -108,6 +115,9 @@
 			home = roster.Host{}
 		}
 		result, err := r.runAt(ctx, home, order)
+		if len(result.Made) > 0 {
+			order.Made = result.Made
+		}
 		switch {
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
@@ -123,6 +133,19 @@
 	return nil, &Error{Reason: batch.ReasonFailed}
 }
 
+// settle waits until this host has heard of the others: each host that took
+// itself for the home would fight over the targets.
+func (r *Runner) settle(ctx context.Context) error {
+	for !r.homes.IsSettled() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(settleEvery):
+		}
+	}
+	return nil
+}
+
 func allows(regions []string, region string) bool {
 	return len(regions) == 0 || slices.Contains(regions, region)
 }
@@ -144,6 +167,7 @@
 		}
 	}
 	kind, body := KindRun, any(order)
+	var made []batch.Made
 	for {
 		call, cancel := context.WithTimeout(ctx, pollFor+pollSlack)
 		var res batch.Result
@@ -154,10 +178,13 @@
 			r.drop(home, order.ID)
 			return batch.Result{}, ctx.Err()
 		case err != nil:
-			return batch.Result{}, fmt.Errorf("%w: %w", errNoAnswer, err)
+			return batch.Result{Made: made}, fmt.Errorf("%w: %w", errNoAnswer, err)
 		case res.IsDone:
 			return res, nil
 		}
+		if len(res.Made) > 0 {
+			made = res.Made
+		}
 		kind, body = KindWait, any(idBody{ID: order.ID})
 	}
 }
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -39,7 +39,7 @@
 }
 
 // Run makes one call and returns what became of each piece.
-func (m *Maker) Run(ctx context.Context, c *batch.Call) ([]batch.Made, batch.Failure, error) {
+func (m *Maker) Run(ctx context.Context, c *batch.Call) ([]batch.Outcome, batch.Failure, error) {
 	pieces := make([]wire.Piece, len(c.Pieces))
 	for i, p := range c.Pieces {
 		pieces[i] = wire.Piece{Request: p.Request, Stage: p.Stage, Number: p.Number, TimeLeft: p.TimeLeft, Key: p.Key, Inputs: p.Inputs}
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, batch.FailureBroken, err
 	}
-	out := make([]batch.Made, len(results))
+	out := make([]batch.Outcome, len(results))
 	for i, r := range results {
 		if out[i].Handle = r.Handle; r.Handle == "" {
 			out[i].Reason = batch.FaultError
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -392,7 +392,7 @@
 	w.out.Pieces += len(c.Pieces)
 	t := w.targets[c.Target]
 	done := false
-	finish := func(made []batch.Made, f batch.Failure) {
+	finish := func(made []batch.Outcome, f batch.Failure) {
 		if done {
 			return
 		}
@@ -416,7 +416,7 @@
 		}
 		t.waiting++
 		took := time.Duration(0)
-		made := make([]batch.Made, len(c.Pieces))
+		made := make([]batch.Outcome, len(c.Pieces))
 		// The end is known once the turn comes; until then a full call is assumed.
 		t.freeAt = begin.Add(time.Duration(slow * float64(w.callTime(t, c))))
 		w.after(begin.Sub(w.now), func() {
@@ -446,7 +446,7 @@
 }
 
 // makePieces makes the pieces of a call for which there is space and returns its time.
-func (w *world) makePieces(t *target, c *batch.Call, made []batch.Made) time.Duration {
+func (w *world) makePieces(t *target, c *batch.Call, made []batch.Outcome) time.Duration {
 	took := t.service.Spec.Call
 	for i, p := range c.Pieces {
 		size := int64(w.sizes[p.Request][p.Stage])
--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -31,6 +31,10 @@
 	silentEach = 3
 	// thawGap is the delay of a round from which on this process is taken to have stood still.
 	thawGap = 1200 * time.Millisecond
+	// settleMin is two rounds of gossip, in which a host that knows the others hears
+	// of most; settleMax is how long it waits for the list of hosts.
+	settleMin = 900 * time.Millisecond
+	settleMax = 2 * time.Second
 	// listTime bounds a call to the store.
 	listTime = 1500 * time.Millisecond
 	// listEvery and listRetry are the pauses between readings of the list of hosts.
@@ -69,9 +73,12 @@
 	offset   func() int64
 	load     func() int
 
-	mu    sync.Mutex
-	state *state
-	live  map[string]bool // as last logged
+	started time.Time
+
+	mu      sync.Mutex
+	hasList bool // the list of hosts was read
+	state   *state
+	live    map[string]bool // as last logged
 }
 
 // New opens the datagram socket and starts the rounds. offset and load return
@@ -88,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{
 		opts: opts, logger: logger, register: register, socket: socket, cancel: cancel,
-		offset: offset, load: load, state: newState(opts.Self), live: map[string]bool{},
+		offset: offset, load: load, started: time.Now(), state: newState(opts.Self), live: map[string]bool{},
 	}
 	c.wait.Go(func() { c.receive(ctx) })
 	c.wait.Go(func() { c.rounds(ctx) })
@@ -120,8 +127,9 @@
 		cancel()
 		if err != nil {
 			pause = listRetry
+		} else {
+			c.takeList(changes)
 		}
-		c.takeList(changes)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -133,6 +141,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hasList = true
 	for _, ch := range changes {
 		if ch.Value == nil {
 			c.state.leave(ch.Name)
@@ -316,6 +325,14 @@
 	c.send(msg, to)
 }
 
+// IsSettled reports whether this host has had the time to hear of the others.
+func (c *Controller) IsSettled() bool {
+	since := time.Since(c.started)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return since > settleMax || c.hasList && since > settleMin
+}
+
 // Name implements a controller's name.
 func (c *Controller) Name() string { return "roster" }
 
