Let requests follow their results and their session's cache

Ruled out: one target for a session over all regions by hash; two of three bodies would cross regions, which costs as much as it saves.

Change: the home keeps where requests of a session went and makes results for the next one there; it tells in which data centre most results lie and the request goes to a target there. Waiting orders are refused as soon as it shows that they won't be done.

--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -24,8 +25,17 @@
 	transit = 20 * time.Millisecond
 	// busySpread spreads the time after which refused callers return.
 	busySpread = 0.5
+	// minRate is the part of a service that a request counts on where more urgent
+	// ones seem to take all of it.
+	minRate = 0.35
 	// minRetry is the shortest time after which a refused caller may return.
 	minRetry = 200 * time.Millisecond
+	// nearBytes is the size from which on results are worth following.
+	nearBytes = 1_000_000
+	// sessionTime is how long the start of a prompt is expected to stay in a target's
+	// cache, and maxSessions bounds the sessions that are kept.
+	sessionTime = 8 * time.Second
+	maxSessions = 20_000
 	// absentRetry is the time after which a caller may return where a service has no
 	// target.
 	absentRetry = 600 * time.Millisecond
@@ -43,6 +53,8 @@
 	byID      map[string]*order
 	committed map[string]int // pieces released and not yet made, by service
 	frees     map[string][]string
+	coming    map[string]*arrivals
+	sessions  map[string]lastUse
 	seq       int
 	now       time.Time // of the step under way
 	estimated time.Time // when waiting orders were last estimated
@@ -78,7 +90,7 @@
 
 // NewDesk returns an empty desk.
 func NewDesk() *Desk {
-	return &Desk{queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, frees: map[string][]string{}}
+	return &Desk{queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{}}
 }
 
 // SetService tells the desk a stage service's figures and targets.
@@ -106,6 +118,10 @@
 // finish is called once.
 func (d *Desk) Submit(in Order, now time.Time, finish func(Result)) {
 	d.now = now
+	if u, ok := d.session(in.Session); ok && allows(in.Regions, u.region) {
+		// Results are wanted where the start of the prompt is.
+		in.DataCentre = u.DataCentre
+	}
 	o := &order{Order: in, added: now, due: now.Add(in.DueIn), until: now.Add(in.TimeLeft), finish: finish}
 	if !o.prepare(d.queues) {
 		o.end(Result{Reason: ReasonFailed})
@@ -214,28 +230,105 @@
 // admits reports whether an order would be done in time behind the work that
 // goes before it, and otherwise after how long its caller may return.
 func (d *Desk) admits(o *order, now time.Time) (time.Duration, bool) {
-	wait := time.Duration(0)
 	for service, pieces := range o.load {
+		d.arrivals(service).add(o.Priority, float64(pieces), now)
+		if !d.queues[service].hasTargets() {
+			return spread(absentRetry), false
+		}
+	}
+	ahead := map[string]int{}
+	for _, w := range d.waiting {
+		if compare(w, o, now) <= 0 {
+			for service, n := range w.load {
+				ahead[service] += n
+			}
+		}
+	}
+	wait := d.waitBehind(o, ahead, now)
+	if now.Add(wait + o.chain).Before(o.until) {
+		return 0, true
+	}
+	return spread(wait), false
+}
+
+// waitBehind returns how long an order waits for the pieces ahead of it, given
+// that more urgent ones keep coming.
+func (d *Desk) waitBehind(o *order, ahead map[string]int, now time.Time) time.Duration {
+	wait := time.Duration(0)
+	for service := range o.load {
 		rate := d.queues[service].rate(now)
 		if rate == 0 {
-			if !d.queues[service].hasTargets() {
-				return spread(absentRetry), false
-			}
 			wait = max(wait, absentRetry)
 			continue
 		}
-		ahead := d.committed[service] + pieces
-		for _, w := range d.waiting {
-			if compare(w, o, now) <= 0 {
-				ahead += w.load[service]
-			}
+		rate = max(rate-d.arrivals(service).above(o.Priority, now), minRate*rate)
+		n := float64(d.committed[service] + ahead[service])
+		wait = max(wait, time.Duration(n/rate*float64(time.Second)))
+	}
+	return wait
+}
+
+// refuseHopeless refuses waiting orders, which stand in their order, as soon as
+// it shows that they won't be done in time.
+func (d *Desk) refuseHopeless(now time.Time) {
+	ahead := map[string]int{}
+	var hopeless []*order
+	for _, o := range d.waiting {
+		if now.Add(d.waitBehind(o, ahead, now) + o.chain).After(o.until) {
+			hopeless = append(hopeless, o)
+			continue
+		}
+		for service, n := range o.load {
+			ahead[service] += n
 		}
-		wait = max(wait, time.Duration(float64(ahead)/rate*float64(time.Second)))
 	}
-	if now.Add(wait + o.chain).Before(o.until) {
-		return 0, true
+	for _, o := range hopeless {
+		d.drop(o, Result{Reason: ReasonBusy, RetryAfter: spread(d.waitBehind(o, ahead, now))})
 	}
-	return spread(max(wait-o.chain, minRetry)), false
+}
+
+func (d *Desk) arrivals(service string) *arrivals {
+	a := d.coming[service]
+	if a == nil {
+		a = &arrivals{by: map[int]*flow{}}
+		d.coming[service] = a
+	}
+	return a
+}
+
+// arrivals counts the pieces a second that come for a service, by priority.
+type arrivals struct{ by map[int]*flow }
+
+type flow struct {
+	rate float64
+	at   time.Time
+}
+
+// flowTime is the time over which arrivals are averaged.
+const flowTime = 2 * time.Second
+
+func (f *flow) decayed(now time.Time) float64 {
+	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/flowTime.Seconds())
+}
+
+func (a *arrivals) add(priority int, pieces float64, now time.Time) {
+	f := a.by[priority]
+	if f == nil {
+		f = &flow{at: now}
+		a.by[priority] = f
+	}
+	f.rate, f.at = f.decayed(now)+pieces/flowTime.Seconds(), now
+}
+
+// above returns the pieces a second of more urgent requests.
+func (a *arrivals) above(priority int, now time.Time) float64 {
+	sum := 0.0
+	for p, f := range a.by {
+		if p < priority {
+			sum += f.decayed(now)
+		}
+	}
+	return sum
 }
 
 func spread(d time.Duration) time.Duration {
@@ -251,6 +344,8 @@
 		for _, o := range d.waiting {
 			o.estimate(d.queues)
 		}
+		slices.SortStableFunc(d.waiting, func(a, b *order) int { return compare(a, b, now) })
+		d.refuseHopeless(now)
 	}
 	d.releaseAll(now)
 	var out map[string][]*Call
@@ -480,10 +575,62 @@
 			out = append(out, o.state[k].handles...)
 		}
 	}
-	o.end(Result{Handles: out})
+	r := Result{Handles: out, Near: d.near(o)}
+	if u, ok := d.session(o.Session); ok && (r.Near == "" || r.Near == u.DataCentre) {
+		r.Prefer = u.Target
+	}
+	o.end(r)
 	return true
 }
 
+// near returns the data centre where most of an order's results lie, if they are
+// large.
+func (d *Desk) near(o *order) string {
+	sums, best := map[string]int64{}, ""
+	for k := range o.state {
+		if q := d.queues[o.Stages[k].Service]; !o.state[k].isUsed && q != nil {
+			for _, h := range o.state[k].handles {
+				sums[q.place(h)] += o.Stages[k].ResultBytes
+			}
+		}
+	}
+	for dc, n := range sums {
+		if n >= nearBytes && dc != "" && (best == "" || n > sums[best] || n == sums[best] && dc < best) {
+			best = dc
+		}
+	}
+	return best
+}
+
+// lastUse is where the last request of a session went.
+type lastUse struct {
+	Use
+	region string
+	at     time.Time
+}
+
+// Used notes where a request of a session went.
+func (d *Desk) Used(u Use, region string, now time.Time) {
+	if u.Session == "" || u.Target == "" {
+		return
+	}
+	if len(d.sessions) >= maxSessions {
+		for s, l := range d.sessions {
+			if now.Sub(l.at) > sessionTime {
+				delete(d.sessions, s)
+			}
+		}
+	}
+	if len(d.sessions) < maxSessions {
+		d.sessions[u.Session] = lastUse{Use: u, region: region, at: now}
+	}
+}
+
+func (d *Desk) session(name string) (lastUse, bool) {
+	l, ok := d.sessions[name]
+	return l, ok && name != "" && d.now.Sub(l.at) < sessionTime
+}
+
 func (d *Desk) isReady(o *order, k int) bool {
 	for _, a := range o.Stages[k].After {
 		if !o.state[a].done {
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -212,14 +212,16 @@
 }
 
 // Drop ends an order whose caller has left, or gives up the results of one that
-// is done.
-func (h *Home) Drop(id string) {
+// is done. use says where the request went, if it did.
+func (h *Home) Drop(id string, use Use, region string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.tickets, id)
+	now := time.Now()
 	for _, d := range h.desks {
 		d.Drop(id)
-		h.advance(d, time.Now())
+		d.Used(use, region, now)
+		h.advance(d, now)
 	}
 }
 
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -40,8 +40,16 @@
 	Priority   int           `cbor:"priority"`
 	DataCentre string        `cbor:"data_centre"` // where results are wanted
 	Regions    []string      `cbor:"regions,omitempty"`
-	Region     string        `cbor:"region,omitempty"` // whose targets are used; empty: all
-	Made       []Made        `cbor:"made,omitempty"`   // by stage, at a home that was lost
+	Region     string        `cbor:"region,omitempty"`  // whose targets are used; empty: all
+	Made       []Made        `cbor:"made,omitempty"`    // by stage, at a home that was lost
+	Session    string        `cbor:"session,omitempty"` // requests of one share the start of their prompt
+}
+
+// Use says which target a request of a session went to.
+type Use struct {
+	Session    string `cbor:"session"`
+	Target     string `cbor:"target"`
+	DataCentre string `cbor:"data_centre"`
 }
 
 // Made is what is there of a stage.
@@ -72,8 +80,10 @@
 	Handles    []string      `cbor:"handles,omitempty"`
 	Reason     Reason        `cbor:"reason,omitempty"`
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
-	Made       []Made        `cbor:"made,omitempty"` // by stage, of an order that isn't done
-	Wait       time.Duration `cbor:"wait,omitempty"` // before the first call, of an order over all stages
+	Made       []Made        `cbor:"made,omitempty"`   // by stage, of an order that isn't done
+	Near       string        `cbor:"near,omitempty"`   // data centre of most of the results; empty: no matter
+	Prefer     string        `cbor:"prefer,omitempty"` // target that has the start of the prompt
+	Wait       time.Duration `cbor:"wait,omitempty"`   // before the first call, of an order over all stages
 }
 
 // entry is a job in the queue of its home.
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -328,6 +328,16 @@
 	return out
 }
 
+// place returns the data centre of the maker of a result; empty if it isn't known.
+func (q *Queue) place(handle string) string {
+	for _, e := range q.engines {
+		if _, ok := e.held[handle]; ok {
+			return e.target.DataCentre
+		}
+	}
+	return ""
+}
+
 // adopt notes results that another home had made. A handle begins with the
 // address of its maker.
 func (q *Queue) adopt(handles []string, bytes int64, now time.Time) {
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -43,10 +43,14 @@
 		}
 		now := time.Now()
 		view := c.f.tables.View()
-		chosen, why := c.f.book.Choose(pick.Query{
+		query := pick.Query{
 			Targets: view.Targets[c.service.Name], Regions: c.regions, Tried: tried, Affinity: c.affinity(),
 			ColdLimit: c.service.ColdPerSecond, Places: c.places(view.Config),
-		}, now)
+		}
+		if c.results != nil {
+			query.Near, query.Prefer = c.results.Near, c.results.Prefer
+		}
+		chosen, why := c.f.book.Choose(query, now)
 		if chosen != nil && c.sends > 0 && !c.f.book.TakeRepeat(c.service.Name, now) {
 			chosen.Done(pick.Left)
 			chosen, why = nil, "the budget of repeats is spent"
@@ -162,7 +166,7 @@
 		watch = time.AfterFunc(c.patience(t.ID, left), func() { cancel(errSilent) })
 		defer watch.Stop()
 	}
-	c.target = t.ID
+	c.target, c.place = t.ID, t.DataCentre
 	a, err := c.f.dialer.Do(ctx, t.ID, t.Address, c.f.book.Channels(c.service.MaxConnections), req)
 	if err != nil {
 		return c.sendFailed(ctx, t, err)
--- a/entry/internal/edge/front.go
+++ b/entry/internal/edge/front.go
@@ -131,6 +131,7 @@
 	status    int
 	reason    string
 	target    string
+	place     string // data centre of the target
 	sends     int
 	pieces    int
 	waited    time.Duration
@@ -160,7 +161,7 @@
 // finish frees what the request holds, and logs and counts it.
 func (c *call) finish() {
 	if c.results != nil {
-		c.results.Free()
+		c.freeResults()
 	}
 	c.record()
 	if p := recover(); p != nil {
@@ -168,6 +169,15 @@
 	}
 }
 
+// freeResults gives the stages' results up.
+func (c *call) freeResults() {
+	use := batch.Use{}
+	if c.events > 0 {
+		use = batch.Use{Session: c.affinity(), Target: c.target, DataCentre: c.place}
+	}
+	c.results.Free(use)
+}
+
 // open checks the head of the request.
 func (c *call) open() bool {
 	var err error
@@ -306,7 +316,7 @@
 			return
 		}
 		if c.results != nil {
-			c.results.Free()
+			c.freeResults()
 		}
 	}
 }
@@ -322,7 +332,7 @@
 	var err error
 	c.results, err = c.f.stages.Run(ctx, batch.Order{
 		Request: c.req.ID, Route: c.route.Name, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority,
-		DataCentre: c.f.opts.DataCentre, Regions: c.regions,
+		Session: c.affinity(), DataCentre: c.f.opts.DataCentre, Regions: c.regions,
 	}, c.start.Add(c.route.Aim-c.f.tails.of(c.route.Name)), c.until.Add(-afterStages))
 	c.staged = time.Since(c.start)
 	if err == nil {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -233,7 +233,7 @@
 		}
 		if c.events == 1 && c.results != nil {
 			// The prompt is read, so the results have been fetched.
-			c.results.Free()
+			c.freeResults()
 		}
 	}
 }
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -49,6 +49,7 @@
 // Splitter tells whether each region's targets are enough for a home of their own.
 type Splitter interface {
 	IsSplit(stages []fleet.Stage) bool
+	Region(dataCentre string) string
 }
 
 // Bus calls other hosts.
@@ -86,13 +87,15 @@
 type Results struct {
 	Handles []string
 	Waited  time.Duration // in queues, over all stages
-	free    func()
+	Near    string        // data centre of most of them; empty: no matter
+	Prefer  string        // target that has the start of the prompt; empty: none known
+	free    func(batch.Use)
 }
 
-// Free gives the results up.
-func (r *Results) Free() {
+// Free gives the results up. use says which target has had the request.
+func (r *Results) Free(use batch.Use) {
 	if r.free != nil {
-		r.free()
+		r.free(use)
 		r.free = nil
 	}
 }
@@ -125,7 +128,10 @@
 			r.homes.Avoid(home.Name)
 		case result.Reason == batch.ReasonNone:
 			id := order.ID
-			return &Results{Handles: result.Handles, Waited: result.Wait, free: func() { r.drop(home, id) }}, nil
+			return &Results{
+				Handles: result.Handles, Waited: result.Wait, Near: result.Near, Prefer: result.Prefer,
+				free: func(use batch.Use) { r.drop(home, id, use) },
+			}, nil
 		case result.Reason != batch.ReasonUnknown:
 			return nil, &Error{Reason: result.Reason, RetryAfter: result.RetryAfter}
 		}
@@ -161,7 +167,7 @@
 				return res, nil
 			}
 			if ctx.Err() != nil {
-				r.local.Drop(order.ID)
+				r.local.Drop(order.ID, batch.Use{}, "")
 				return batch.Result{}, ctx.Err()
 			}
 		}
@@ -175,7 +181,7 @@
 		cancel()
 		switch {
 		case ctx.Err() != nil:
-			r.drop(home, order.ID)
+			r.drop(home, order.ID, batch.Use{})
 			return batch.Result{}, ctx.Err()
 		case err != nil:
 			return batch.Result{Made: made}, fmt.Errorf("%w: %w", errNoAnswer, err)
@@ -190,20 +196,23 @@
 }
 
 type idBody struct {
-	ID string `cbor:"id"`
+	ID     string    `cbor:"id"`
+	Use    batch.Use `cbor:"use"`
+	Region string    `cbor:"region,omitempty"` // of the target used
 }
 
 // drop gives up an order or its results. A message that is lost costs the
 // results' space until their life is over.
-func (r *Runner) drop(home roster.Host, id string) {
+func (r *Runner) drop(home roster.Host, id string, use batch.Use) {
+	region := r.split.Region(use.DataCentre)
 	if home.Name == "" {
-		r.local.Drop(id)
+		r.local.Drop(id, use, region)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollSlack)
 		defer cancel()
-		_ = r.bus.Send(ctx, Peer(home), KindDrop, idBody{ID: id}) // the home forgets orders that nobody asks for
+		_ = r.bus.Send(ctx, Peer(home), KindDrop, idBody{ID: id, Use: use, Region: region}) // the home forgets orders that nobody asks for
 	}()
 }
 
@@ -237,7 +246,7 @@
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		home.Drop(in.ID)
+		home.Drop(in.ID, in.Use, in.Region)
 		return nil, nil
 	})
 }
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -166,3 +166,6 @@
 	}
 	return len(regions) > 1
 }
+
+// Region returns the region of a data centre.
+func (s *Stock) Region(dataCentre string) string { return s.regions[dataCentre] }
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -61,6 +61,8 @@
 	Affinity  string          // requests with the same one prefer the same target; empty: none
 	ColdLimit float64         // requests a second that a cold target bears from all hosts
 	Places    int             // requests that a target runs at once; 0: not known
+	Near      string          // data centre where a target is wanted; empty: this host's
+	Prefer    string          // target that is wanted unless it is overloaded; empty: none
 }
 
 // Chosen is a target that counts a request until Done.
@@ -117,6 +119,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
+	near, nearRegion := b.opts.DataCentre, b.opts.Region
+	if q.Near != "" {
+		near, nearRegion = q.Near, b.opts.Regions[q.Near]
+	}
 	var fit, out []candidate
 	why = "no target is known"
 	for _, t := range q.Targets {
@@ -131,9 +137,9 @@
 		}
 		k := candidate{target: t, health: h, load: float64(h.inFlight + 1), away: 2}
 		switch {
-		case t.DataCentre == b.opts.DataCentre:
+		case t.DataCentre == near:
 			k.away = 0
-		case region == b.opts.Region:
+		case region == nearRegion:
 			k.away = 1
 		}
 		if q.Affinity != "" {
@@ -169,6 +175,9 @@
 // the one preferred for its cache, or the least loaded.
 func (b *Book) best(fit []candidate, q Query) candidate {
 	slowness(fit)
+	if k, ok := preferred(fit, q.Prefer); ok {
+		return k
+	}
 	for away := range 3 {
 		near := slices.DeleteFunc(slices.Clone(fit), func(k candidate) bool { return k.away != away })
 		if len(near) == 0 {
@@ -204,6 +213,20 @@
 	return slices.MinFunc(fit, byLoad)
 }
 
+// preferred returns the candidate with the wanted id unless it is overloaded.
+func preferred(fit []candidate, id string) (candidate, bool) {
+	sum := 0.0
+	for _, k := range fit {
+		sum += k.load
+	}
+	for _, k := range fit {
+		if id != "" && k.target.ID == id {
+			return k, k.load <= loadSlack+loadFactor*sum/float64(len(fit))
+		}
+	}
+	return candidate{}, false
+}
+
 func byLoad(x, y candidate) int {
 	switch {
 	case x.load < y.load:
