Give stage calls up sooner

Cause: orders caught in calls to targets that answer nothing waited 1.5 s, and one in a hundred was then refused late.

Ruled out: slow targets that answer (five times slower) are found by their ratio.

Change: a call is given up after 2.2 times what it should take and 400 ms.

--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -50,7 +50,7 @@
 	// ratioWeight is the weight of a new measurement of that ratio.
 	ratioWeight = 0.4
 	// limitFactor and limitExtra bound a call: slow targets take several times as long.
-	limitFactor = 3.0
+	limitFactor = 2.2
 	limitExtra  = 400 * time.Millisecond
 	// absentPause, brokenPause and fullPause are how long a target gets no call after
 	// it could not be reached, broke off, or was full through the calls of others.
