--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -18,7 +18,7 @@
 const (
 	// channels bounds the connections of a home to one stage target: a call at work,
 	// one that waits, and one that gives up results.
-	channels = 4
+	channels = 8
 	// maxAnswer bounds the answer to a call: a line for each piece.
 	maxAnswer = 1 << 20
 )
--- a/stand/cmd/root.go
+++ b/stand/cmd/root.go
@@ -20,6 +20,7 @@
 	Weights weightsCmd `cmd:"" help:"Run the weight store."`
 	Targets targetsCmd `cmd:"" help:"Run the targets of one data centre, each with its own listener."`
 	Plan    planCmd    `cmd:"" help:"Write the files of a deployment on this machine."`
+	Soak    soakCmd    `cmd:"" help:"Run entry hosts on stand-ins of the platform under faults, and check the promises."`
 	Chaos   chaosCmd   `cmd:"" help:"Print a schedule of faults for a run of a whole deployment."`
 }
 
--- /dev/null
+++ b/stand/cmd/soak.go
@@ -0,0 +1,48 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"chivepost/stand/internal/soak"
+)
+
+type soakCmd struct {
+	Binary   string        `default:"bin/chive-entry" type:"existingfile" help:"Program of the entry hosts."`
+	Dir      string        `default:"out/soak" help:"Folder for settings and logs."`
+	Seed     uint64        `default:"1" help:"Seed of faults and load."`
+	Duration time.Duration `default:"1m" help:"How long faults come."`
+	Hosts    int           `default:"6" help:"Number of entry hosts, 1 to 200."`
+	Callers  int           `default:"12" help:"Number of callers."`
+}
+
+// Run plays a soak run on the platform's stand-ins and prints what was broken.
+func (c *soakCmd) Run(out output) error {
+	if c.Hosts < 1 || c.Hosts > 200 {
+		return fmt.Errorf("%d hosts, want 1 to 200", c.Hosts)
+	}
+	_, _ = fmt.Fprintf(out, "seed %d, %s of faults, %d hosts, %d callers\n", c.Seed, c.Duration, c.Hosts, c.Callers)
+	res, err := soak.Do(context.Background(), soak.Options{
+		Binary: c.Binary, Dir: c.Dir, Seed: c.Seed, Duration: c.Duration, Hosts: c.Hosts, Callers: c.Callers, Out: out,
+	})
+	if err != nil {
+		return err
+	}
+	for _, m := range []map[string]int{res.Faults, res.Counts} {
+		for _, name := range slices.Sorted(maps.Keys(m)) {
+			_, _ = fmt.Fprintf(out, "%-24s %d\n", name, m[name])
+		}
+	}
+	_, _ = fmt.Fprintf(out, "answered after the faults %.3f\n", res.Served)
+	for _, b := range res.Breaches {
+		_, _ = fmt.Fprintln(out, "BROKEN:", b)
+	}
+	if len(res.Breaches) > 0 {
+		return errors.New("promises were broken")
+	}
+	return nil
+}
