--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -85,7 +85,7 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newFront, newFleetServers,
-			func(f *fleetState, s boot.Settings) *pick.Book { return newBook(f, s) },
+			newBook,
 			newFleetState, dialer.New,
 		),
 		fx.Invoke(func(*fleetServers) {}),
--- /dev/null
+++ b/entry/internal/batch/desk_test.go
@@ -0,0 +1,398 @@
+package batch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"chivepost/share/fleet"
+)
+
+var start = time.Now()
+
+func spec(size int) fleet.Batching {
+	return fleet.Batching{Slots: 1, Queue: 2, Batch: size, Call: 200 * time.Millisecond, Item: 10 * time.Millisecond, RoomBytes: 1e6, HoldFor: 4 * time.Second}
+}
+
+func stageTargets(places ...string) []Target {
+	var out []Target
+	for i, dc := range places {
+		out = append(out, Target{ID: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: dc, Region: dc})
+	}
+	return out
+}
+
+func newDesk(size int, places ...string) *Desk {
+	d := NewDesk()
+	for _, s := range []string{"p", "q"} {
+		d.SetService(s, spec(size), stageTargets(places...))
+	}
+	return d
+}
+
+func newOrder(id string, pieces int) Order {
+	return Order{
+		ID: id, Request: id, Stages: []fleet.Stage{{Service: "p", ResultBytes: 1000}}, Pieces: []int{pieces}, Key: "k",
+		TimeLeft: 6 * time.Second, DueIn: 2 * time.Second, DataCentre: "a",
+	}
+}
+
+// chain is an order whose second stage needs the results of the first.
+func chain(id string, first, second int) Order {
+	o := newOrder(id, first)
+	o.Stages = append(o.Stages, fleet.Stage{Service: "q", After: []int{0}, ResultBytes: 1000})
+	o.Pieces = []int{first, second}
+	return o
+}
+
+// made is the outcome of a call whose pieces all have results.
+func made(c *Call) []Outcome {
+	out := make([]Outcome, len(c.Pieces))
+	for i, p := range c.Pieces {
+		out[i].Handle = fmt.Sprintf("%s/%s!%d.%d", c.Address, p.Request, p.Stage, p.Number)
+	}
+	return out
+}
+
+func submit(d *Desk, o Order, now time.Time) *Result {
+	var out Result
+	d.Submit(o, now, func(r Result) { out = r })
+	return &out
+}
+
+// run plays a desk whose targets answer as they should, for d.
+func run(d *Desk, now time.Time, length time.Duration) time.Time {
+	type flight struct {
+		service string
+		call    *Call
+		ends    time.Time
+	}
+	var calls []flight
+	for end := now.Add(length); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		for i := 0; i < len(calls); i++ {
+			if f := calls[i]; !now.Before(f.ends) {
+				d.Done(f.service, f.call, made(f.call), FailureNone, now)
+				calls = append(calls[:i], calls[i+1:]...)
+				i--
+			}
+		}
+		for service, list := range d.Plan(now) {
+			for _, c := range list {
+				calls = append(calls, flight{service, c, now.Add(c.Expected)})
+			}
+		}
+		d.Frees(now)
+	}
+	return now
+}
+
+func TestPiecesOfManyRequestsShareACall(t *testing.T) {
+	d := newDesk(8, "a")
+	var results []*Result
+	for i := range 3 {
+		results = append(results, submit(d, newOrder(fmt.Sprint(i), 2), start))
+	}
+	calls := d.Plan(start)["p"]
+	if len(calls) != 1 || len(calls[0].Pieces) != 6 {
+		t.Fatalf("calls %+v, want one of 6 pieces", calls)
+	}
+	d.Done("p", calls[0], made(calls[0]), FailureNone, start.Add(260*time.Millisecond))
+	for i, r := range results {
+		if !r.IsDone || len(r.Handles) != 2 || !strings.Contains(r.Handles[0], fmt.Sprintf("/%d!", i)) {
+			t.Errorf("order %d: %+v, want its own two results", i, r)
+		}
+	}
+}
+
+func TestStagesFollowEachOther(t *testing.T) {
+	d := newDesk(8, "a", "b")
+	r := submit(d, chain("x", 3, 2), start)
+	run(d, start, 2*time.Second)
+	if !r.IsDone || r.Reason != ReasonNone || len(r.Handles) != 2 || !strings.Contains(r.Handles[0], "!1.0") {
+		t.Errorf("result %+v, want the two results of the second stage", r)
+	}
+	if n := d.queues["p"].bytesHeld(); n != 0 {
+		t.Errorf("%d bytes of the first stage's results are held, want none", n)
+	}
+	d.Drop("x")
+	d.Frees(start)
+	if n := d.queues["q"].bytesHeld(); n != 0 {
+		t.Errorf("%d bytes are held after the results were given up, want none", n)
+	}
+}
+
+func (q *Queue) bytesHeld() int64 {
+	sum := int64(0)
+	for _, e := range q.engines {
+		sum += e.bytes
+	}
+	return sum
+}
+
+// Pattern: burst. What can't be done in time is refused at once, with the time
+// after which it could.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	d := newDesk(8, "a")
+	refused := 0
+	for i := range 100 {
+		r := submit(d, newOrder(fmt.Sprint(i), 8), start)
+		if r.IsDone {
+			refused++
+			if r.Reason != ReasonBusy || r.RetryAfter < minRetry {
+				t.Fatalf("result %+v, want busy with a time to come back", r)
+			}
+		}
+	}
+	// A target makes a full call in 280 ms, so about 20 orders fit into 6 s.
+	if refused < 70 || refused > 90 {
+		t.Errorf("%d of 100 refused, want 70 to 90", refused)
+	}
+}
+
+func TestUrgentOrdersGoFirst(t *testing.T) {
+	d := newDesk(8, "a")
+	low := newOrder("low", 8)
+	low.Priority = 2
+	submit(d, newOrder("first", 8), start)
+	c := d.Plan(start)["p"][0]
+	submit(d, low, start)
+	submit(d, newOrder("high", 8), start)
+	now := start.Add(290 * time.Millisecond)
+	d.Done("p", c, made(c), FailureNone, now)
+	calls := d.Plan(now)["p"]
+	if len(calls) == 0 || calls[0].Pieces[0].Request != "high" {
+		t.Errorf("calls %+v, want the urgent order first", calls)
+	}
+}
+
+func TestServiceWithoutTargetsRefuses(t *testing.T) {
+	d := newDesk(8)
+	if r := submit(d, newOrder("x", 1), start); r.Reason != ReasonBusy || r.RetryAfter == 0 {
+		t.Errorf("result %+v, want busy with a time to come back", r)
+	}
+	unknown := newOrder("y", 1)
+	unknown.Stages[0].Service = "nowhere"
+	if r := submit(d, unknown, start); r.Reason != ReasonFailed {
+		t.Errorf("result %+v, want failed", r)
+	}
+}
+
+// Pattern: targets lost in a burst. Pieces of a broken call go to another target,
+// and the one that broke is left alone for a while.
+func TestBrokenCallGoesElsewhere(t *testing.T) {
+	for _, failure := range []Failure{FailureRefused, FailureAbsent, FailureBroken, FailureTimeout} {
+		d := newDesk(8, "a", "b")
+		r := submit(d, newOrder("x", 4), start)
+		c := d.Plan(start)["p"][0]
+		now := start.Add(300 * time.Millisecond)
+		d.Done("p", c, nil, failure, now)
+		again := d.Plan(now)["p"]
+		if len(again) != 1 || again[0].Target == c.Target || len(again[0].Pieces) != 4 {
+			t.Fatalf("failure %d: calls %+v, want one of 4 pieces at the other target", failure, again)
+		}
+		d.Done("p", again[0], made(again[0]), FailureNone, now)
+		if r.Reason != ReasonNone || len(r.Handles) != 4 {
+			t.Errorf("failure %d: result %+v", failure, r)
+		}
+	}
+}
+
+func TestOrderWhoseInputsAreGoneRunsAgainOnce(t *testing.T) {
+	d := newDesk(8, "a")
+	r := submit(d, chain("x", 1, 1), start)
+	now := start
+	for range 2 {
+		c := d.Plan(now)["p"][0]
+		now = now.Add(210 * time.Millisecond)
+		d.Done("p", c, made(c), FailureNone, now)
+		c = d.Plan(now)["q"][0]
+		now = now.Add(210 * time.Millisecond)
+		d.Done("q", c, []Outcome{{Reason: FaultGone}}, FailureNone, now)
+	}
+	if r.Reason != ReasonGone {
+		t.Errorf("result %+v, want gone after the second run", r)
+	}
+	if len(d.committed) == 0 || d.committed["p"] != 0 || d.committed["q"] != 0 {
+		t.Errorf("pieces still counted: %v, want none", d.committed)
+	}
+}
+
+// Results in a target's space that this home doesn't know of make it full for a
+// while, so that calls without results don't follow each other.
+func TestTargetWithoutSpaceIsLeftAlone(t *testing.T) {
+	d := newDesk(8, "a")
+	submit(d, newOrder("x", 8), start)
+	c := d.Plan(start)["p"][0]
+	outcomes := make([]Outcome, 8)
+	for i := range outcomes {
+		outcomes[i].Reason = FaultRoom
+	}
+	now := start.Add(210 * time.Millisecond)
+	d.Done("p", c, outcomes, FailureNone, now)
+	if calls := d.Plan(now.Add(50 * time.Millisecond)); len(calls) > 0 {
+		t.Errorf("calls %+v 50 ms later, want none", calls)
+	}
+	if calls := d.Plan(now.Add(roomPause + 50*time.Millisecond))["p"]; len(calls) != 1 {
+		t.Errorf("calls %+v after the pause, want one", calls)
+	}
+}
+
+// A home that takes an order over goes on from the results that there are.
+func TestOrderGoesOnAtAnotherHome(t *testing.T) {
+	first := newDesk(8, "a")
+	submit(first, chain("x", 2, 2), start)
+	c := first.Plan(start)["p"][0]
+	now := start.Add(230 * time.Millisecond)
+	first.Done("p", c, made(c), FailureNone, now)
+	progress := first.Made("x")
+	if len(progress) != 2 || !progress[0].IsDone || len(progress[0].Handles) != 2 || progress[1].IsDone {
+		t.Fatalf("made %+v, want the first stage's two results", progress)
+	}
+	second := newDesk(8, "a")
+	o := chain("y", 2, 2)
+	o.Request, o.Made = "x", progress
+	r := submit(second, o, now)
+	calls := second.Plan(now)
+	if len(calls["p"]) != 0 || len(calls["q"]) != 1 || len(calls["q"][0].Pieces[0].Inputs) != 2 {
+		t.Fatalf("calls %+v, want the second stage with two inputs", calls)
+	}
+	if n := second.queues["p"].bytesHeld(); n != 2000 {
+		t.Errorf("%d bytes counted for the results taken over, want 2000", n)
+	}
+	second.Done("q", calls["q"][0], made(calls["q"][0]), FailureNone, now.Add(230*time.Millisecond))
+	if r.Reason != ReasonNone || len(r.Handles) != 2 {
+		t.Errorf("result %+v", r)
+	}
+}
+
+func TestRequestsFollowTheirSession(t *testing.T) {
+	d := newDesk(8, "a", "b")
+	d.Used(Use{Session: "s", Target: "m7", DataCentre: "b"}, "b", start)
+	o := newOrder("x", 2)
+	o.Session = "s"
+	r := submit(d, o, start.Add(time.Second))
+	run(d, start.Add(time.Second), time.Second)
+	if r.Prefer != "m7" {
+		t.Errorf("result %+v, want target m7", r)
+	}
+	o.ID = "late"
+	r = submit(d, o, start.Add(sessionTime+2*time.Second))
+	run(d, start.Add(sessionTime+2*time.Second), time.Second)
+	if r.Prefer != "" {
+		t.Errorf("result %+v long after the session's last request, want no target", r)
+	}
+}
+
+// Regions of an order bind its pieces, whatever stands free elsewhere.
+func TestPiecesStayInAllowedRegions(t *testing.T) {
+	d := newDesk(8, "a", "b")
+	o := newOrder("x", 8)
+	o.Regions = []string{"b"}
+	submit(d, o, start)
+	for _, c := range d.Plan(start)["p"] {
+		if c.Target != "t1" {
+			t.Errorf("a call goes to %s, want t1", c.Target)
+		}
+	}
+}
+
+// Random loads and failures: every order ends once, with results of its own or
+// none, no piece is made from another request's results, and nothing stays
+// counted.
+func TestRandomFailures(t *testing.T) {
+	for seed := range uint64(60) {
+		random(t, seed)
+	}
+}
+
+func random(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	d := newDesk(2+r.IntN(10), "a", "a", "b")
+	now := start
+	ends := map[string]int{}
+	type flight struct {
+		service string
+		call    *Call
+		ends    time.Time
+	}
+	var calls []flight
+	id := 0
+	for step := range 1500 {
+		now = now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
+		if step < 900 && r.IntN(3) == 0 {
+			id++
+			o := chain(fmt.Sprint(id), r.IntN(4), r.IntN(5))
+			o.Priority = r.IntN(3)
+			if r.IntN(5) == 0 {
+				o.TimeLeft = time.Duration(r.IntN(1500)) * time.Millisecond
+			}
+			d.Submit(o, now, func(res Result) {
+				ends[o.ID]++
+				for _, h := range res.Handles {
+					if !strings.Contains(h, "/"+o.ID+"!") {
+						t.Errorf("seed %d: order %s ends with %s", seed, o.ID, h)
+					}
+				}
+				if want := o.Pieces[1]; res.Reason == ReasonNone && len(res.Handles) != want {
+					t.Errorf("seed %d: order %s has %d results, want %d", seed, o.ID, len(res.Handles), want)
+				}
+			})
+		}
+		if r.IntN(40) == 0 && id > 0 {
+			d.Drop(fmt.Sprint(1 + r.IntN(id)))
+		}
+		for i := 0; i < len(calls); i++ {
+			f := calls[i]
+			if now.Before(f.ends) {
+				continue
+			}
+			calls = append(calls[:i], calls[i+1:]...)
+			i--
+			failure := FailureNone
+			if r.IntN(6) == 0 {
+				failure = Failure(1 + r.IntN(4))
+			}
+			out := made(f.call)
+			for k := range out {
+				if r.IntN(25) == 0 {
+					out[k] = Outcome{Reason: Fault(1 + r.IntN(4))}
+				}
+			}
+			d.Done(f.service, f.call, out, failure, now)
+		}
+		for service, list := range d.Plan(now) {
+			for _, c := range list {
+				for _, p := range c.Pieces {
+					for _, h := range p.Inputs {
+						if !strings.Contains(h, "/"+p.Request+"!") {
+							t.Errorf("seed %d: a piece of %s is made from %s", seed, p.Request, h)
+						}
+					}
+				}
+				calls = append(calls, flight{service, c, now.Add(time.Duration(r.IntN(2)+1) * c.Expected)})
+			}
+		}
+		d.Frees(now)
+	}
+	d.Plan(now.Add(time.Minute))
+	for _, f := range calls {
+		d.Done(f.service, f.call, nil, FailureBroken, now.Add(time.Minute))
+	}
+	for n := 1; n <= id; n++ {
+		if got := ends[fmt.Sprint(n)]; got != 1 {
+			t.Errorf("seed %d: order %d ended %d times, want once", seed, n, got)
+		}
+		d.Drop(fmt.Sprint(n))
+	}
+	d.Plan(now.Add(2 * time.Minute))
+	for service, n := range d.committed {
+		if n != 0 {
+			t.Errorf("seed %d: %d pieces still counted at %s", seed, n, service)
+		}
+		if held := d.queues[service].bytesHeld(); held != 0 {
+			t.Errorf("seed %d: %d bytes still counted at %s", seed, held, service)
+		}
+	}
+}
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -276,7 +276,7 @@
 		}()
 	}
 	for range maxStray + 1 {
-		resp, err := readHead(c, req.Method)
+		resp, err := readHead(c, req.Method) //nolint:bodyclose // the connection is given back or closed as a whole
 		if err != nil {
 			return nil, &SendError{Sent: true, Stale: used && isEnd(err), Err: err}
 		}
--- /dev/null
+++ b/entry/internal/edge/edge_test.go
@@ -0,0 +1,529 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/graph"
+	"chivepost/entry/internal/pick"
+	"chivepost/entry/internal/roster"
+	"chivepost/entry/internal/table"
+	"chivepost/platform/wire"
+	"chivepost/share/fleet"
+)
+
+// deployment is one host in front of targets that a test scripts.
+type deployment struct {
+	view  table.View
+	front *Front
+	url   string
+	runs  atomic.Int32
+}
+
+func (d *deployment) View() *table.View { return &d.view }
+func (d *deployment) Count() int        { return 1 }
+func (d *deployment) Rank(string) int   { return 0 }
+
+type noStages struct{ err error }
+
+func (s noStages) Run(context.Context, batch.Order, time.Time, time.Time) (*graph.Results, error) {
+	if s.err != nil {
+		return nil, s.err
+	}
+	return &graph.Results{Handles: []string{"t/1", "t/2"}}, nil
+}
+
+func testConfig() *fleet.Config {
+	two := 2
+	c := &fleet.Config{
+		Version: 1,
+		Routes: []fleet.Route{
+			{Name: "once", Host: "svc", Prefix: "/once/", Repeat: fleet.RepeatNever, Timeout: time.Second, Aim: 200 * time.Millisecond, MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}}},
+			{Name: "safe", Host: "svc", Prefix: "/safe/", Repeat: fleet.RepeatFreely, Timeout: time.Second, Aim: 200 * time.Millisecond, MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}}, Priority: 3},
+			{Name: "stream", Host: "svc", Prefix: "/stream/", Repeat: fleet.RepeatStream, Resumable: true, Timeout: 2 * time.Second, Aim: time.Second, MaxAttempts: 2, Shares: []fleet.Share{{Service: "s", Weight: 1}}},
+			{Name: "staged", Host: "svc", Prefix: "/staged/", Repeat: fleet.RepeatStream, Timeout: time.Second, Aim: time.Second, MaxAttempts: 1, Shares: []fleet.Share{{Service: "s", Weight: 1}}, Stages: []fleet.Stage{{Service: "p"}}},
+			{Name: "home", Host: "svc", Prefix: "/home/", Repeat: fleet.RepeatFreely, Timeout: time.Second, MaxAttempts: 1, Shares: []fleet.Share{{Service: "s", Weight: 1}}, Regions: []string{"elsewhere"}},
+			{Name: "open", Host: "svc", Prefix: "/open/", Repeat: fleet.RepeatFreely, Timeout: time.Second, MaxAttempts: 1, Shares: []fleet.Share{{Service: "s", Weight: 1}}, Public: true},
+		},
+		Services: map[string]fleet.Service{"s": {Name: "s", MaxConnections: 100}},
+		Accounts: []fleet.Account{{Name: "acme", Keys: []string{"k"}, Priority: &two}},
+		Limits:   fleet.Limits{BodyBytes: 1000},
+	}
+	c.Index()
+	return c
+}
+
+// script answers one request at a target's connection.
+type script func(w net.Conn, r *http.Request)
+
+// deploy starts targets that run one script each.
+func deploy(t *testing.T, stages Stages, scripts ...script) *deployment {
+	t.Helper()
+	d := &deployment{}
+	d.view = table.View{Config: testConfig(), Targets: map[string][]*table.Target{}}
+	for i, s := range scripts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					br := bufio.NewReader(c)
+					for {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, r.Body)
+						d.runs.Add(1)
+						s(c, r)
+						if r.Close {
+							return
+						}
+					}
+				}()
+			}
+		}()
+		d.view.Targets["s"] = append(d.view.Targets["s"], &table.Target{Target: fleet.Target{
+			ID: fmt.Sprintf("t%d", i), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
+		}})
+	}
+	book := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryTime: 10 * time.Second}, d)
+	pool := dialer.New()
+	t.Cleanup(pool.Close)
+	d.front = New(Options{DataCentre: "dc", Region: "r"}, d, stages, book, pool, logr.Discard())
+	server := httptest.NewUnstartedServer(d.front)
+	server.Listener = Sniff(server.Listener)
+	server.Config.ConnContext = SniffContext
+	server.Start()
+	t.Cleanup(server.Close)
+	d.url = server.URL
+	return d
+}
+
+// seen is an answer as its caller sees it.
+type seen struct {
+	status   int
+	header   http.Header
+	body     string
+	isClosed bool  // the connection closes after it
+	err      error // of the body
+}
+
+func (d *deployment) send(t *testing.T, path string, change func(*http.Request)) seen {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, d.url+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "svc"
+	req.Header.Set(wire.HeaderID, "id1")
+	req.Header.Set("Authorization", "Token k")
+	req.Header.Set(wire.HeaderTimeLeft, "900")
+	if change != nil {
+		change(req)
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return seen{resp.StatusCode, resp.Header, string(body), resp.Close, err}
+}
+
+// reply writes an answer with receipt and length.
+func reply(w net.Conn, r *http.Request, status int, body string, headers ...string) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d X\r\n%s: %s\r\n%s: sig\r\nContent-Length: %d\r\n%s\r\n%s", status,
+		wire.HeaderID, r.Header.Get(wire.HeaderID), wire.HeaderReceipt, len(body), strings.Join(headers, ""), body)
+}
+
+func ok(w net.Conn, r *http.Request) { reply(w, r, 200, "whole") }
+
+// refuse says that nothing ran.
+func refuse(w net.Conn, r *http.Request) { reply(w, r, 503, "", wire.HeaderNotRun+": 1\r\n") }
+
+func breakOff(w net.Conn, _ *http.Request) { _ = w.Close() }
+
+func garbage(w net.Conn, _ *http.Request) { _, _ = io.WriteString(w, "what?"); _ = w.Close() }
+
+func half(w net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: id1\r\n%s: s\r\nContent-Length: 100\r\n\r\nhalf", wire.HeaderID, wire.HeaderReceipt)
+	_ = w.Close()
+}
+
+func noReceipt(w net.Conn, _ *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: id1\r\nContent-Length: 2\r\n\r\nno", wire.HeaderID)
+}
+
+func encoded(w net.Conn, r *http.Request) { reply(w, r, 200, "zip", "Content-Encoding: gzip\r\n") }
+
+func failure(w net.Conn, r *http.Request) { reply(w, r, 500, "broken") }
+
+func mute(net.Conn, *http.Request) { time.Sleep(1200 * time.Millisecond) }
+
+// What a caller is told must be true whatever a target does, and a request that
+// may run once is never sent again unless the target says that it ran nothing.
+func TestAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		scripts []script // of all targets alike
+		status  int
+		body    string
+		runs    int32
+	}{
+		{"whole answer", "/once/x", []script{ok, ok}, 200, "whole", 1},
+		{"refused by all, once", "/once/x", []script{refuse, refuse}, 503, "", 2},
+		{"broken off, once", "/once/x", []script{breakOff, breakOff}, 502, "", 1},
+		{"broken off, repeatable", "/safe/x", []script{breakOff, breakOff}, 502, "", 2},
+		{"garbage, once", "/once/x", []script{garbage, garbage}, 502, "", 1},
+		{"half an answer, once", "/once/x", []script{half, half}, 502, "", 1},
+		{"no receipt, once", "/once/x", []script{noReceipt, noReceipt}, 502, "", 1},
+		{"encoded, once", "/once/x", []script{encoded, encoded}, 502, "", 1},
+		{"target's own failure, once", "/once/x", []script{failure, failure}, 500, "broken", 1},
+		{"target's own failure, repeatable", "/safe/x", []script{failure, failure}, 500, "broken", 2},
+		{"silent, once", "/once/x", []script{mute, mute}, 502, "", 1},
+		{"no target allowed", "/home/x", []script{ok}, 503, "", 0},
+		{"no target", "/safe/x", nil, 503, "", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := deploy(t, noStages{}, test.scripts...)
+			got := d.send(t, test.path, nil)
+			if got.err != nil || got.status != test.status || test.body != "" && got.body != test.body {
+				t.Errorf("got %+v, want %d %q", got, test.status, test.body)
+			}
+			if runs := d.runs.Load(); runs != test.runs {
+				t.Errorf("targets were reached %d times, want %d", runs, test.runs)
+			}
+			if hasTime := got.header.Get(wire.HeaderRetryAfter) != ""; hasTime != (test.status == http.StatusServiceUnavailable) {
+				t.Errorf("time to come back given: %v, with status %d", hasTime, got.status)
+			}
+			if has := got.header.Get(wire.HeaderReceipt) != ""; has != (test.body != "") {
+				t.Errorf("receipt %v, want it with the target's answers only", has)
+			}
+		})
+	}
+}
+
+func TestRepeatableRequestGoesToAnotherTarget(t *testing.T) {
+	first := atomic.Bool{}
+	once := func(w net.Conn, r *http.Request) {
+		if first.CompareAndSwap(false, true) {
+			breakOff(w, r)
+			return
+		}
+		ok(w, r)
+	}
+	d := deploy(t, noStages{}, once, once)
+	if got := d.send(t, "/safe/x", nil); got.err != nil || got.status != http.StatusOK || got.body != "whole" {
+		t.Errorf("got %+v, want 200", got)
+	}
+}
+
+// What reaches a target is the caller's request with the system's headers.
+func TestWhatATargetSees(t *testing.T) {
+	var header http.Header
+	var uri string
+	d := deploy(t, noStages{}, func(w net.Conn, r *http.Request) {
+		header, uri = r.Header, r.RequestURI
+		ok(w, r)
+	})
+	got := d.send(t, "/once/a%2Fb?q=1", func(r *http.Request) {
+		for _, name := range []string{wire.HeaderAccount, wire.HeaderTarget, wire.HeaderInputs, wire.HeaderPriority, wire.HeaderHold, "Kv-From"} {
+			r.Header.Set(name, "forged")
+		}
+	})
+	if got.err != nil {
+		t.Fatal(got.err)
+	}
+	if uri != "/once/a%2Fb?q=1" {
+		t.Errorf("target got %s", uri)
+	}
+	for name, want := range map[string]string{
+		wire.HeaderAccount: "acme", wire.HeaderTarget: "t0", wire.HeaderInputs: "", wire.HeaderPriority: "2", wire.HeaderHold: "", "Kv-From": "", "Authorization": "",
+	} {
+		if header.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, header.Get(name), want)
+		}
+	}
+	var left int
+	if _, err := fmt.Sscan(header.Get(wire.HeaderTimeLeft), &left); err != nil || left > 900 || left < 700 {
+		t.Errorf("time left %q, want a little less than 900", header.Get(wire.HeaderTimeLeft))
+	}
+}
+
+func TestRefusalsOfTheHostsOwn(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		change func(*http.Request)
+		status int
+	}{
+		{"unknown key", "/once/x", func(r *http.Request) { r.Header.Set("Authorization", "Token other") }, 401},
+		{"no key", "/once/x", func(r *http.Request) { r.Header.Del("Authorization") }, 401},
+		{"no key on an open route", "/open/x", func(r *http.Request) { r.Header.Del("Authorization") }, 200},
+		{"no route", "/nowhere/x", nil, 404},
+		{"other host name", "/once/x", func(r *http.Request) { r.Host = "other" }, 404},
+		{"no id", "/once/x", func(r *http.Request) { r.Header.Del(wire.HeaderID) }, 400},
+		{"unreadable time", "/once/x", func(r *http.Request) { r.Header.Set(wire.HeaderTimeLeft, "x") }, 400},
+		{"body too large", "/once/x", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 2000))), 2000
+		}, 413},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := deploy(t, noStages{}, ok)
+			if got := d.send(t, test.path, test.change); got.status != test.status {
+				t.Errorf("status %d, want %d", got.status, test.status)
+			}
+		})
+	}
+}
+
+func TestHostWithoutConfigurationRefuses(t *testing.T) {
+	d := deploy(t, noStages{}, ok)
+	d.view.Config = nil
+	if got := d.send(t, "/once/x", func(r *http.Request) { r.Header.Del("Authorization") }); got.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503", got.status)
+	}
+}
+
+func TestRefusedStagesSayWhenToComeBack(t *testing.T) {
+	d := deploy(t, noStages{err: &graph.Error{Reason: batch.ReasonBusy, RetryAfter: 1250 * time.Millisecond}}, ok)
+	got := d.send(t, "/staged/x", func(r *http.Request) { r.Header.Set(wire.HeaderPieces, "2") })
+	if got.status != http.StatusServiceUnavailable || got.header.Get(wire.HeaderRetryAfter) != "1.250" {
+		t.Errorf("got %+v, want 503 and 1.250", got)
+	}
+}
+
+// chunk writes one piece of a chunked body.
+func chunk(w net.Conn, text string) { _, _ = fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+func streamHead(w net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: sig\r\nTransfer-Encoding: chunked\r\n\r\n",
+		wire.HeaderID, r.Header.Get(wire.HeaderID), wire.HeaderReceipt)
+}
+
+// A stream that breaks within an event goes on at another target, with whole
+// events in order.
+func TestStreamIsResumed(t *testing.T) {
+	var resumedAt atomic.Value
+	serve := func(w net.Conn, r *http.Request) {
+		streamHead(w, r)
+		if last := r.Header.Get(wire.HeaderLastEvent); last != "" {
+			resumedAt.Store(last)
+			chunk(w, "id: 2\ndata: two\n\nid: 3\ndata: three\n\n") // 2 came already
+			chunk(w, "")
+			return
+		}
+		chunk(w, "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda")
+		_ = w.Close()
+	}
+	d := deploy(t, noStages{}, serve, serve)
+	got := d.send(t, "/stream/x", nil)
+	if want := "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n"; got.err != nil || got.status != http.StatusOK || got.body != want {
+		t.Errorf("got %+v, want %q", got, want)
+	}
+	if resumedAt.Load() != "2" {
+		t.Errorf("resumed after event %v, want 2", resumedAt.Load())
+	}
+}
+
+// A stream that can't go on must not look complete.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	serve := func(w net.Conn, r *http.Request) {
+		streamHead(w, r)
+		if r.Header.Get(wire.HeaderLastEvent) == "" {
+			chunk(w, "id: 1\ndata: one\n\n")
+		}
+		_ = w.Close()
+	}
+	for _, path := range []string{"/stream/x", "/staged/x"} {
+		d := deploy(t, noStages{}, serve, serve)
+		got := d.send(t, path, nil)
+		if !errors.Is(got.err, io.ErrUnexpectedEOF) || got.body != "id: 1\ndata: one\n\n" {
+			t.Errorf("%s: got %+v, want one event and %v", path, got, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
+// The stages' results are given up as the stream begins; a stream that breaks
+// later needs them again. It once ended as if it were complete.
+func TestResumedStreamThatNeedsItsResultsAgain(t *testing.T) {
+	serve := func(w net.Conn, r *http.Request) {
+		if r.Header.Get(wire.HeaderLastEvent) != "" {
+			reply(w, r, 409, "", wire.HeaderNotRun+": 1\r\n")
+			return
+		}
+		streamHead(w, r)
+		chunk(w, "id: 1\ndata: one\n\n")
+		_ = w.Close()
+	}
+	d := deploy(t, noStages{}, serve, serve)
+	d.view.Config.Routes[2].Stages = []fleet.Stage{{Service: "p"}}
+	got := d.send(t, "/stream/x", func(r *http.Request) { r.Header.Set(wire.HeaderPieces, "1") })
+	if !errors.Is(got.err, io.ErrUnexpectedEOF) {
+		t.Errorf("the answer ends with %v, want %v", got.err, io.ErrUnexpectedEOF)
+	}
+}
+
+// As a caller leaves, the target's connection ends.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	d := deploy(t, noStages{}, func(w net.Conn, _ *http.Request) {
+		_ = w.SetReadDeadline(time.Now().Add(3 * time.Second))
+		var one [1]byte
+		if _, err := w.Read(one[:]); errors.Is(err, io.EOF) || err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			close(ended)
+		}
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, d.url+"/once/x", strings.NewReader("b"))
+	req.Host = "svc"
+	req.Header.Set(wire.HeaderID, "id1")
+	req.Header.Set("Authorization", "Token k")
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		resp.Body.Close()
+		t.Fatal("the request was answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the target still works half a second after the caller left")
+	}
+}
+
+// raw sends bytes to the front and returns what comes back until it closes.
+func (d *deployment) raw(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(d.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, text)
+	_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	out, _ := io.ReadAll(c)
+	return string(out)
+}
+
+const rawHead = "POST /once/x HTTP/1.1\r\nHost: svc\r\n" + wire.HeaderID + ": 1\r\nAuthorization: Token k\r\n"
+
+// A request with two framings, or one hidden behind a chunked body, never runs.
+func TestSmuggledRequests(t *testing.T) {
+	hidden := "POST /once/y HTTP/1.1\r\nHost: svc\r\n" + wire.HeaderID + ": hidden\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n"
+	tests := []struct {
+		name, text string
+		runs       int32
+		status     string
+	}{
+		{"two framings", rawHead + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 0, "400"},
+		{"behind a chunked body", rawHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden, 1, "200"},
+		{"two lengths", rawHead + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody" + hidden, 0, "400"},
+		{"within a body", rawHead + fmt.Sprintf("Content-Length: %d\r\nConnection: close\r\n\r\n", len(hidden)) + hidden, 1, "200"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			d := deploy(t, noStages{}, func(w net.Conn, r *http.Request) {
+				if r.Header.Get(wire.HeaderID) == "hidden" {
+					t.Error("the hidden request runs")
+				}
+				ok(w, r)
+			})
+			got := d.raw(t, test.text)
+			if !strings.HasPrefix(got, "HTTP/1.1 "+test.status) {
+				t.Errorf("got %q, want status %s", got, test.status)
+			}
+			if n := d.runs.Load(); n != test.runs {
+				t.Errorf("%d runs, want %d", n, test.runs)
+			}
+		})
+	}
+}
+
+func TestLeavingHostClosesKeptConnections(t *testing.T) {
+	d := deploy(t, noStages{}, ok)
+	d.front.Leave()
+	if got := d.send(t, "/once/x", nil); !got.isClosed || got.status != http.StatusOK {
+		t.Errorf("got %+v, want 200 and close", got)
+	}
+}
+
+func TestDirectoryNamesTheNearestHosts(t *testing.T) {
+	peer := func(dc, region string, load int) roster.Peer {
+		return roster.Peer{Host: roster.Host{Front: dc, DataCentre: dc, Region: region}, Load: load}
+	}
+	place := wire.Place{Region: "r1", DataCentre: "a"}
+	tests := []struct {
+		name  string
+		peers []roster.Peer
+		homes []string
+		want  []string
+	}{
+		{"own data centre", []roster.Peer{peer("a", "r1", 0), peer("a", "r1", 0), peer("b", "r1", 0)}, nil, []string{"a", "a"}},
+		{"one host left there", []roster.Peer{peer("a", "r1", 0), peer("b", "r1", 0), peer("c", "r2", 0)}, nil, []string{"a", "b"}},
+		{"none in the region", []roster.Peer{peer("c", "r2", 0), peer("d", "r3", 0)}, nil, []string{"c", "d"}},
+		{"none in the region, bound to another", []roster.Peer{peer("c", "r2", 0), peer("d", "r3", 0)}, []string{"r3"}, []string{"d"}},
+		{"one much busier", []roster.Peer{peer("a", "r1", 10), peer("a", "r1", 900), peer("a", "r1", 12)}, nil, []string{"a", "a"}},
+		{"nobody", nil, nil, []string{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := choose(test.peers, place, test.homes)
+			counts := func(l []string) map[string]int {
+				m := map[string]int{}
+				for _, x := range l {
+					m[x]++
+				}
+				return m
+			}
+			if !reflect.DeepEqual(counts(got), counts(test.want)) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\n")
+	f.Add("\r\n\r\nid:2\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := bufio.NewReaderSize(strings.NewReader(text), 16)
+		var out strings.Builder
+		for {
+			e, err := readEvent(r)
+			if err != nil {
+				break
+			}
+			out.Write(e.raw)
+		}
+		if !strings.HasPrefix(text, out.String()) {
+			t.Errorf("events %q are not the start of %q", out.String(), text)
+		}
+	})
+}
--- a/entry/internal/model/sheets.go
+++ b/entry/internal/model/sheets.go
@@ -33,8 +33,10 @@
 		Kinds: []Kind{
 			{Name: "plan", PerSecond: 18.4, Aim: 2 * time.Second, Timeout: 8 * time.Second, Worth: 4.2, LateWorth: 0.63, Stages: plan, After: 250 * ms, Retries: 1},
 			{Name: "query", PerSecond: 21, Aim: 2500 * ms, Timeout: 6 * time.Second, Worth: 1.1, LateWorth: 0.17, Priority: 1, Stages: chain(0), After: 200 * ms, Retries: 1},
-			{Name: "note", PerSecond: 10.8, Aim: 2200 * ms, Timeout: 15 * time.Second, Worth: 0.66, LateWorth: 0.1, Priority: 2, After: 150 * ms, Retries: 1,
-				Stages: []Stage{{Service: "ledger", Mean: 2.5, Spread: 0.6, Share: 0.7, Bytes: 1_500_000}}},
+			{
+				Name: "note", PerSecond: 10.8, Aim: 2200 * ms, Timeout: 15 * time.Second, Worth: 0.66, LateWorth: 0.1, Priority: 2, After: 150 * ms, Retries: 1,
+				Stages: []Stage{{Service: "ledger", Mean: 2.5, Spread: 0.6, Share: 0.7, Bytes: 1_500_000}},
+			},
 		},
 		Length: 30 * time.Second, Seed: seed,
 	}
@@ -57,8 +59,10 @@
 			stageService("tarifs", 74, 2300*time.Microsecond, 970e3, "thies", "thies", "kaolack", "kaolack", "ziguinchor"),
 		},
 		Kinds: []Kind{
-			{Name: "assessment", PerSecond: 31.3, Aim: 1100 * ms, Timeout: 6 * time.Second, Worth: 4.2, LateWorth: 0.63, After: 250 * ms, Retries: 1,
-				Stages: []Stage{{Service: "annuaire", Mean: 2.5, Spread: 0.6, Share: 0.7, Bytes: 1_500_000}}},
+			{
+				Name: "assessment", PerSecond: 31.3, Aim: 1100 * ms, Timeout: 6 * time.Second, Worth: 4.2, LateWorth: 0.63, After: 250 * ms, Retries: 1,
+				Stages: []Stage{{Service: "annuaire", Mean: 2.5, Spread: 0.6, Share: 0.7, Bytes: 1_500_000}},
+			},
 			{Name: "letter", PerSecond: 38.4, Aim: 2500 * ms, Timeout: 6 * time.Second, Worth: 1, LateWorth: 0.15, Priority: 1, Stages: chain(0), After: 200 * ms, Retries: 1},
 			{Name: "answer", PerSecond: 12.4, Aim: 3100 * ms, Timeout: 20 * time.Second, Worth: 0.93, LateWorth: 0.14, Priority: 2, Stages: answer, After: 150 * ms, Retries: 1},
 		},
--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -31,10 +31,10 @@
 	silentEach = 3
 	// thawGap is the delay of a round from which on this process is taken to have stood still.
 	thawGap = 1200 * time.Millisecond
-	// settleMin is two rounds of gossip, in which a host that knows the others hears
-	// of most; settleMax is how long it waits for the list of hosts.
-	settleMin = 900 * time.Millisecond
-	settleMax = 2 * time.Second
+	// settleLeast is two rounds of gossip, in which a host that knows the others hears
+	// of most; settleMost is how long it waits for the list of hosts.
+	settleLeast = 900 * time.Millisecond
+	settleMost  = 2 * time.Second
 	// listTime bounds a call to the store.
 	listTime = 1500 * time.Millisecond
 	// listEvery and listRetry are the pauses between readings of the list of hosts.
@@ -330,7 +330,7 @@
 	since := time.Since(c.started)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return since > settleMax || c.hasList && since > settleMin
+	return since > settleMost || c.hasList && since > settleLeast
 }
 
 // Name implements a controller's name.
--- a/stand/internal/soak/engine.go
+++ b/stand/internal/soak/engine.go
@@ -149,7 +149,8 @@
 func (e *engine) runStage(w http.ResponseWriter, body []byte) {
 	var call struct {
 		Items []struct {
-			Id, Key string //nolint:revive // the name on the wire
+			ID      string `json:"Id"`
+			Key     string
 			Stage   int
 			Segment int
 			Inputs  []string
@@ -164,15 +165,15 @@
 	e.mu.Lock()
 	for i, item := range call.Items {
 		for _, h := range item.Inputs {
-			if !strings.Contains(h, "!"+item.Id+"!") {
-				e.ledger.wrong("piece of request %s is made from %s, which is another's", item.Id, h)
+			if !strings.Contains(h, "!"+item.ID+"!") {
+				e.ledger.wrong("piece of request %s is made from %s, which is another's", item.ID, h)
 			}
 		}
-		if item.Stage > 0 && len(item.Inputs) == 0 || item.Stage == 0 && item.Key != "key-"+item.Id {
-			e.ledger.wrong("piece of stage %d of request %s has inputs %v and key %q", item.Stage, item.Id, item.Inputs, item.Key)
+		if item.Stage > 0 && len(item.Inputs) == 0 || item.Stage == 0 && item.Key != "key-"+item.ID {
+			e.ledger.wrong("piece of stage %d of request %s has inputs %v and key %q", item.Stage, item.ID, item.Inputs, item.Key)
 		}
 		e.made++
-		results[i].Handle = fmt.Sprintf("%s/%d!%s!%d.%d", e.link.address(), e.made, item.Id, item.Stage, item.Segment)
+		results[i].Handle = fmt.Sprintf("%s/%d!%s!%d.%d", e.link.address(), e.made, item.ID, item.Stage, item.Segment)
 	}
 	e.mu.Unlock()
 	e.ledger.count("stage calls")
--- a/stand/internal/soak/host.go
+++ b/stand/internal/soak/host.go
@@ -29,12 +29,11 @@
 	binary, dir             string
 	link                    *proxy // to the store
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	starts  int
-	isOver  bool
-	pausing bool
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ended  chan struct{}
+	starts int
+	isOver bool
 }
 
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
--- a/stand/internal/soak/proxy.go
+++ b/stand/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -129,7 +130,7 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
+			if !errors.Is(err, io.EOF) {
 				reset(to)
 			}
 			return
