Let a few hosts of a large region read the store for the others

Ruled out: reading less often (a target that leaves must be out in time), and long polls on targets (their entries come at any moment).

Change: with seven hosts or more in a region the three that have run for longest read the store; the others wait at one of them for news and read for themselves as soon as it doesn't answer or hasn't read.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -188,10 +188,15 @@
 	return r, err
 }
 
-const kindTable = "table"
+// Kinds of messages between hosts.
+const (
+	kindTable = "table"
+	kindSync  = "table_sync"
+)
 
 type tableAsk struct {
 	Version int64 `cbor:"version"`
+	Offset  int64 `cbor:"offset"`
 }
 
 // peerTables asks peers for their tables.
@@ -234,6 +239,25 @@
 	return out, true
 }
 
+// Sync asks the peer that reads the store for this host.
+func (p peerTables) Sync(ctx context.Context, offset, version int64) (table.Snapshot, bool) {
+	h, ok := p.roster.Reader()
+	if !ok {
+		return table.Snapshot{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTime)
+	defer cancel()
+	var out table.Snapshot
+	if err := p.bus.Call(ctx, graph.Peer(h), kindSync, tableAsk{Offset: offset, Version: version}, &out); err != nil {
+		p.roster.Avoid(h.Name)
+		return table.Snapshot{}, false
+	}
+	return out, true
+}
+
+// syncTime bounds a call to a peer that keeps the caller waiting for a second.
+const syncTime = 1500 * time.Millisecond
+
 func newTables(f *fleetState, r *roster.Controller, bus *peers.Transport, client *store.Client, log logr.Logger) *table.Controller {
 	t := table.New(feed.Operator(client), feed.Targets(client), peerTables{roster: r, bus: bus}, log.WithName("table"))
 	bus.Handle(kindTable, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
@@ -243,6 +267,13 @@
 		}
 		return t.Snapshot(ask.Version), nil
 	})
+	bus.Handle(kindSync, func(ctx context.Context, _ string, _ uint64, body []byte) (any, error) {
+		var ask tableAsk
+		if err := peers.Decode(body, &ask); err != nil {
+			return nil, err
+		}
+		return t.Serve(ctx, ask.Offset, ask.Version), nil
+	})
 	f.tables = t
 	return t
 }
--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -281,6 +281,18 @@
 	return c.state.home(region, time.Now())
 }
 
+// Reader returns a host that reads the store for this one; false if it reads for
+// itself, or if none of them answers.
+func (c *Controller) Reader() (Host, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.state.readers(time.Now())
+	if len(list) == 0 {
+		return Host{}, false
+	}
+	return list[int(c.state.beat.ID)%len(list)], true
+}
+
 // Rank returns the place of this host for a key among all hosts; 0 is the first.
 func (c *Controller) Rank(key string) int {
 	c.mu.Lock()
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -265,6 +265,39 @@
 	return best, best.Name != s.self.Name
 }
 
+const (
+	// readersPerRegion is how many hosts of a region read the platform's store for
+	// the others: one may be lost and another slow.
+	readersPerRegion = 3
+	// readersFrom is the number of hosts in a region from which on only some read.
+	readersFrom = 7
+)
+
+// readers returns the hosts that read the store for this one; none if it reads
+// for itself.
+func (s *state) readers(now time.Time) []Host {
+	near := []Host{s.self}
+	for _, m := range s.members {
+		if m.isAlive(now) && m.host.Region == s.self.Region {
+			near = append(near, m.host)
+		}
+	}
+	if len(near) < readersFrom {
+		return nil
+	}
+	slices.SortFunc(near, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), strings.Compare(a.Name, b.Name))
+	})
+	near = near[:readersPerRegion]
+	if slices.ContainsFunc(near, func(h Host) bool { return h.Name == s.self.Name }) {
+		return nil
+	}
+	return slices.DeleteFunc(near, func(h Host) bool {
+		m := s.members[idOf(h.Name)]
+		return m != nil && now.Before(m.avoid)
+	})
+}
+
 // rank returns the place of this host for a key among all hosts that count; 0
 // is the first.
 func (s *state) rank(key string, now time.Time) int {
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -33,6 +33,16 @@
 	retryEvery = 300 * time.Millisecond
 	// askAfter is how long readings have failed before peers are asked.
 	askAfter = 500 * time.Millisecond
+	// syncWait is how long a peer that reads for others keeps them waiting.
+	syncWait = time.Second
+	// syncKept is how long what such a peer has told stands, and syncAge how old its
+	// own reading may be; then a host reads for itself.
+	syncKept = 1800 * time.Millisecond
+	syncAge  = 2200 * time.Millisecond
+	// syncRetry is the pause before a peer is asked again that hasn't answered.
+	syncRetry = 300 * time.Millisecond
+	// coverEvery is how often a host that others read for looks whether they still do.
+	coverEvery = 250 * time.Millisecond
 	// expireEvery is how often lapsed targets are looked at.
 	expireEvery = 250 * time.Millisecond
 )
@@ -50,6 +60,10 @@
 	Fetch(ctx context.Context, offset, version int64) (Snapshot, bool)
 	// Newest returns the highest operators' offset that a peer has told.
 	Newest() int64
+	// Sync asks the peer that reads the store for this host. It waits there until
+	// operators' records go beyond the offset, for up to syncWait. ok is false if
+	// this host reads the store itself, or if no such peer answers.
+	Sync(ctx context.Context, offset, version int64) (s Snapshot, ok bool)
 }
 
 // Controller follows the store.
@@ -62,38 +76,47 @@
 
 	mu       sync.Mutex
 	state    *State
-	opFailed time.Time // since when the operators' records can't be read; zero: they can
-	tgFailed time.Time // the same for targets
+	opRead   time.Time     // when operators' records were last read
+	tgRead   time.Time     // the same for targets
+	synced   time.Time     // when a peer last told what it has read
+	changed  chan struct{} // closed as operators' records come
+	opFailed time.Time     // since when the operators' records can't be read; zero: they can
+	tgFailed time.Time     // the same for targets
 }
 
 // New returns a controller that reads until Close.
 func New(operator Reader[feed.OperatorChange], targets Reader[feed.TargetChange], peers Peers, logger logr.Logger) *Controller {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState()}
+	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState(), changed: make(chan struct{})}
 	now := time.Now()
 	c.opFailed, c.tgFailed = now, now
 	c.view.Store(c.state.View())
 	c.wait.Go(func() {
-		follow(ctx, operator, 0, operatorWait, func(changes []feed.OperatorChange, next int64, whole bool) int64 {
+		follow(ctx, operator, 0, operatorWait, c.cover, c.OperatorOffset, func(changes []feed.OperatorChange, next int64, whole bool) int64 {
 			return c.takeOperator(changes, next, whole)
 		}, func(err error) { c.failed(&c.opFailed, "operators' records", err) })
 	})
 	c.wait.Go(func() {
-		follow(ctx, targets, targetsEvery, 0, func(changes []feed.TargetChange, next int64, whole bool) int64 {
+		follow(ctx, targets, targetsEvery, 0, c.cover, c.targetsOffset, func(changes []feed.TargetChange, next int64, whole bool) int64 {
 			return c.takeTargets(changes, next, whole)
 		}, func(err error) { c.failed(&c.tgFailed, "targets", err) })
 	})
 	c.wait.Go(func() { c.tend(ctx) })
+	c.wait.Go(func() { c.syncAll(ctx) })
 	return c
 }
 
 // follow reads a feed until ctx ends: the newest of each key first, then what
-// comes after. take returns the offset to read next.
-func follow[C any](ctx context.Context, r Reader[C], every, wait time.Duration,
+// comes after. cover returns once this host must read for itself, and at the
+// offset from which it then reads. take returns the offset to read next.
+func follow[C any](ctx context.Context, r Reader[C], every, wait time.Duration, cover func(context.Context) bool, at func() int64,
 	take func(changes []C, next int64, whole bool) int64, failed func(error),
 ) {
 	next, whole := int64(0), true
 	for ctx.Err() == nil {
+		if !whole && cover(ctx) {
+			next = at()
+		}
 		call, cancel := context.WithTimeout(ctx, wait+readSlack)
 		var changes []C
 		var end int64
@@ -145,9 +168,100 @@
 	}
 }
 
+// cover waits while a peer reads the store for this host, and reports whether it did.
+func (c *Controller) cover(ctx context.Context) bool {
+	was := false
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		covered := time.Since(c.synced) < syncKept
+		c.mu.Unlock()
+		if !covered {
+			return was
+		}
+		was = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(coverEvery):
+		}
+	}
+	return was
+}
+
+// syncAll follows a peer that reads the store for this host, while there is one.
+func (c *Controller) syncAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		offset, version := c.state.OperatorOffset(), c.version()
+		ready := offset >= 0 && c.state.TargetsOffset() >= 0
+		c.mu.Unlock()
+		if ready {
+			if s, ok := c.peers.Sync(ctx, offset, version); ok && s.Age < syncAge {
+				c.takeSync(s)
+				continue
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(syncRetry):
+		}
+	}
+}
+
+func (c *Controller) takeSync(s Snapshot) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.synced.IsZero() || now.Sub(c.synced) > syncKept {
+		c.logger.Info("a peer reads the store for this host", "offset", s.OpOffset)
+	}
+	c.synced = now
+	c.regained(&c.opFailed, "operators' records")
+	c.regained(&c.tgFailed, "targets")
+	if c.state.Merge(s, now) {
+		c.publish("peer")
+	}
+}
+
+// Serve returns the table for a peer for which this host reads the store, as soon
+// as operators' records go beyond an offset or syncWait is over.
+func (c *Controller) Serve(ctx context.Context, offset, peerVersion int64) Snapshot {
+	c.mu.Lock()
+	changed, known := c.changed, c.state.OperatorOffset()
+	c.mu.Unlock()
+	if known <= offset {
+		timer := time.NewTimer(syncWait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	s := c.state.Snapshot(peerVersion, now)
+	s.Age = max(now.Sub(c.opRead)-operatorWait, now.Sub(c.tgRead))
+	return s
+}
+
+func (c *Controller) version() int64 {
+	if cfg := c.state.Config(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
+
+func (c *Controller) targetsOffset() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.TargetsOffset()
+}
+
 func (c *Controller) takeOperator(changes []feed.OperatorChange, next int64, whole bool) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.opRead = time.Now()
 	c.regained(&c.opFailed, "operators' records")
 	c.logRejected(c.state.ApplyOperator(changes, next, whole, time.Now()))
 	if len(changes) > 0 || whole {
@@ -159,6 +273,7 @@
 func (c *Controller) takeTargets(changes []feed.TargetChange, next int64, whole bool) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.tgRead = time.Now()
 	c.regained(&c.tgFailed, "targets")
 	c.logRejected(c.state.ApplyTargets(changes, next, whole, time.Now()))
 	if len(changes) > 0 || whole {
@@ -179,6 +294,8 @@
 	old := c.view.Load()
 	v := c.state.View()
 	c.view.Store(v)
+	close(c.changed)
+	c.changed = make(chan struct{})
 	if v.Config != nil && (old.Config == nil || old.Config.Version != v.Config.Version) {
 		c.logger.Info("configuration in force", "version", v.Config.Version, "routes", len(v.Config.Routes),
 			"accounts", len(v.Config.Accounts), "source", source, "offset", c.state.OperatorOffset())
@@ -211,10 +328,7 @@
 		if c.state.Expire(now) {
 			c.view.Store(c.state.View())
 		}
-		offset, version := c.state.OperatorOffset(), int64(0)
-		if cfg := c.state.Config(); cfg != nil {
-			version = cfg.Version
-		}
+		offset, version := c.state.OperatorOffset(), c.version()
 		lost := isLost(c.opFailed, now) || isLost(c.tgFailed, now)
 		c.mu.Unlock()
 		if !lost && c.peers.Newest() <= offset {
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -257,6 +257,7 @@
 	OpOffset    int64          `cbor:"op_offset"`
 	Targets     []fleet.Target `cbor:"targets"`
 	TargetsNext int64          `cbor:"targets_next"`
+	Age         time.Duration  `cbor:"age"` // since the store was last read
 }
 
 // Snapshot returns the state for a peer. The configuration is left out if the
