Let homes know where sessions went in all regions

Ruled out: one home for all sessions (40 ms more for requests of other regions).

Change: homes tell each other where sessions went, four times a second; requests without stages ask their home too, for up to 120 ms; a request goes to the target that has the start of its prompt if that costs less than moving its results.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -295,7 +295,9 @@
 	stock := maker.NewStock(t, s.DataCentres)
 	home := batch.New(maker.New(d), stock, log.WithName("batch"))
 	graph.Serve(bus, home)
-	return stageParts{Home: home, Runner: graph.New(s.HostName, s.Region, r, bus, home, stock)}
+	runner := graph.New(s.HostName, s.Region, r, bus, home, stock)
+	home.Tell(runner.Tell)
+	return stageParts{Home: home, Runner: runner}
 }
 
 func newFront(s boot.Settings, f *fleetState, t *table.Controller, runner *graph.Runner, book *pick.Book, d *dialer.Pool, log logr.Logger) *edge.Front {
--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -32,6 +32,11 @@
 	minRetry = 200 * time.Millisecond
 	// nearBytes is the size from which on results are worth following.
 	nearBytes = 1_000_000
+	// tokenBytes is what moving may cost, in bytes between data centres, rather than
+	// reading a token again; regionBytes is what sending a request to another region
+	// costs in the same measure.
+	tokenBytes  = 2000
+	regionBytes = 2_000_000
 	// sessionTime is how long the start of a prompt is expected to stay in a target's
 	// cache, and maxSessions bounds the sessions that are kept.
 	sessionTime = 8 * time.Second
@@ -118,7 +123,7 @@
 // finish is called once.
 func (d *Desk) Submit(in Order, now time.Time, finish func(Result)) {
 	d.now = now
-	if u, ok := d.session(in.Session); ok && allows(in.Regions, u.region) {
+	if u, ok := d.session(in.Session); ok && allows(in.Regions, u.Region) && d.hasTargetsAt(u.DataCentre) {
 		// Results are wanted where the start of the prompt is.
 		in.DataCentre = u.DataCentre
 	}
@@ -579,22 +584,22 @@
 			out = append(out, o.state[k].handles...)
 		}
 	}
-	r := Result{Handles: out, Near: d.near(o)}
-	if u, ok := d.session(o.Session); ok && (r.Near == "" || r.Near == u.DataCentre) {
-		r.Prefer = u.Target
-	}
+	r := Result{Handles: out}
+	r.Near, r.Prefer = d.near(o)
 	o.end(r)
 	return true
 }
 
 // near returns the data centre where most of an order's results lie, if they are
-// large.
-func (d *Desk) near(o *order) string {
-	sums, best := map[string]int64{}, ""
+// large, and the target that has the start of its prompt, if going there is worth
+// moving the results.
+func (d *Desk) near(o *order) (dataCentre, target string) {
+	sums, all, best := map[string]int64{}, int64(0), ""
 	for k := range o.state {
 		if q := d.queues[o.Stages[k].Service]; !o.state[k].isUsed && q != nil {
 			for _, h := range o.state[k].handles {
 				sums[q.place(h)] += o.Stages[k].ResultBytes
+				all += o.Stages[k].ResultBytes
 			}
 		}
 	}
@@ -603,18 +608,40 @@
 			best = dc
 		}
 	}
-	return best
+	u, ok := d.session(o.Session)
+	if !ok || !allows(o.Regions, u.Region) {
+		return best, ""
+	}
+	cost := all - sums[u.DataCentre]
+	if u.Region != o.From {
+		cost += regionBytes
+	}
+	if int64(o.Shared)*tokenBytes < cost {
+		return best, ""
+	}
+	return u.DataCentre, u.Target
+}
+
+// hasTargetsAt reports whether a data centre has stage targets of this desk.
+func (d *Desk) hasTargetsAt(dataCentre string) bool {
+	for _, q := range d.queues {
+		for _, e := range q.engines {
+			if e.present && e.target.DataCentre == dataCentre {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // lastUse is where the last request of a session went.
 type lastUse struct {
 	Use
-	region string
-	at     time.Time
+	at time.Time
 }
 
 // Used notes where a request of a session went.
-func (d *Desk) Used(u Use, region string, now time.Time) {
+func (d *Desk) Used(u Use, now time.Time) {
 	if u.Session == "" || u.Target == "" {
 		return
 	}
@@ -626,7 +653,7 @@
 		}
 	}
 	if len(d.sessions) < maxSessions {
-		d.sessions[u.Session] = lastUse{Use: u, region: region, at: now}
+		d.sessions[u.Session] = lastUse{Use: u, at: now}
 	}
 }
 
--- a/entry/internal/batch/desk_test.go
+++ b/entry/internal/batch/desk_test.go
@@ -269,9 +269,9 @@
 
 func TestRequestsFollowTheirSession(t *testing.T) {
 	d := newDesk(8, "a", "b")
-	d.Used(Use{Session: "s", Target: "m7", DataCentre: "b"}, "b", start)
+	d.Used(Use{Session: "s", Target: "m7", DataCentre: "b", Region: "b"}, start)
 	o := newOrder("x", 2)
-	o.Session = "s"
+	o.Session, o.Shared, o.From = "s", 3000, "a"
 	r := submit(d, o, start.Add(time.Second))
 	run(d, start.Add(time.Second), time.Second)
 	if r.Prefer != "m7" {
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -24,6 +24,8 @@
 	// freeEvery is how long results that were given up are gathered before their
 	// targets are told.
 	freeEvery = 10 * time.Millisecond
+	// tellEvery is how long uses of sessions are gathered for other homes.
+	tellEvery = 250 * time.Millisecond
 	// freeTime bounds the call that tells a target.
 	freeTime = time.Second
 	// forgetAfter is how long an order whose host doesn't ask for it is kept.
@@ -53,6 +55,8 @@
 	mu      sync.Mutex
 	desks   map[string]*Desk // by region; the empty one has all targets
 	tickets map[string]*ticket
+	uses    []Use // not yet told to other homes
+	tell    func(ctx context.Context, uses []Use)
 	telling bool // results given up are about to be told
 }
 
@@ -213,18 +217,51 @@
 
 // Drop ends an order whose caller has left, or gives up the results of one that
 // is done. use says where the request went, if it did.
-func (h *Home) Drop(id string, use Use, region string) {
+func (h *Home) Drop(id string, use Use) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.tickets, id)
 	now := time.Now()
 	for _, d := range h.desks {
 		d.Drop(id)
-		d.Used(use, region, now)
+		d.Used(use, now)
 		h.advance(d, now)
 	}
+	if use.Session != "" && h.tell != nil {
+		h.uses = append(h.uses, use)
+		if len(h.uses) == 1 {
+			time.AfterFunc(tellEvery, h.tellUses)
+		}
+	}
+}
+
+// tellUses tells the homes of other regions where sessions went.
+func (h *Home) tellUses() {
+	h.mu.Lock()
+	uses := h.uses
+	h.uses = nil
+	h.mu.Unlock()
+	if h.ctx.Err() == nil {
+		h.tell(h.ctx, uses)
+	}
+}
+
+// Used notes where sessions went at the home of another region.
+func (h *Home) Used(uses []Use) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, d := range h.desks {
+		for _, u := range uses {
+			d.Used(u, now)
+		}
+	}
 }
 
+// Tell sets what tells other homes where sessions went; it is called once, before
+// the first order.
+func (h *Home) Tell(tell func(ctx context.Context, uses []Use)) { h.tell = tell }
+
 // tellFrees tells targets which results were given up.
 func (h *Home) tellFrees() {
 	h.mu.Lock()
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -40,9 +40,11 @@
 	Priority   int           `cbor:"priority"`
 	DataCentre string        `cbor:"data_centre"` // where results are wanted
 	Regions    []string      `cbor:"regions,omitempty"`
+	From       string        `cbor:"from,omitempty"`    // region of the host that has the request
 	Region     string        `cbor:"region,omitempty"`  // whose targets are used; empty: all
 	Made       []Made        `cbor:"made,omitempty"`    // by stage, at a home that was lost
 	Session    string        `cbor:"session,omitempty"` // requests of one share the start of their prompt
+	Shared     int           `cbor:"shared,omitempty"`  // tokens of that start
 }
 
 // Use says which target a request of a session went to.
@@ -50,6 +52,7 @@
 	Session    string `cbor:"session"`
 	Target     string `cbor:"target"`
 	DataCentre string `cbor:"data_centre"`
+	Region     string `cbor:"region"`
 }
 
 // Made is what is there of a stage.
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -24,6 +24,18 @@
 	return c.req.Prefix[max(len(c.req.Prefix)-2, 0)].ID
 }
 
+// shared returns the tokens of the prompt that other requests share.
+func (c *call) shared() int {
+	if !c.route.Sticky {
+		return 0
+	}
+	n := 0
+	for _, p := range c.req.Prefix[:max(len(c.req.Prefix)-1, 0)] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // attempts sends the request to one target after another until it is answered.
 // It returns nil once the caller has its answer, or none can be given.
 func (c *call) attempts(ctx context.Context) error {
--- a/entry/internal/edge/front.go
+++ b/entry/internal/edge/front.go
@@ -50,6 +50,10 @@
 	afterStages = 150 * time.Millisecond
 	// resumeGap is the silence within a stream after which it is resumed elsewhere.
 	resumeGap = 2 * time.Second
+	// askFrom is the number of shared tokens from which on the home is asked for a
+	// target also for requests without stages, and askTime is what that may take.
+	askFrom = 1500
+	askTime = 120 * time.Millisecond
 	// stageTries is how often the stages run for a request whose results were lost.
 	stageTries = 3
 )
@@ -326,14 +330,23 @@
 	for _, n := range c.req.Pieces {
 		c.pieces += n
 	}
-	if len(c.route.Stages) == 0 || c.pieces == 0 {
+	if len(c.route.Stages) == 0 || c.pieces == 0 && c.shared() < askFrom {
 		return nil
 	}
+	if c.pieces == 0 {
+		// Only the home knows which target has the start of the prompt.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, askTime)
+		defer cancel()
+	}
 	var err error
 	c.results, err = c.f.stages.Run(ctx, batch.Order{
 		Request: c.req.ID, Route: c.route.Name, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority,
-		Session: c.affinity(), DataCentre: c.f.opts.DataCentre, Regions: c.regions,
+		Session: c.affinity(), Shared: c.shared(), DataCentre: c.f.opts.DataCentre, Regions: c.regions,
 	}, c.start.Add(c.route.Aim-c.f.tails.of(c.route.Name)), c.until.Add(-afterStages))
+	if c.pieces == 0 {
+		return nil // without an answer the host chooses by itself
+	}
 	c.staged = time.Since(c.start)
 	if err == nil {
 		c.waited = c.results.Waited
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -23,6 +23,7 @@
 	KindRun  = "stages_run"
 	KindWait = "stages_wait"
 	KindDrop = "stages_drop"
+	KindUses = "stages_uses"
 )
 
 const (
@@ -50,6 +51,7 @@
 type Splitter interface {
 	IsSplit(stages []fleet.Stage) bool
 	Region(dataCentre string) string
+	Regions() []string
 }
 
 // Bus calls other hosts.
@@ -103,6 +105,7 @@
 // Run makes the results of all stages of an order, whose ID it sets. The order
 // must be done by until, and is late after due.
 func (r *Runner) Run(ctx context.Context, order batch.Order, due, until time.Time) (*Results, error) {
+	order.From = r.area
 	if order.Region = ""; r.split.IsSplit(order.Stages) && allows(order.Regions, r.area) {
 		order.Region = r.area
 	}
@@ -167,7 +170,7 @@
 				return res, nil
 			}
 			if ctx.Err() != nil {
-				r.local.Drop(order.ID, batch.Use{}, "")
+				r.local.Drop(order.ID, batch.Use{})
 				return batch.Result{}, ctx.Err()
 			}
 		}
@@ -196,26 +199,46 @@
 }
 
 type idBody struct {
-	ID     string    `cbor:"id"`
-	Use    batch.Use `cbor:"use"`
-	Region string    `cbor:"region,omitempty"` // of the target used
+	ID  string    `cbor:"id"`
+	Use batch.Use `cbor:"use"`
 }
 
 // drop gives up an order or its results. A message that is lost costs the
 // results' space until their life is over.
 func (r *Runner) drop(home roster.Host, id string, use batch.Use) {
-	region := r.split.Region(use.DataCentre)
+	use.Region = r.split.Region(use.DataCentre)
 	if home.Name == "" {
-		r.local.Drop(id, use, region)
+		r.local.Drop(id, use)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollSlack)
 		defer cancel()
-		_ = r.bus.Send(ctx, Peer(home), KindDrop, idBody{ID: id, Use: use, Region: region}) // the home forgets orders that nobody asks for
+		_ = r.bus.Send(ctx, Peer(home), KindDrop, idBody{ID: id, Use: use}) // the home forgets orders that nobody asks for
 	}()
 }
 
+// usesBody tells where sessions went.
+type usesBody struct {
+	Uses []batch.Use `cbor:"uses"`
+}
+
+// Tell tells the homes of other regions where sessions went, where regions have
+// homes of their own. News that are lost cost a start of a prompt read again.
+func (r *Runner) Tell(ctx context.Context, uses []batch.Use) {
+	told := map[string]bool{}
+	for _, region := range r.split.Regions() {
+		home, isOther := r.homes.Home(region)
+		if region == r.area || !isOther || told[home.Name] {
+			continue
+		}
+		told[home.Name] = true
+		call, cancel := context.WithTimeout(ctx, pollSlack)
+		_ = r.bus.Send(call, Peer(home), KindUses, usesBody{Uses: uses})
+		cancel()
+	}
+}
+
 // Peer returns a host as the transport knows it.
 func Peer(h roster.Host) hosts.Host { return hosts.Host{Name: h.Name, PeerAddress: h.Peer} }
 
@@ -241,12 +264,20 @@
 		}
 		return home.Await(ctx, in.ID, pollFor), nil
 	})
+	bus.Handle(KindUses, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
+		var in usesBody
+		if err := peers.Decode(body, &in); err != nil {
+			return nil, err
+		}
+		home.Used(in.Uses)
+		return nil, nil
+	})
 	bus.Handle(KindDrop, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
 		var in idBody
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		home.Drop(in.ID, in.Use, in.Region)
+		home.Drop(in.ID, in.Use)
 		return nil, nil
 	})
 }
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
@@ -169,3 +171,9 @@
 
 // Region returns the region of a data centre.
 func (s *Stock) Region(dataCentre string) string { return s.regions[dataCentre] }
+
+// Regions returns the names of all regions.
+func (s *Stock) Regions() []string {
+	out := slices.Sorted(maps.Values(s.regions))
+	return slices.Compact(out)
+}
