--- a/entry/internal/dialer/dialer_test.go
+++ b/entry/internal/dialer/dialer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -71,9 +72,9 @@
 }
 
 func TestRequestsShareAConnection(t *testing.T) {
-	conns := 0
+	var conns atomic.Int32
 	address := target(t, func(n int, c net.Conn, r *bufio.Reader) {
-		conns = n + 1
+		conns.Store(int32(n + 1))
 		for {
 			req, body := readRequest(r)
 			if req == nil {
@@ -92,16 +93,16 @@
 			t.Errorf("got %q, %v", got, err)
 		}
 	}
-	if conns != 1 {
-		t.Errorf("%d connections, want 1", conns)
+	if got := conns.Load(); got != 1 {
+		t.Errorf("%d connections, want 1", got)
 	}
 }
 
 // The answer to an earlier request is passed over, and the connection isn't used again.
 func TestStrayAnswerIsNotDelivered(t *testing.T) {
-	conns := 0
+	var conns atomic.Int32
 	address := target(t, func(n int, c net.Conn, r *bufio.Reader) {
-		conns = n + 1
+		conns.Store(int32(n + 1))
 		for {
 			req, _ := readRequest(r)
 			if req == nil {
@@ -118,16 +119,16 @@
 			t.Errorf("got %q, %v, want mine", got, err)
 		}
 	}
-	if conns != 2 {
-		t.Errorf("%d connections, want 2", conns)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
 	}
 }
 
 // Bytes after a complete answer belong to no request.
 func TestBytesAfterAnAnswerCloseTheConnection(t *testing.T) {
-	conns := 0
+	var conns atomic.Int32
 	address := target(t, func(n int, c net.Conn, r *bufio.Reader) {
-		conns = n + 1
+		conns.Store(int32(n + 1))
 		for {
 			req, _ := readRequest(r)
 			if req == nil {
@@ -146,8 +147,8 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	if conns != 2 {
-		t.Errorf("%d connections, want 2", conns)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
 	}
 }
 
@@ -210,9 +211,9 @@
 // A target may answer before it has read a long body; what is left of the body
 // must not become the start of another request.
 func TestEarlyAnswerToALongBodyClosesTheConnection(t *testing.T) {
-	conns := 0
+	var conns atomic.Int32
 	address := target(t, func(n int, c net.Conn, r *bufio.Reader) {
-		conns = n + 1
+		conns.Store(int32(n + 1))
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
@@ -233,8 +234,8 @@
 			t.Errorf("got %q, %v", got, err)
 		}
 	}
-	if conns != 2 {
-		t.Errorf("%d connections, want 2", conns)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections, want 2", got)
 	}
 }
 
