--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -260,7 +260,7 @@
 	defer c.mu.Unlock()
 	var out []Peer
 	for _, m := range c.state.alive(now) {
-		out = append(out, Peer{Host: m.host, Load: int(m.beat.Load), Offset: m.beat.Offset, IsAvoided: now.Before(m.avoid)})
+		out = append(out, Peer{Host: m.host, Load: int(m.beat.Load), Offset: m.beat.Offset, IsAvoided: m.isAvoided(now)})
 	}
 	return out
 }
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -20,6 +20,8 @@
 	countFor = 45 * time.Second
 	// avoidFor is how long a peer that didn't answer a call gets no further ones.
 	avoidFor = 2 * time.Second
+	// freshAfter is how long beats may be on their way through other hosts.
+	freshAfter = 1200 * time.Millisecond
 	// maxLoad bounds the load that a host tells.
 	maxLoad = 1 << 15
 )
@@ -110,6 +112,16 @@
 	return !m.heard.IsZero() && now.Sub(m.heard) < deadAfter
 }
 
+// isAvoided reports whether a host that didn't answer a call gets no further ones:
+// for a while, and then until news of it are younger than the call. Beats that were
+// on their way as it fell silent come within freshAfter.
+func (m *member) isAvoided(now time.Time) bool {
+	if m.avoid.IsZero() {
+		return false
+	}
+	return now.Before(m.avoid) || m.heard.Before(m.avoid.Add(freshAfter-avoidFor))
+}
+
 func (m *member) isAlive(now time.Time) bool { return m.isHeard(now) && !m.beat.IsLeaving }
 
 // take merges a datagram and reports whether it speaks of unknown hosts.
@@ -244,7 +256,7 @@
 func (s *state) home(region string, now time.Time) (Host, bool) {
 	var fit []Host
 	for _, m := range s.members {
-		if m.isAlive(now) && !now.Before(m.avoid) {
+		if m.isAlive(now) && !m.isAvoided(now) {
 			fit = append(fit, m.host)
 		}
 	}
@@ -294,7 +306,7 @@
 	}
 	return slices.DeleteFunc(near, func(h Host) bool {
 		m := s.members[idOf(h.Name)]
-		return m != nil && now.Before(m.avoid)
+		return m != nil && m.isAvoided(now)
 	})
 }
 
--- a/entry/internal/roster/state_test.go
+++ b/entry/internal/roster/state_test.go
@@ -177,3 +177,23 @@
 		}
 	})
 }
+
+// Pattern: frozen home. A host that didn't answer and hasn't been heard since gets
+// no further calls, though it isn't silent for long enough to be dead.
+func TestFrozenHomeIsNotAskedAgain(t *testing.T) {
+	f := newFleet(9)
+	f.run(4 * time.Second)
+	s := f.states["10.0.0.8:1"]
+	f.down["10.0.0.0:1"] = true
+	f.run(roundEvery)
+	s.members[idOf("h0")].avoid = f.now.Add(avoidFor)
+	f.run(avoidFor + roundEvery)
+	if h, _ := s.home("", f.now); h.Name != "h1" {
+		t.Errorf("home %s while h0 is frozen, want h1", h.Name)
+	}
+	f.down["10.0.0.0:1"] = false
+	f.run(2 * time.Second)
+	if h, _ := s.home("", f.now); h.Name != "h0" {
+		t.Errorf("home %s after h0 runs again, want h0", h.Name)
+	}
+}
