--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -1,10 +1,7 @@
 package batch
 
 import (
-	"cmp"
 	"fmt"
-	"math"
-	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -176,28 +173,6 @@
 	return true
 }
 
-// estimate works out what the stages of an order take as things are now.
-func (o *order) estimate(queues map[string]*Queue) {
-	own := make([]time.Duration, len(o.Stages))
-	for i, s := range o.Stages {
-		o.tails[i] = 0
-		if o.pieces(i) > 0 {
-			own[i] = queues[s.Service].typical() + transit
-		}
-	}
-	o.chain = 0
-	for range o.Stages {
-		for i, s := range o.Stages {
-			for _, a := range s.After {
-				o.tails[a] = max(o.tails[a], o.tails[i]+own[i])
-			}
-		}
-	}
-	for i := range o.Stages {
-		o.chain = max(o.chain, o.tails[i]+own[i])
-	}
-}
-
 func (o *order) pieces(i int) int {
 	if i < len(o.Pieces) {
 		return o.Pieces[i]
@@ -214,136 +189,6 @@
 	o.finish(r)
 }
 
-// isOnTime reports whether a waiting order can still be on time.
-func (o *order) isOnTime(now time.Time) bool {
-	return !now.Add(time.Duration(onTimeMargin * float64(o.chain))).After(o.due)
-}
-
-// compare orders waiting orders: those that can be on time first, then by
-// priority, then by what is due first.
-func compare(a, b *order, now time.Time) int {
-	x, y := a.isOnTime(now), b.isOnTime(now)
-	if x != y {
-		if x {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due.Compare(b.due), a.added.Compare(b.added))
-}
-
-// admits reports whether an order would be done in time behind the work that
-// goes before it, and otherwise after how long its caller may return.
-func (d *Desk) admits(o *order, now time.Time) (time.Duration, bool) {
-	for service, pieces := range o.load {
-		d.arrivals(service).add(o.Priority, float64(pieces), now)
-		if !d.queues[service].hasTargets() {
-			return spread(absentRetry), false
-		}
-	}
-	ahead := map[string]int{}
-	for _, w := range d.waiting {
-		if compare(w, o, now) <= 0 {
-			for service, n := range w.load {
-				ahead[service] += n
-			}
-		}
-	}
-	wait := d.waitBehind(o, ahead, now)
-	if now.Add(wait + o.chain).Before(o.until) {
-		return 0, true
-	}
-	return spread(wait), false
-}
-
-// waitBehind returns how long an order waits for the pieces ahead of it, given
-// that more urgent ones keep coming.
-func (d *Desk) waitBehind(o *order, ahead map[string]int, now time.Time) time.Duration {
-	wait := time.Duration(0)
-	for service := range o.load {
-		rate := d.queues[service].rate(now)
-		if rate == 0 {
-			wait = max(wait, absentRetry)
-			continue
-		}
-		overtaking := o.Priority
-		if !o.isOnTime(now) {
-			overtaking = math.MaxInt // all that can still be on time
-		}
-		rate = max(rate-d.arrivals(service).above(overtaking, now), minRate*rate)
-		n := float64(d.committed[service] + ahead[service])
-		wait = max(wait, time.Duration(n/rate*float64(time.Second)))
-	}
-	return wait
-}
-
-// refuseHopeless refuses waiting orders, which stand in their order, as soon as
-// it shows that they won't be done in time.
-func (d *Desk) refuseHopeless(now time.Time) {
-	ahead := map[string]int{}
-	var hopeless []*order
-	for _, o := range d.waiting {
-		if now.Add(d.waitBehind(o, ahead, now) + o.chain).After(o.until) {
-			hopeless = append(hopeless, o)
-			continue
-		}
-		for service, n := range o.load {
-			ahead[service] += n
-		}
-	}
-	for _, o := range hopeless {
-		d.drop(o, Result{Reason: ReasonBusy, RetryAfter: spread(d.waitBehind(o, ahead, now))})
-	}
-}
-
-func (d *Desk) arrivals(service string) *arrivals {
-	a := d.coming[service]
-	if a == nil {
-		a = &arrivals{by: map[int]*flow{}}
-		d.coming[service] = a
-	}
-	return a
-}
-
-// arrivals counts the pieces a second that come for a service, by priority.
-type arrivals struct{ by map[int]*flow }
-
-type flow struct {
-	rate float64
-	at   time.Time
-}
-
-// flowTime is the time over which arrivals are averaged.
-const flowTime = 2 * time.Second
-
-func (f *flow) decayed(now time.Time) float64 {
-	return f.rate * math.Exp(-now.Sub(f.at).Seconds()/flowTime.Seconds())
-}
-
-func (a *arrivals) add(priority int, pieces float64, now time.Time) {
-	f := a.by[priority]
-	if f == nil {
-		f = &flow{at: now}
-		a.by[priority] = f
-	}
-	f.rate, f.at = f.decayed(now)+pieces/flowTime.Seconds(), now
-}
-
-// above returns the pieces a second of more urgent requests.
-func (a *arrivals) above(priority int, now time.Time) float64 {
-	sum := 0.0
-	for p, f := range a.by {
-		if p < priority {
-			sum += f.decayed(now)
-		}
-	}
-	return sum
-}
-
-func spread(d time.Duration) time.Duration {
-	return max(time.Duration((1+busySpread*(rand.Float64()-0.5))*float64(d)), minRetry)
-}
-
 // Plan releases waiting orders and returns the calls to be made now.
 func (d *Desk) Plan(now time.Time) map[string][]*Call {
 	d.now = now
@@ -386,52 +231,6 @@
 	}
 }
 
-// releaseAll starts waiting orders in their order while their services have room.
-// An order without room keeps those behind it from overtaking it at its service.
-func (d *Desk) releaseAll(now time.Time) {
-	if len(d.waiting) == 0 {
-		return
-	}
-	slices.SortStableFunc(d.waiting, func(a, b *order) int { return compare(a, b, now) })
-	blocked := map[string]bool{}
-	kept := d.waiting[:0]
-	var started []*order
-	for _, o := range d.waiting {
-		if d.hasRoom(o, blocked, now) {
-			for service, n := range o.load {
-				d.committed[service] += n
-			}
-			started = append(started, o)
-			continue
-		}
-		kept = append(kept, o)
-	}
-	clear(d.waiting[len(kept):])
-	d.waiting = kept
-	for _, o := range started {
-		d.begin(o, now)
-	}
-}
-
-func (d *Desk) hasRoom(o *order, blocked map[string]bool, now time.Time) bool {
-	room := true
-	for service, pieces := range o.load {
-		q := d.queues[service]
-		full := wipFactor * float64(o.depth[service]) * q.capacity(now)
-		if blocked[service] {
-			room = false
-		} else if float64(d.committed[service]+pieces) > full && d.committed[service] > 0 || full == 0 {
-			room = false
-		}
-	}
-	if !room {
-		for service := range o.load {
-			blocked[service] = true
-		}
-	}
-	return room
-}
-
 // begin starts the stages of an order that need no others.
 func (d *Desk) begin(o *order, now time.Time) {
 	o.release, o.left = now, len(o.Stages)
@@ -448,54 +247,6 @@
 	}
 }
 
-// takeOver takes the results that an order already has from another home.
-func (d *Desk) takeOver(o *order) {
-	made := o.Made
-	o.Made = nil // only once: results that prove gone are made again
-	if len(made) != len(o.Stages) {
-		return
-	}
-	for i, m := range made {
-		st := &o.state[i]
-		if !m.IsDone || st.done || len(m.Handles) != o.pieces(i) && len(m.Handles) > 0 {
-			continue
-		}
-		st.done, st.handles = true, m.Handles
-		d.committed[o.Stages[i].Service] -= st.missing
-		st.missing = 0
-		o.left--
-		if q := d.queues[o.Stages[i].Service]; q != nil {
-			q.adopt(m.Handles, o.Stages[i].ResultBytes, d.now)
-		}
-	}
-	for i, s := range o.Stages {
-		if o.state[i].done {
-			for _, a := range s.After {
-				o.state[a].users--
-			}
-		}
-	}
-	d.endIfDone(o)
-}
-
-// Made returns what there is of the stages of an order under way.
-func (d *Desk) Made(id string) []Made {
-	o := d.byID[id]
-	if o == nil || o.ended {
-		return nil
-	}
-	var out []Made
-	for i := range o.state {
-		if o.state[i].done && o.pieces(i) > 0 && out == nil {
-			out = make([]Made, len(o.state))
-		}
-	}
-	for i := range out {
-		out[i] = Made{IsDone: o.state[i].done, Handles: o.state[i].handles}
-	}
-	return out
-}
-
 func (d *Desk) startStage(o *order, i int, now time.Time) {
 	s := o.Stages[i]
 	if o.pieces(i) == 0 {
@@ -590,78 +341,6 @@
 	return true
 }
 
-// near returns the data centre where most of an order's results lie, if they are
-// large, and the target that has the start of its prompt, if going there is worth
-// moving the results.
-func (d *Desk) near(o *order) (dataCentre, target string) {
-	sums, all, best := map[string]int64{}, int64(0), ""
-	for k := range o.state {
-		if q := d.queues[o.Stages[k].Service]; !o.state[k].isUsed && q != nil {
-			for _, h := range o.state[k].handles {
-				sums[q.place(h)] += o.Stages[k].ResultBytes
-				all += o.Stages[k].ResultBytes
-			}
-		}
-	}
-	for dc, n := range sums {
-		if n >= nearBytes && dc != "" && (best == "" || n > sums[best] || n == sums[best] && dc < best) {
-			best = dc
-		}
-	}
-	u, ok := d.session(o.Session)
-	if !ok || !allows(o.Regions, u.Region) {
-		return best, ""
-	}
-	cost := all - sums[u.DataCentre]
-	if u.Region != o.From {
-		cost += regionBytes
-	}
-	if int64(o.Shared)*tokenBytes < cost {
-		return best, ""
-	}
-	return u.DataCentre, u.Target
-}
-
-// hasTargetsAt reports whether a data centre has stage targets of this desk.
-func (d *Desk) hasTargetsAt(dataCentre string) bool {
-	for _, q := range d.queues {
-		for _, e := range q.engines {
-			if e.present && e.target.DataCentre == dataCentre {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// lastUse is where the last request of a session went.
-type lastUse struct {
-	Use
-	at time.Time
-}
-
-// Used notes where a request of a session went.
-func (d *Desk) Used(u Use, now time.Time) {
-	if u.Session == "" || u.Target == "" {
-		return
-	}
-	if len(d.sessions) >= maxSessions {
-		for s, l := range d.sessions {
-			if now.Sub(l.at) > sessionTime {
-				delete(d.sessions, s)
-			}
-		}
-	}
-	if len(d.sessions) < maxSessions {
-		d.sessions[u.Session] = lastUse{Use: u, at: now}
-	}
-}
-
-func (d *Desk) session(name string) (lastUse, bool) {
-	l, ok := d.sessions[name]
-	return l, ok && name != "" && d.now.Sub(l.at) < sessionTime
-}
-
 func (d *Desk) isReady(o *order, k int) bool {
 	for _, a := range o.Stages[k].After {
 		if !o.state[a].done {
--- a/entry/internal/config/config_suite_test.go
+++ b/entry/internal/config/config_suite_test.go
@@ -190,7 +190,7 @@
 
 func (n *node) version() int64 { _, v := n.Current(); return v }
 
-// publish publishes doc(name) with a time limit of 2 s.
+// publish publishes doc(name) with a timeout of 2 s.
 func (n *node) publish(base int64, name string) PublishResult {
 	return publish(n.Controller, base, name)
 }
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -83,36 +83,6 @@
 	Transit time.Duration
 }
 
-// Outcome sums up how a load was served.
-type Outcome struct {
-	Asked, OnTime, Late, Refused, Failed int
-	Left                                 int
-	Owed, Earned                         float64
-	Calls, Pieces                        int
-	Wasted                               time.Duration      // of targets, for results that nobody used
-	Busy                                 time.Duration      // of targets
-	NoRoom                               int                // pieces that found no space
-	Crossed                              int64              // bytes of results made outside the data centre where they were wanted
-	Fill                                 map[string]float64 // mean part of a full call in bursts, by service
-	HeldLate                             int                // requests that were refused after more than a quarter of their time limit
-	ByKind                               map[string]*KindOutcome
-}
-
-// KindOutcome is the outcome of one kind.
-type KindOutcome struct {
-	Asked, OnTime, Served int
-	Owed, Earned          float64
-}
-
-// Share returns the part of the credit that was earned.
-func (o Outcome) Share() float64 { return o.Earned / o.Owed }
-
-// Served returns the part of the requests that were answered.
-func (o Outcome) Served() float64 { return float64(o.OnTime+o.Late) / float64(o.Asked) }
-
-// PerCall returns the mean number of pieces in a call.
-func (o Outcome) PerCall() float64 { return float64(o.Pieces) / float64(max(o.Calls, 1)) }
-
 type event struct {
 	at  time.Time
 	seq int
@@ -122,14 +92,18 @@
 type events []event
 
 func (e events) Len() int { return len(e) }
+
 func (e events) Less(i, j int) bool {
 	if !e[i].at.Equal(e[j].at) {
 		return e[i].at.Before(e[j].at)
 	}
 	return e[i].seq < e[j].seq
 }
+
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
 func (e *events) Pop() any {
 	old := *e
 	x := old[len(old)-1]
@@ -137,17 +111,6 @@
 	return x
 }
 
-// target is the model of a stage target: it works on one call at a time.
-type target struct {
-	service    *Service
-	index      int
-	dataCentre string
-	freeAt     time.Time
-	waiting    int
-	held       map[string]int64 // results and their bytes
-	bytes      int64
-}
-
 type request struct {
 	kind   *Kind
 	dc     string
@@ -414,147 +377,3 @@
 
 // freeDelay is how long a home gathers results that were given up.
 const freeDelay = 10 * time.Millisecond
-
-func (t *target) free(handles []string) {
-	for _, h := range handles {
-		t.bytes -= t.held[h]
-		delete(t.held, h)
-	}
-}
-
-func (w *world) call(desk int, service string, c *batch.Call) {
-	w.out.Calls++
-	w.out.Pieces += len(c.Pieces)
-	if w.inBurst() {
-		w.filled(service, len(c.Pieces))
-	}
-	t := w.targets[c.Target]
-	done := false
-	finish := func(made []batch.Outcome, f batch.Failure) {
-		if done {
-			return
-		}
-		done = true
-		w.desks[desk].Done(service, c, made, f, w.now)
-		w.advance(desk)
-	}
-	w.after(c.Limit, func() { finish(nil, batch.FailureTimeout) })
-	w.after(w.load.Transit, func() {
-		if t.waiting > t.service.Spec.Queue {
-			w.after(w.load.Transit, func() { finish(nil, batch.FailureRefused) })
-			return
-		}
-		slow, dead := w.fault(t)
-		if dead {
-			return // no answer
-		}
-		begin := w.now
-		if t.freeAt.After(begin) {
-			begin = t.freeAt
-		}
-		t.waiting++
-		took := time.Duration(0)
-		made := make([]batch.Outcome, len(c.Pieces))
-		// The end is known once the turn comes; until then a full call is assumed.
-		t.freeAt = begin.Add(time.Duration(slow * float64(w.callTime(t, c))))
-		w.after(begin.Sub(w.now), func() {
-			took = w.makePieces(t, c, made)
-			took = time.Duration(slow * float64(took))
-			w.out.Busy += took
-			w.after(took, func() {
-				t.waiting--
-				for i := range made {
-					if h := made[i].Handle; h != "" {
-						w.after(t.service.Spec.HoldFor, func() { t.free([]string{h}) })
-					}
-				}
-				w.after(w.load.Transit, func() { finish(made, batch.FailureNone) })
-			})
-		})
-	})
-}
-
-// callTime returns what a call takes if all its pieces have space.
-func (w *world) callTime(t *target, c *batch.Call) time.Duration {
-	took := t.service.Spec.Call
-	for _, p := range c.Pieces {
-		took += time.Duration(w.work[p.Request][p.Stage] * float64(t.service.Spec.Item))
-	}
-	return took
-}
-
-// makePieces makes the pieces of a call for which there is space and returns its time.
-func (w *world) makePieces(t *target, c *batch.Call, made []batch.Outcome) time.Duration {
-	took := t.service.Spec.Call
-	for i, p := range c.Pieces {
-		size := int64(w.sizes[p.Request][p.Stage])
-		if t.bytes+size > t.service.Spec.RoomBytes {
-			made[i].Reason = batch.FaultRoom
-			w.out.NoRoom++
-			continue
-		}
-		h := c.Target + "/" + p.Request + "/" + strconv.Itoa(p.Stage) + "/" + strconv.Itoa(p.Number)
-		made[i].Handle = h
-		t.held[h] = size
-		t.bytes += size
-		own := time.Duration(w.work[p.Request][p.Stage] * float64(t.service.Spec.Item))
-		took += own
-		w.made[p.Request] += own + t.service.Spec.Call/time.Duration(len(c.Pieces))
-		if w.places[p.Request] != t.dataCentre {
-			w.out.Crossed += size
-		}
-	}
-	return took
-}
-
-// inBurst reports whether a burst has lasted for a second, so that work waits.
-func (w *world) inBurst() bool {
-	at := w.now.Sub(w.start)
-	for _, b := range w.load.Bursts {
-		if at >= b.At+time.Second && at < b.At+b.For {
-			return true
-		}
-	}
-	return false
-}
-
-func (w *world) filled(service string, pieces int) {
-	for i := range w.load.Services {
-		if s := &w.load.Services[i]; s.Name == service {
-			w.fills[service]++
-			w.out.Fill[service] += (float64(pieces)/float64(s.Spec.Batch) - w.out.Fill[service]) / float64(w.fills[service])
-		}
-	}
-}
-
-func (w *world) fault(t *target) (slow float64, dead bool) {
-	at := w.now.Sub(w.start)
-	for _, f := range w.load.Faults {
-		if f.Service == t.service.Name && t.index < f.Targets && at >= f.At && at < f.At+f.For {
-			if f.Slow == 0 {
-				return 1, true
-			}
-			return f.Slow, false
-		}
-	}
-	return 1, false
-}
-
-// plus adds two outcomes up.
-func (o Outcome) plus(p Outcome) Outcome {
-	p.Asked, p.OnTime, p.Late = o.Asked+p.Asked, o.OnTime+p.OnTime, o.Late+p.Late
-	p.Refused, p.Failed, p.Left = o.Refused+p.Refused, o.Failed+p.Failed, o.Left+p.Left
-	p.Owed, p.Earned = o.Owed+p.Owed, o.Earned+p.Earned
-	p.Calls, p.Pieces = o.Calls+p.Calls, o.Pieces+p.Pieces
-	p.Wasted, p.Busy = o.Wasted+p.Wasted, o.Busy+p.Busy
-	p.NoRoom, p.Crossed, p.HeldLate = o.NoRoom+p.NoRoom, o.Crossed+p.Crossed, o.HeldLate+p.HeldLate
-	for k, v := range o.Fill {
-		p.Fill[k] = (p.Fill[k] + v) / 2
-	}
-	for k, v := range o.ByKind {
-		q := p.ByKind[k]
-		q.Asked, q.OnTime, q.Served = q.Asked+v.Asked, q.OnTime+v.OnTime, q.Served+v.Served
-		q.Owed, q.Earned = q.Owed+v.Owed, q.Earned+v.Earned
-	}
-	return p
-}
--- a/entry/internal/model/model_test.go
+++ b/entry/internal/model/model_test.go
@@ -94,7 +94,7 @@
 		t.Errorf("credit %.3f, in the order of arrival %.3f", home.Share(), first.Share())
 	}
 	// Whoever is refused is told early: one in a hundred requests at most is held for
-	// over a quarter of its time limit.
+	// over a quarter of its deadline.
 	if home.HeldLate*100 > home.Asked {
 		t.Errorf("%d of %d requests were refused late", home.HeldLate, home.Asked)
 	}
--- a/stand/internal/soak/ledger.go
+++ b/stand/internal/soak/ledger.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// answerSlack is what an answer may come after its time limit.
+// answerSlack is what an answer may come after its deadline.
 const answerSlack = 500 * time.Millisecond
 
 func (l *ledger) wrong(format string, args ...any) {
