--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -38,13 +38,9 @@
 	Config    *fleet.Config // nil before the first one is known
 	Out       map[string]bool
 	Targets   map[string][]*Target // that may get work, by service
-	ByID      map[string]*Target   // all known ones
 	HasTarget bool                 // the list of targets was read at least once
 }
 
-// Account returns the account of a key.
-func (v *View) Account(key string) (*fleet.Account, bool) { return v.Config.Account(key) }
-
 // State is the part of the table that needs no network. It isn't safe for
 // concurrent use.
 type State struct {
@@ -225,16 +221,14 @@
 // View returns the state as it is now.
 func (s *State) View() *View {
 	v := &View{
-		Config: s.config, Out: maps.Clone(s.out), Targets: map[string][]*Target{},
-		ByID: make(map[string]*Target, len(s.targets)), HasTarget: s.hasTargets,
+		Config: s.config, Out: maps.Clone(s.out), Targets: map[string][]*Target{}, HasTarget: s.hasTargets,
 	}
-	for id, t := range s.targets {
+	for _, t := range s.targets {
 		if at, ok := s.returned[t.DataCentre]; ok && t.ColdUntil.Before(at.Add(coldAfterReturn)) {
 			back := *t
 			back.ColdUntil = at.Add(coldAfterReturn)
 			t = &back
 		}
-		v.ByID[id] = t
 		if !t.Draining && !s.out[t.DataCentre] {
 			v.Targets[t.Service] = append(v.Targets[t.Service], t)
 		}
