--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEED ?= 1
 DURATION ?= 5m
 
-.PHONY: build demo soak test test-cores histories lint fmt vet tidy clean capacity
+.PHONY: build demo soak platform-soak test test-cores histories lint fmt vet tidy clean capacity
 
 build:
 	@mkdir -p bin
@@ -21,6 +21,10 @@
 soak: build
 	@SEED=$(SEED) DURATION=$(DURATION) scripts/soak
 
+# The same for hosts on the platform, against its stand-ins.
+platform-soak: build
+	@bin/chive-stand soak --seed $(SEED) --duration $(DURATION) --dir out/platform-soak-$(SEED)
+
 # The race detector is on: most packages here share state between goroutines. It runs on
 # one thread for each package: Go 1.26 gives the detector one context for all timers of a
 # synctest bubble, and a run crashed in runtime.(*timer).maybeRunChan (SIGSEGV) with several.
