Read the store at once where the host that reads for others cannot

Replayed with logs: at 24.5 s the store turned some hosts away, among them the one that read for edge-kol-b-7. Its last reading was believed until it was 2.2 s old, what it had told stood for 1.8 s more, and the host's own reading came after that.

Ruled out: the gossip (offsets of operators' records came within a second) and the store (other hosts read on).

Change: a reading may be 1.4 s old; an older one, or no answer, has the host read for itself at once.

--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -36,9 +36,10 @@
 	// syncWait is how long a peer that reads for others keeps them waiting.
 	syncWait = time.Second
 	// syncKept is how long what such a peer has told stands, and syncAge how old its
-	// own reading may be; then a host reads for itself.
-	syncKept = 1800 * time.Millisecond
-	syncAge  = 2200 * time.Millisecond
+	// own reading may be; then a host reads for itself. Together with the time of a
+	// reading they stay well within the bound for targets that leave.
+	syncKept = 1600 * time.Millisecond
+	syncAge  = 1400 * time.Millisecond
 	// syncRetry is the pause before a peer is asked again that hasn't answered.
 	syncRetry = 300 * time.Millisecond
 	// coverEvery is how often a host that others read for looks whether they still do.
@@ -199,6 +200,7 @@
 				c.takeSync(s)
 				continue
 			}
+			c.endSync()
 		}
 		select {
 		case <-ctx.Done():
@@ -207,6 +209,13 @@
 	}
 }
 
+// endSync has this host read for itself at once.
+func (c *Controller) endSync() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.synced = time.Time{}
+}
+
 func (c *Controller) takeSync(s Snapshot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
