--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -219,11 +219,15 @@
 	stopLoad()
 	callers.Wait()
 	out := Result{Faults: faults, Served: float64(answeredAfter-answered) / float64(max(sentAfter-sent, 1))}
+	var stops sync.WaitGroup
 	for _, h := range r.hosts {
-		if err := h.over(stopTime); err != nil {
-			r.ledger.wrong("%v", err)
-		}
+		stops.Go(func() {
+			if err := h.over(stopTime); err != nil {
+				r.ledger.wrong("%v", err)
+			}
+		})
 	}
+	stops.Wait()
 	if out.Served < minServed {
 		r.ledger.wrong("%.3f of the requests are answered after the faults, want %.2f", out.Served, minServed)
 	}
