Hand orders over to the homes of other regions

Ruled out: asking every region in turn after a refusal costs a round trip between regions each and says nothing of orders that would be late.

Change: homes tell each other every 250 ms what waits and what they make in a second, with the uses of sessions that they told before. A home hands an order over, once, if it would be late or refused there and in time elsewhere; one that is refused there returns. A region without targets hands over all.

--- a/entry/internal/batch/admit.go
+++ b/entry/internal/batch/admit.go
@@ -48,23 +48,28 @@
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.due.Compare(b.due), a.added.Compare(b.added))
 }
 
+// ahead returns the pieces of waiting orders that go before an order.
+func (d *Desk) ahead(o *order, now time.Time) map[string]int {
+	out := map[string]int{}
+	for _, w := range d.waiting {
+		if compare(w, o, now) <= 0 {
+			for service, n := range w.load {
+				out[service] += n
+			}
+		}
+	}
+	return out
+}
+
 // admits reports whether an order would be done in time behind the work that
 // goes before it, and otherwise after how long its caller may return.
-func (d *Desk) admits(o *order, now time.Time) (time.Duration, bool) {
+func (d *Desk) admits(o *order, ahead map[string]int, now time.Time) (time.Duration, bool) {
 	for service, pieces := range o.load {
 		d.arrivals(service).add(o.Priority, float64(pieces), now)
 		if !d.queues[service].hasTargets() {
 			return spread(absentRetry), false
 		}
 	}
-	ahead := map[string]int{}
-	for _, w := range d.waiting {
-		if compare(w, o, now) <= 0 {
-			for service, n := range w.load {
-				ahead[service] += n
-			}
-		}
-	}
 	wait := d.waitBehind(o, ahead, now)
 	if now.Add(wait + o.chain).Before(o.until) {
 		return 0, true
@@ -93,22 +98,29 @@
 	return wait
 }
 
-// refuseHopeless refuses waiting orders, which stand in their order, as soon as
-// it shows that they won't be done in time.
-func (d *Desk) refuseHopeless(now time.Time) {
+// sortOut refuses waiting orders, which stand in their order, as soon as it shows
+// that they won't be done in time, and hands over those that another region would
+// serve better.
+func (d *Desk) sortOut(now time.Time) {
 	ahead := map[string]int{}
-	var hopeless []*order
+	out := map[*order]Result{}
 	for _, o := range d.waiting {
-		if now.Add(d.waitBehind(o, ahead, now) + o.chain).After(o.until) {
-			hopeless = append(hopeless, o)
+		wait := d.waitBehind(o, ahead, now)
+		ok := !now.Add(wait + o.chain).After(o.until)
+		if region, isBetter := d.elsewhere(o, d.releaseIn(o, ahead, now), ok, now); isBetter {
+			out[o] = Result{Reason: ReasonMoved, Region: region}
+			continue
+		}
+		if !ok {
+			out[o] = Result{Reason: ReasonBusy, RetryAfter: spread(wait)}
 			continue
 		}
 		for service, n := range o.load {
 			ahead[service] += n
 		}
 	}
-	for _, o := range hopeless {
-		d.drop(o, Result{Reason: ReasonBusy, RetryAfter: spread(d.waitBehind(o, ahead, now))})
+	for o, r := range out {
+		d.drop(o, r)
 	}
 }
 
--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -50,16 +50,19 @@
 // nothing yet, so the desk refuses and reorders among them only. It isn't safe
 // for concurrent use.
 type Desk struct {
-	queues    map[string]*Queue
-	waiting   []*order
-	byID      map[string]*order
-	committed map[string]int // pieces released and not yet made, by service
-	frees     map[string][]string
-	coming    map[string]*arrivals
-	sessions  map[string]lastUse
-	seq       int
-	now       time.Time // of the step under way
-	estimated time.Time // when waiting orders were last estimated
+	queues     map[string]*Queue
+	waiting    []*order
+	byID       map[string]*order
+	committed  map[string]int // pieces released and not yet made, by service
+	frees      map[string][]string
+	coming     map[string]*arrivals
+	sessions   map[string]lastUse
+	depth      map[string]int        // place of a service in the chains of orders, from 1
+	neighbours map[string]*neighbour // by region
+	seq        int
+	now        time.Time // of the step under way
+	used       time.Time // when it last got an order
+	estimated  time.Time // when waiting orders were last estimated
 }
 
 // order is an Order on its way.
@@ -93,7 +96,10 @@
 
 // NewDesk returns an empty desk.
 func NewDesk() *Desk {
-	return &Desk{queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{}}
+	return &Desk{
+		queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{},
+		depth: map[string]int{}, neighbours: map[string]*neighbour{},
+	}
 }
 
 // SetService tells the desk a stage service's figures and targets.
@@ -130,10 +136,19 @@
 		o.end(Result{Reason: ReasonFailed})
 		return
 	}
-	if after, ok := d.admits(o, now); !ok {
+	ahead := d.ahead(o, now)
+	after, ok := d.admits(o, ahead, now)
+	if region, isBetter := d.elsewhere(o, d.releaseIn(o, ahead, now), ok, now); isBetter {
+		o.end(Result{Reason: ReasonMoved, Region: region})
+		return
+	}
+	if !ok {
 		o.end(Result{Reason: ReasonBusy, RetryAfter: after})
 		return
 	}
+	for service, n := range o.depth {
+		d.depth[service] = max(d.depth[service], n)
+	}
 	d.byID[o.ID] = o
 	d.waiting = append(d.waiting, o)
 }
@@ -200,7 +215,7 @@
 			o.estimate(d.queues)
 		}
 		slices.SortStableFunc(d.waiting, func(a, b *order) int { return compare(a, b, now) })
-		d.refuseHopeless(now)
+		d.sortOut(now)
 	}
 	d.releaseAll(now)
 	var out map[string][]*Call
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -16,6 +16,7 @@
 	piecesSent    = expvar.NewInt("stage_pieces_count")
 	callsFailed   = expvar.NewInt("stage_calls_failed_count")
 	ordersRefused = expvar.NewInt("stage_orders_refused_count")
+	ordersMoved   = expvar.NewInt("stage_orders_moved_count")
 )
 
 const (
@@ -24,8 +25,11 @@
 	// freeEvery is how long results that were given up are gathered before their
 	// targets are told.
 	freeEvery = 10 * time.Millisecond
-	// tellEvery is how long uses of sessions are gathered for other homes.
+	// tellEvery is how often the homes of regions tell each other of sessions and of
+	// their load, while they have orders.
 	tellEvery = 250 * time.Millisecond
+	// tellFor is how long after its last order a home goes on telling.
+	tellFor = 2 * time.Second
 	// freeTime bounds the call that tells a target.
 	freeTime = time.Second
 	// forgetAfter is how long an order whose host doesn't ask for it is kept.
@@ -56,8 +60,9 @@
 	desks   map[string]*Desk // by region; the empty one has all targets
 	tickets map[string]*ticket
 	uses    []Use // not yet told to other homes
-	tell    func(ctx context.Context, uses []Use)
-	telling bool // results given up are about to be told
+	tell    func(ctx context.Context, news News)
+	told    time.Time // when other homes were last told
+	telling bool      // results given up are about to be told
 }
 
 // ticket is an order that a host waits for.
@@ -101,10 +106,28 @@
 			h.refresh(d, region, d.Services())
 			h.advance(d, now)
 		}
+		if now.Sub(h.told) >= tellEvery {
+			h.told = now
+			h.tellNews(now)
+		}
 		h.mu.Unlock()
 	}
 }
 
+// tellNews tells the homes of other regions where sessions went and how much
+// there is to do here.
+func (h *Home) tellNews(now time.Time) {
+	uses := h.uses
+	h.uses = nil
+	for region, d := range h.desks {
+		if region == "" || now.Sub(d.used) > tellFor || h.tell == nil {
+			continue
+		}
+		news := News{Region: region, Uses: uses, Loads: d.Loads(now)}
+		h.wait.Go(func() { h.tell(h.ctx, news) })
+	}
+}
+
 // refresh tells a desk what is known of services.
 func (h *Home) refresh(d *Desk, region string, services []string) {
 	for _, name := range services {
@@ -176,11 +199,16 @@
 		services = append(services, s.Service)
 	}
 	h.refresh(d, o.Region, services)
+	d.used = now
 	d.Submit(o, now, func(r Result) {
 		t.result, t.isDone = r, true
 		close(t.done)
-		if r.Reason == ReasonBusy {
+		switch r.Reason {
+		case ReasonBusy:
 			ordersRefused.Add(1)
+		case ReasonMoved:
+			ordersMoved.Add(1)
+			h.logger.Info("order moved", "id", o.Request, "from", o.Region, "to", r.Region)
 		}
 	})
 	h.advance(d, now)
@@ -229,38 +257,24 @@
 	}
 	if use.Session != "" && h.tell != nil {
 		h.uses = append(h.uses, use)
-		if len(h.uses) == 1 {
-			time.AfterFunc(tellEvery, h.tellUses)
-		}
 	}
 }
 
-// tellUses tells the homes of other regions where sessions went.
-func (h *Home) tellUses() {
-	h.mu.Lock()
-	uses := h.uses
-	h.uses = nil
-	h.mu.Unlock()
-	if h.ctx.Err() == nil {
-		h.tell(h.ctx, uses)
-	}
-}
-
-// Used notes where sessions went at the home of another region.
-func (h *Home) Used(uses []Use) {
+// Heard notes what the home of another region has told.
+func (h *Home) Heard(n News) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
-	for _, d := range h.desks {
-		for _, u := range uses {
-			d.Used(u, now)
+	for region, d := range h.desks {
+		if region != n.Region {
+			d.Heard(n, now)
 		}
 	}
 }
 
-// Tell sets what tells other homes where sessions went; it is called once, before
-// the first order.
-func (h *Home) Tell(tell func(ctx context.Context, uses []Use)) { h.tell = tell }
+// Tell sets what tells the homes of other regions; it is called once, before the
+// first order.
+func (h *Home) Tell(tell func(ctx context.Context, news News)) { h.tell = tell }
 
 // tellFrees tells targets which results were given up.
 func (h *Home) tellFrees() {
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -44,6 +44,7 @@
 	Regions    []string      `cbor:"regions,omitempty"`
 	From       string        `cbor:"from,omitempty"`    // region of the host that has the request
 	Region     string        `cbor:"region,omitempty"`  // whose targets are used; empty: all
+	Moved      bool          `cbor:"moved,omitempty"`   // another region's home has handed it over
 	Made       []Made        `cbor:"made,omitempty"`    // by stage, at a home that was lost
 	Session    string        `cbor:"session,omitempty"` // requests of one share the start of their prompt
 	Shared     int           `cbor:"shared,omitempty"`  // tokens of that start
@@ -75,6 +76,7 @@
 	ReasonFailed  Reason = "failed"  // targets failed too often
 	ReasonUnknown Reason = "unknown" // this host doesn't know the job
 	ReasonDropped Reason = "dropped" // the caller has left
+	ReasonMoved   Reason = "moved"   // another region's home serves it better
 )
 
 // Result is what became of a job or an order. Without a reason Handles has one
@@ -87,6 +89,7 @@
 	RetryAfter time.Duration `cbor:"retry_after,omitempty"`
 	Made       []Made        `cbor:"made,omitempty"`   // by stage, of an order that isn't done
 	Near       string        `cbor:"near,omitempty"`   // data centre of most of the results; empty: no matter
+	Region     string        `cbor:"region,omitempty"` // where the order is to go, if it is to be moved
 	Prefer     string        `cbor:"prefer,omitempty"` // target that has the start of the prompt
 	Wait       time.Duration `cbor:"wait,omitempty"`   // before the first call, of an order over all stages
 }
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -23,7 +23,7 @@
 	KindRun  = "stages_run"
 	KindWait = "stages_wait"
 	KindDrop = "stages_drop"
-	KindUses = "stages_uses"
+	KindNews = "stages_news"
 )
 
 const (
@@ -129,12 +129,19 @@
 			return nil, ctx.Err()
 		case err != nil:
 			r.homes.Avoid(home.Name)
+			if order.Moved {
+				order.Region = r.area // where it can be handed over no more
+			}
 		case result.Reason == batch.ReasonNone:
 			id := order.ID
 			return &Results{
 				Handles: result.Handles, Waited: result.Wait, Near: result.Near, Prefer: result.Prefer,
 				free: func(use batch.Use) { r.drop(home, id, use) },
 			}, nil
+		case result.Reason == batch.ReasonMoved:
+			order.Region, order.Moved = result.Region, true
+		case result.Reason == batch.ReasonBusy && order.Moved && order.Region != r.area:
+			order.Region = r.area // it may still be served there, if late
 		case result.Reason != batch.ReasonUnknown:
 			return nil, &Error{Reason: result.Reason, RetryAfter: result.RetryAfter}
 		}
@@ -218,14 +225,9 @@
 	}()
 }
 
-// usesBody tells where sessions went.
-type usesBody struct {
-	Uses []batch.Use `cbor:"uses"`
-}
-
-// Tell tells the homes of other regions where sessions went, where regions have
-// homes of their own. News that are lost cost a start of a prompt read again.
-func (r *Runner) Tell(ctx context.Context, uses []batch.Use) {
+// Tell tells the homes of other regions of this one, where regions have homes of
+// their own. News that are lost cost a start of a prompt read again, or a refusal.
+func (r *Runner) Tell(ctx context.Context, news batch.News) {
 	told := map[string]bool{}
 	for _, region := range r.split.Regions() {
 		home, isOther := r.homes.Home(region)
@@ -234,7 +236,7 @@
 		}
 		told[home.Name] = true
 		call, cancel := context.WithTimeout(ctx, pollSlack)
-		_ = r.bus.Send(call, Peer(home), KindUses, usesBody{Uses: uses})
+		_ = r.bus.Send(call, Peer(home), KindNews, news)
 		cancel()
 	}
 }
@@ -264,12 +266,12 @@
 		}
 		return home.Await(ctx, in.ID, pollFor), nil
 	})
-	bus.Handle(KindUses, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
-		var in usesBody
+	bus.Handle(KindNews, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
+		var in batch.News
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		home.Used(in.Uses)
+		home.Heard(in)
 		return nil, nil
 	})
 	bus.Handle(KindDrop, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -6,6 +6,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,6 +49,7 @@
 // Burst multiplies the arrivals of a kind, or of all, for a while.
 type Burst struct {
 	Kind   string // empty: all
+	Zone   string // data centre whose callers it is of; empty: all
 	At     time.Duration
 	For    time.Duration
 	Factor float64
@@ -57,6 +59,7 @@
 type Fault struct {
 	Service string
 	Targets int // the first ones
+	Every   int // of these, each such one; 0: all
 	At      time.Duration
 	For     time.Duration
 	Slow    float64 // factor on the time of a call; 0: calls get no answer
@@ -70,6 +73,10 @@
 	Faults   []Fault
 	// Hosts is the number of desks; 1 is a home for all, more are hosts each on its own.
 	Hosts int
+	// Split gives each data centre a home of its own, as regions of large deployments
+	// have one. IsMute keeps these from telling each other of their load.
+	Split  bool
+	IsMute bool
 	// FirstCome serves in the order of arrival, whatever is urgent or due.
 	FirstCome bool
 	// Impatient is how many times refused callers come back at once, whatever they
@@ -168,15 +175,26 @@
 			}
 		}
 	}
-	for range l.Hosts {
+	if l.Split {
+		w.load.Hosts = len(w.zones)
+	}
+	for range w.load.Hosts {
 		w.desks = append(w.desks, batch.NewDesk())
 	}
 	for i := range l.Kinds {
 		w.out.ByKind[l.Kinds[i].Name] = &KindOutcome{}
 		w.arrive(&l.Kinds[i])
+		for _, b := range l.Bursts {
+			if b.Zone != "" && (b.Kind == "" || b.Kind == l.Kinds[i].Name) {
+				w.burstAt(&l.Kinds[i], b)
+			}
+		}
 	}
 	for i := range w.desks {
 		w.tick(i)
+		if l.Split && !l.IsMute {
+			w.tell(i)
+		}
 	}
 	for len(w.queue) > 0 {
 		e := heap.Pop(&w.queue).(event)
@@ -209,7 +227,7 @@
 	rate := k.PerSecond
 	at := w.now.Sub(w.start)
 	for _, b := range w.load.Bursts {
-		if (b.Kind == "" || b.Kind == k.Name) && at >= b.At && at < b.At+b.For {
+		if b.Zone == "" && (b.Kind == "" || b.Kind == k.Name) && at >= b.At && at < b.At+b.For {
 			rate *= b.Factor
 		}
 	}
@@ -218,7 +236,7 @@
 		if w.now.Sub(w.start) > w.load.Length {
 			return
 		}
-		w.request(k)
+		w.request(k, w.zones[w.rand.IntN(len(w.zones))])
 		w.arrive(k)
 	})
 }
@@ -237,8 +255,16 @@
 	return max(int(math.Round(mean*math.Exp(s.Spread*w.rand.NormFloat64()-s.Spread*s.Spread/2))), 1)
 }
 
-func (w *world) request(k *Kind) {
-	r := &request{kind: k, dc: w.zones[w.rand.IntN(len(w.zones))], sent: w.now}
+// burstAt makes the further arrivals of bursts at one data centre.
+func (w *world) burstAt(k *Kind, b Burst) {
+	rate := k.PerSecond / float64(len(w.zones)) * (b.Factor - 1)
+	for at := b.At; at < b.At+b.For; at += time.Duration(w.rand.ExpFloat64() / rate * float64(time.Second)) {
+		w.after(at, func() { w.request(k, b.Zone) })
+	}
+}
+
+func (w *world) request(k *Kind, dc string) {
+	r := &request{kind: k, dc: dc, sent: w.now}
 	for _, s := range k.Stages {
 		r.pieces = append(r.pieces, w.count(s))
 	}
@@ -271,6 +297,9 @@
 		w.sizes[id][i] = float64(s.Bytes) * (1 + sizeSpread*(2*w.rand.Float64()-1))
 	}
 	desk := w.rand.IntN(len(w.desks))
+	if w.load.Split {
+		desk = slices.Index(w.zones, r.dc)
+	}
 	w.refresh(desk)
 	begun := w.now
 	left := r.sent.Add(k.Timeout).Sub(w.now) - k.After
@@ -286,13 +315,50 @@
 			w.advance(desk)
 		})
 	}
-	w.desks[desk].Submit(batch.Order{
+	w.submit(r, desk, begun, batch.Order{
 		ID: id, Request: id, Route: k.Name, Stages: stages, Pieces: r.pieces, Key: "k", TimeLeft: left,
 		DueIn: due, Priority: priority, DataCentre: r.dc,
-	}, w.now, func(res batch.Result) { w.ended(r, id, desk, begun, res) })
+	})
+}
+
+// submit gives a desk an order, which it may hand over to another one.
+func (w *world) submit(r *request, desk int, begun time.Time, o batch.Order) {
+	sent := w.now
+	w.desks[desk].Submit(o, w.now, func(res batch.Result) {
+		if res.Reason != batch.ReasonMoved {
+			w.ended(r, o.ID, desk, begun, res)
+			return
+		}
+		w.out.Moved++
+		w.after(2*w.load.Transit, func() {
+			passed := w.now.Sub(sent)
+			o.TimeLeft, o.DueIn, o.Moved, o.DataCentre = o.TimeLeft-passed, o.DueIn-passed, true, res.Region
+			w.places[o.ID] = res.Region
+			next := slices.Index(w.zones, res.Region)
+			w.refresh(next)
+			w.submit(r, next, begun, o)
+		})
+	})
 	w.advance(desk)
 }
 
+// tellEvery is how often homes tell each other of their load.
+const tellEvery = 250 * time.Millisecond
+
+func (w *world) tell(desk int) {
+	news := batch.News{Region: w.zones[desk], Loads: w.desks[desk].Loads(w.now)}
+	w.after(w.load.Transit, func() {
+		for i, d := range w.desks {
+			if i != desk {
+				d.Heard(news, w.now)
+			}
+		}
+	})
+	if w.now.Sub(w.start) < w.load.Length+tailTime {
+		w.after(tellEvery, func() { w.tell(desk) })
+	}
+}
+
 // ended takes the result of a request's stages.
 func (w *world) ended(r *request, id string, desk int, begun time.Time, res batch.Result) {
 	if r.left {
@@ -362,7 +428,11 @@
 func (w *world) refresh(desk int) {
 	for i := range w.load.Services {
 		s := &w.load.Services[i]
-		w.desks[desk].SetService(s.Name, s.Spec, w.views[s.Name])
+		view := w.views[s.Name]
+		if w.load.Split {
+			view = slices.DeleteFunc(slices.Clone(view), func(t batch.Target) bool { return t.DataCentre != w.zones[desk] })
+		}
+		w.desks[desk].SetService(s.Name, s.Spec, view)
 	}
 }
 
--- a/entry/internal/model/model_test.go
+++ b/entry/internal/model/model_test.go
@@ -85,6 +85,64 @@
 	checkHeavy(t, home, alone, first)
 }
 
+// playSplit plays a load with homes that tell each other of their load, and with
+// homes that don't.
+func playSplit(t *testing.T, load func(seed uint64) Load) (home, mute Outcome) {
+	t.Helper()
+	sum := func(isMute bool) (total Outcome) {
+		for seed := range uint64(2) {
+			l := load(seed)
+			l.IsMute = isMute
+			total = total.plus(Run(l))
+		}
+		return total
+	}
+	home, mute = sum(false), sum(true)
+	report(t, "homes", home)
+	report(t, "mute homes", mute)
+	t.Logf("%d orders moved", home.Moved)
+	if home.Share() < 0.9 {
+		t.Errorf("credit %.3f, want at least 0.9: the other regions have room", home.Share())
+	}
+	if home.Share() < mute.Share() {
+		t.Errorf("credit %.3f, homes that know nothing of each other earn %.3f", home.Share(), mute.Share())
+	}
+	if home.HeldLate*100 > home.Asked {
+		t.Errorf("%d of %d requests were refused late", home.HeldLate, home.Asked)
+	}
+	return home, mute
+}
+
+func TestPatternBurstInOneRegion(t *testing.T) {
+	playSplit(t, func(seed uint64) Load {
+		l := Regions(seed)
+		l.Length = seconds(15)
+		l.Bursts = []Burst{{Zone: "thies", At: seconds(4), For: seconds(6), Factor: 2.4}}
+		return l
+	})
+}
+
+func TestPatternRegionLosesTargets(t *testing.T) {
+	playSplit(t, func(seed uint64) Load {
+		l := Regions(seed)
+		l.Length = seconds(15)
+		// The first target of each three is in the same region.
+		l.Faults = []Fault{{Service: "tarifs", Targets: 12, Every: 3, At: seconds(4), For: seconds(6)}}
+		return l
+	})
+}
+
+func TestPatternCalmRegions(t *testing.T) {
+	home, _ := playSplit(t, func(seed uint64) Load {
+		l := Regions(seed)
+		l.Length = seconds(15)
+		return l
+	})
+	if home.Moved*20 > home.Asked {
+		t.Errorf("%d of %d orders moved on a calm day, want under one in 20", home.Moved, home.Asked)
+	}
+}
+
 // minFillInBursts is the stated aim for the fill of calls at the service that binds.
 const minFillInBursts = 0.7
 
--- a/entry/internal/model/outcome.go
+++ b/entry/internal/model/outcome.go
@@ -8,6 +8,7 @@
 type Outcome struct {
 	Asked, OnTime, Late, Refused, Failed int
 	Left                                 int
+	Moved                                int // orders handed over to another home
 	Owed, Earned                         float64
 	Calls, Pieces                        int
 	Wasted                               time.Duration      // of targets, for results that nobody used
@@ -38,6 +39,7 @@
 func (o Outcome) plus(p Outcome) Outcome {
 	p.Asked, p.OnTime, p.Late = o.Asked+p.Asked, o.OnTime+p.OnTime, o.Late+p.Late
 	p.Refused, p.Failed, p.Left = o.Refused+p.Refused, o.Failed+p.Failed, o.Left+p.Left
+	p.Moved += o.Moved
 	p.Owed, p.Earned = o.Owed+p.Owed, o.Earned+p.Earned
 	p.Calls, p.Pieces = o.Calls+p.Calls, o.Pieces+p.Pieces
 	p.Wasted, p.Busy = o.Wasted+p.Wasted, o.Busy+p.Busy
--- a/entry/internal/model/sheets.go
+++ b/entry/internal/model/sheets.go
@@ -69,3 +69,20 @@
 		Length: 30 * time.Second, Seed: seed,
 	}
 }
+
+// Regions returns three times the usual load of the Union with targets enough for
+// a home in each region.
+func Regions(seed uint64) Load {
+	l := Union(seed)
+	for i := range l.Services {
+		l.Services[i].Targets = nil
+		for range 5 {
+			l.Services[i].Targets = append(l.Services[i].Targets, "thies", "kaolack", "ziguinchor")
+		}
+	}
+	for i := range l.Kinds {
+		l.Kinds[i].PerSecond *= 3
+	}
+	l.Split = true
+	return l
+}
--- a/entry/internal/model/target.go
+++ b/entry/internal/model/target.go
@@ -149,7 +149,7 @@
 func (w *world) fault(t *target) (slow float64, dead bool) {
 	at := w.now.Sub(w.start)
 	for _, f := range w.load.Faults {
-		if f.Service == t.service.Name && t.index < f.Targets && at >= f.At && at < f.At+f.For {
+		if f.Service == t.service.Name && t.index < f.Targets && t.index%max(f.Every, 1) == 0 && at >= f.At && at < f.At+f.For {
 			if f.Slow == 0 {
 				return 1, true
 			}
