Tell peers only the targets that have changed

Cause: a host that reads the store for others sent each of them its whole list of targets every second.

Ruled out: leaving the list out where the offset hasn't moved: targets write themselves in every second, so it always has.

Change: the table counts revisions; entries that differ only in their count bring none. A peer names the revision that it was told last and gets what has changed and who has left since; the whole list every minute, after reading by itself or from another peer, and where the revision isn't known.

Tests: 400 rounds of random changes, departures and late writes leave both tables alike.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -194,11 +194,6 @@
 	kindSync  = "table_sync"
 )
 
-type tableAsk struct {
-	Version int64 `cbor:"version"`
-	Offset  int64 `cbor:"offset"`
-}
-
 // peerTables asks peers for their tables.
 type peerTables struct {
 	roster *roster.Controller
@@ -232,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTime)
 	defer cancel()
 	var out table.Snapshot
-	if err := p.bus.Call(ctx, graph.Peer(h.Host), kindTable, tableAsk{Version: version}, &out); err != nil {
+	if err := p.bus.Call(ctx, graph.Peer(h.Host), kindTable, table.Ask{Version: version}, &out); err != nil {
 		p.roster.Avoid(h.Name)
 		return table.Snapshot{}, false
 	}
@@ -240,7 +235,7 @@
 }
 
 // Sync asks the peer that reads the store for this host.
-func (p peerTables) Sync(ctx context.Context, offset, version int64) (table.Snapshot, bool) {
+func (p peerTables) Sync(ctx context.Context, ask table.Ask) (table.Snapshot, bool) {
 	h, ok := p.roster.Reader()
 	if !ok {
 		return table.Snapshot{}, false
@@ -248,7 +243,7 @@
 	ctx, cancel := context.WithTimeout(ctx, syncTime)
 	defer cancel()
 	var out table.Snapshot
-	if err := p.bus.Call(ctx, graph.Peer(h), kindSync, tableAsk{Offset: offset, Version: version}, &out); err != nil {
+	if err := p.bus.Call(ctx, graph.Peer(h), kindSync, ask, &out); err != nil {
 		p.roster.Avoid(h.Name)
 		return table.Snapshot{}, false
 	}
@@ -261,18 +256,18 @@
 func newTables(f *fleetState, r *roster.Controller, bus *peers.Transport, client *store.Client, log logr.Logger) *table.Controller {
 	t := table.New(feed.Operator(client), feed.Targets(client), peerTables{roster: r, bus: bus}, log.WithName("table"))
 	bus.Handle(kindTable, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
-		var ask tableAsk
+		var ask table.Ask
 		if err := peers.Decode(body, &ask); err != nil {
 			return nil, err
 		}
-		return t.Snapshot(ask.Version), nil
+		return t.Snapshot(ask), nil
 	})
 	bus.Handle(kindSync, func(ctx context.Context, _ string, _ uint64, body []byte) (any, error) {
-		var ask tableAsk
+		var ask table.Ask
 		if err := peers.Decode(body, &ask); err != nil {
 			return nil, err
 		}
-		return t.Serve(ctx, ask.Offset, ask.Version), nil
+		return t.Serve(ctx, ask), nil
 	})
 	f.tables = t
 	return t
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -39,7 +39,10 @@
 	// own reading may be; then a host reads for itself. Together with the time of a
 	// reading they stay well within the bound for targets that leave.
 	syncKept = 1600 * time.Millisecond
-	syncAge  = 1400 * time.Millisecond
+	// wholeEvery is how often such a peer tells its whole table rather than what has
+	// changed: what two hosts know may differ after outages of the store.
+	wholeEvery = time.Minute
+	syncAge    = 1400 * time.Millisecond
 	// syncRetry is the pause before a peer is asked again that hasn't answered.
 	syncRetry = 300 * time.Millisecond
 	// coverEvery is how often a host that others read for looks whether they still do.
@@ -64,7 +67,7 @@
 	// Sync asks the peer that reads the store for this host. It waits there until
 	// operators' records go beyond the offset, for up to syncWait. ok is false if
 	// this host reads the store itself, or if no such peer answers.
-	Sync(ctx context.Context, offset, version int64) (s Snapshot, ok bool)
+	Sync(ctx context.Context, ask Ask) (s Snapshot, ok bool)
 }
 
 // Controller follows the store.
@@ -80,6 +83,8 @@
 	opRead   time.Time     // when operators' records were last read
 	tgRead   time.Time     // the same for targets
 	synced   time.Time     // when a peer last told what it has read
+	mark     Mark          // of what that peer has told; zero: all is to be told anew
+	marked   time.Time     // when it last told all
 	changed  chan struct{} // closed as operators' records come
 	opFailed time.Time     // since when the operators' records can't be read; zero: they can
 	tgFailed time.Time     // the same for targets
@@ -192,11 +197,14 @@
 func (c *Controller) syncAll(ctx context.Context) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		offset, version := c.state.OperatorOffset(), c.version()
-		ready := offset >= 0 && c.state.TargetsOffset() >= 0
+		if time.Since(c.marked) > wholeEvery {
+			c.mark = Mark{}
+		}
+		ask := Ask{Offset: c.state.OperatorOffset(), Version: c.version(), Mark: c.mark}
+		ready := ask.Offset >= 0 && c.state.TargetsOffset() >= 0
 		c.mu.Unlock()
 		if ready {
-			if s, ok := c.peers.Sync(ctx, offset, version); ok && s.Age < syncAge {
+			if s, ok := c.peers.Sync(ctx, ask); ok && s.Age < syncAge {
 				c.takeSync(s)
 				continue
 			}
@@ -226,6 +234,12 @@
 	c.synced = now
 	c.regained(&c.opFailed, "operators' records")
 	c.regained(&c.tgFailed, "targets")
+	if s.TargetsNext > c.state.TargetsOffset() {
+		c.mark = s.Mark
+		if !s.IsDelta {
+			c.marked = now
+		}
+	}
 	if c.state.Merge(s, now) {
 		c.publish("peer")
 	}
@@ -233,11 +247,11 @@
 
 // Serve returns the table for a peer for which this host reads the store, as soon
 // as operators' records go beyond an offset or syncWait is over.
-func (c *Controller) Serve(ctx context.Context, offset, peerVersion int64) Snapshot {
+func (c *Controller) Serve(ctx context.Context, ask Ask) Snapshot {
 	c.mu.Lock()
 	changed, known := c.changed, c.state.OperatorOffset()
 	c.mu.Unlock()
-	if known <= offset {
+	if known <= ask.Offset {
 		timer := time.NewTimer(syncWait)
 		defer timer.Stop()
 		select {
@@ -249,7 +263,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	s := c.state.Snapshot(peerVersion, now)
+	s := c.state.Snapshot(ask, now)
 	s.Age = max(now.Sub(c.opRead)-operatorWait, now.Sub(c.tgRead))
 	return s
 }
@@ -282,7 +296,7 @@
 func (c *Controller) takeTargets(changes []feed.TargetChange, next int64, whole bool) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tgRead = time.Now()
+	c.tgRead, c.mark = time.Now(), Mark{}
 	c.regained(&c.tgFailed, "targets")
 	c.logRejected(c.state.ApplyTargets(changes, next, whole, time.Now()))
 	if len(changes) > 0 || whole {
@@ -351,6 +365,7 @@
 		if !isLost(c.tgFailed, now) {
 			snapshot.TargetsNext = -1 // the store is better
 		}
+		c.mark = Mark{}
 		if c.state.Merge(snapshot, time.Now()) {
 			peerMerges.Add(1)
 			c.publish("peer")
@@ -372,10 +387,10 @@
 }
 
 // Snapshot returns the table for a peer.
-func (c *Controller) Snapshot(peerVersion int64) Snapshot {
+func (c *Controller) Snapshot(ask Ask) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Snapshot(peerVersion, time.Now())
+	return c.state.Snapshot(ask, time.Now())
 }
 
 // IsStoreLost reports whether the store can't be read at present.
--- a/entry/internal/table/controller_test.go
+++ b/entry/internal/table/controller_test.go
@@ -56,7 +56,7 @@
 func (readerPeer) Fetch(context.Context, int64, int64) (Snapshot, bool) { return Snapshot{}, false }
 func (readerPeer) Newest() int64                                        { return 0 }
 
-func (p readerPeer) Sync(context.Context, int64, int64) (Snapshot, bool) {
+func (p readerPeer) Sync(context.Context, Ask) (Snapshot, bool) {
 	time.Sleep(syncWait)
 	return Snapshot{OpOffset: 1, TargetsNext: 1, Age: max(time.Since(p.lost), 0)}, true
 }
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -22,12 +23,19 @@
 	// coldAfterReturn is how long the targets of a data centre count as cold after
 	// it is brought back, until their own entries say how long they are.
 	coldAfterReturn = 2 * time.Second
+	// coldSlack is how far two entries may differ in when a target is warm and still
+	// say the same: the ways of entries differ by less.
+	coldSlack = 300 * time.Millisecond
+	// maxDepartures bounds the targets that have left of which peers are told one by one.
+	maxDepartures = 4096
 )
 
 // Target is a target with what the table has worked out.
 type Target struct {
 	fleet.Target
 	ColdUntil time.Time // zero: warm
+
+	revision int64 // of the state that brought its last change
 }
 
 // IsCold reports whether the target bears little work at a time.
@@ -55,6 +63,16 @@
 	targetsNext int64
 	hasTargets  bool
 	returnedAt  time.Time // when the store came back after an outage
+	instance    int64     // tells the revisions of two states apart
+	revision    int64     // grows with each change of a target
+	departed    []departure
+	departedAll int64 // revision from which on departed is whole
+}
+
+// departure is a target that has left.
+type departure struct {
+	entry    fleet.Target
+	revision int64
 }
 
 // NewState returns an empty state.
@@ -62,6 +80,7 @@
 	return &State{
 		out: map[string]bool{}, returned: map[string]time.Time{}, targets: map[string]*Target{},
 		left: map[string]fleet.Target{}, gone: map[string]time.Time{}, opOffset: -1, targetsNext: -1,
+		instance: rand.Int64(),
 	}
 }
 
@@ -166,11 +185,24 @@
 	if e.Cold > 0 {
 		t.ColdUntil = now.Add(e.Cold)
 	}
+	if old, ok := s.targets[e.ID]; ok && isAlike(t, old, now) {
+		t.revision = old.revision
+	} else {
+		s.revision++
+		t.revision = s.revision
+	}
 	s.targets[e.ID] = t
 	delete(s.gone, e.ID)
 	delete(s.left, e.ID)
 }
 
+// isAlike reports whether two entries say the same of a target but for their count.
+func isAlike(a, b *Target, now time.Time) bool {
+	x, y := a.Target, b.Target
+	x.Sequence, y.Sequence, x.Cold, y.Cold = 0, 0, 0, 0
+	return x == y && (max(a.ColdUntil.Sub(now), 0)-max(b.ColdUntil.Sub(now), 0)).Abs() < coldSlack
+}
+
 func isOlder(e, than fleet.Target) bool {
 	if e.Born != than.Born {
 		return e.Born < than.Born
@@ -194,6 +226,12 @@
 
 func (s *State) drop(id string) {
 	if t, ok := s.targets[id]; ok {
+		s.revision++
+		s.departed = append(s.departed, departure{entry: t.Target, revision: s.revision})
+		if n := len(s.departed) - maxDepartures; n > 0 {
+			s.departedAll = s.departed[n-1].revision
+			s.departed = slices.Delete(s.departed, 0, n)
+		}
 		s.left[id] = t.Target
 		delete(s.targets, id)
 		delete(s.gone, id)
@@ -252,23 +290,70 @@
 	Targets     []fleet.Target `cbor:"targets"`
 	TargetsNext int64          `cbor:"targets_next"`
 	Age         time.Duration  `cbor:"age"` // since the store was last read
+	Mark        Mark           `cbor:"mark"`
+	IsDelta     bool           `cbor:"is_delta,omitempty"` // only what has changed since the peer's mark
+	Left        []fleet.Target `cbor:"left,omitempty"`     // in a delta: targets that have left
+}
+
+// Mark names a revision of the targets as one state knows them.
+type Mark struct {
+	Instance int64 `cbor:"instance,omitempty"`
+	Revision int64 `cbor:"revision,omitempty"`
 }
 
-// Snapshot returns the state for a peer. The configuration is left out if the
-// peer has the same version.
-func (s *State) Snapshot(peerVersion int64, now time.Time) Snapshot {
-	out := Snapshot{Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.opOffset, TargetsNext: s.targetsNext}
-	if s.config != nil && s.config.Version > peerVersion {
+// Ask is what a peer knows already.
+type Ask struct {
+	Offset  int64 `cbor:"offset"`  // of operators' records
+	Version int64 `cbor:"version"` // of the configuration
+	Mark    Mark  `cbor:"mark"`    // of the last snapshot that it took from this host
+}
+
+// Snapshot returns the state for a peer, without what it knows already.
+func (s *State) Snapshot(ask Ask, now time.Time) Snapshot {
+	out := Snapshot{
+		Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.opOffset, TargetsNext: s.targetsNext,
+		Mark: Mark{Instance: s.instance, Revision: s.revision},
+	}
+	if s.config != nil && s.config.Version > ask.Version {
 		out.Config = s.config
 	}
+	out.IsDelta = ask.Mark.Instance == s.instance && ask.Mark.Revision >= s.departedAll
 	for _, t := range s.targets {
+		if out.IsDelta && t.revision <= ask.Mark.Revision {
+			continue
+		}
 		e := t.Target
 		e.Cold = max(t.ColdUntil.Sub(now), 0)
 		out.Targets = append(out.Targets, e)
 	}
+	if out.IsDelta {
+		for _, l := range s.departed {
+			if l.revision > ask.Mark.Revision {
+				out.Left = append(out.Left, l.entry)
+			}
+		}
+	}
 	return out
 }
 
+// leave takes a target out whose last entry is known, so that late writes of older
+// ones are told from news.
+func (s *State) leave(last fleet.Target, now time.Time) {
+	if t, ok := s.targets[last.ID]; ok {
+		if isOlder(last, t.Target) {
+			return
+		}
+		next := *t // views share the old one
+		next.Target = last
+		s.targets[last.ID] = &next
+		s.remove(last.ID, now)
+		return
+	}
+	if old, ok := s.left[last.ID]; !ok || isOlder(old, last) {
+		s.left[last.ID] = last
+	}
+}
+
 // Merge takes what a peer knows where it has read further, and reports whether
 // anything changed.
 func (s *State) Merge(p Snapshot, now time.Time) bool {
@@ -296,7 +381,10 @@
 		for i := range p.Targets {
 			changes[i] = feed.TargetChange{ID: p.Targets[i].ID, Entry: &p.Targets[i]}
 		}
-		s.ApplyTargets(changes, p.TargetsNext, true, now)
+		for _, l := range p.Left {
+			s.leave(l, now)
+		}
+		s.ApplyTargets(changes, p.TargetsNext, !p.IsDelta, now)
 		changed = true
 	}
 	return changed
--- a/entry/internal/table/state_test.go
+++ b/entry/internal/table/state_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -162,7 +164,7 @@
 	near.ApplyTargets([]feed.TargetChange{entry("x", 1, false)}, 1, true, start)
 	far.ApplyOperator([]feed.OperatorChange{{Config: config(2)}, {DataCentre: "a", IsOut: true}}, 3, true, start)
 	far.ApplyTargets([]feed.TargetChange{entry("x", 2, true), entry("y", 1, false)}, 4, true, start)
-	if !near.Merge(far.Snapshot(1, start), start) {
+	if !near.Merge(far.Snapshot(Ask{Version: 1}, start), start) {
 		t.Fatal("nothing changed, want a change")
 	}
 	if got := near.Config().Version; got != 2 {
@@ -171,10 +173,103 @@
 	if !near.View().Out["a"] {
 		t.Error("the data centre is in, want out")
 	}
-	if near.Merge(far.Snapshot(2, start), start) {
+	if near.Merge(far.Snapshot(Ask{Version: 2}, start), start) {
 		t.Error("a second merge changed something, want nothing")
 	}
-	if got := near.Snapshot(2, start).Config; got != nil {
+	if got := near.Snapshot(Ask{Version: 2}, start).Config; got != nil {
 		t.Error("the snapshot for a peer with the same version has the configuration, want none")
 	}
 }
+
+// Whatever happens at a host that reads the store, one that takes its deltas knows
+// the same targets, and late writes bring none back.
+func TestDeltasTellWhatHasChanged(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	near, far := NewState(), NewState()
+	far.ApplyTargets(nil, 0, true, start)
+	now, next := start, int64(0)
+	entry := func(id int, sequence int64) fleet.Target {
+		return fleet.Target{ID: fmt.Sprint("t", id), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", id), Born: 1, Sequence: sequence}
+	}
+	sequences := map[int]int64{}
+	mark, sent, deltas := Mark{}, 0, 0
+	for round := range 400 {
+		now = now.Add(time.Second)
+		for range 1 + random.IntN(6) {
+			id := random.IntN(20)
+			sequences[id]++
+			e := entry(id, sequences[id])
+			change := feed.TargetChange{ID: e.ID, Entry: &e}
+			switch random.IntN(12) {
+			case 0:
+				change.Entry = nil
+			case 1:
+				e.Draining = true
+			case 2:
+				e.Cold = 3 * time.Second
+			case 3:
+				e.Sequence -= int64(1 + random.IntN(3)) // a late write
+			}
+			next++
+			far.ApplyTargets([]feed.TargetChange{change}, next, false, now)
+		}
+		if random.IntN(20) == 0 {
+			mark = Mark{}
+		}
+		s := far.Snapshot(Ask{Mark: mark}, now)
+		if s.IsDelta {
+			deltas++
+			sent += len(s.Targets)
+		}
+		near.Merge(s, now)
+		mark = s.Mark
+		for id := range 20 {
+			name := fmt.Sprint("t", id)
+			a, b := near.targets[name], far.targets[name]
+			if (a == nil) != (b == nil) {
+				t.Fatalf("round %d: %s is known as %v, want %v", round, name, a, b)
+			}
+			if a != nil && !isAlike(a, b, now) {
+				t.Fatalf("round %d: %s is known as %+v, want %+v", round, name, *a, *b)
+			}
+		}
+	}
+	if deltas < 300 || sent > 4*deltas {
+		t.Errorf("%d targets in %d deltas, want few in most rounds", sent, deltas)
+	}
+}
+
+// Entries that only count on cost peers nothing.
+func TestBeatsOfTargetsAreNotToldToPeers(t *testing.T) {
+	far := NewState()
+	e := fleet.Target{ID: "t", Service: "s", Address: "10.0.0.1:1", Born: 1, Sequence: 1}
+	far.ApplyTargets([]feed.TargetChange{{ID: "t", Entry: &e}}, 1, true, start)
+	mark := far.Snapshot(Ask{}, start).Mark
+	later := e
+	later.Sequence = 2
+	far.ApplyTargets([]feed.TargetChange{{ID: "t", Entry: &later}}, 2, false, start)
+	if s := far.Snapshot(Ask{Mark: mark}, start); !s.IsDelta || len(s.Targets) > 0 {
+		t.Errorf("delta %+v, want one without targets", s)
+	}
+	later.Draining, later.Sequence = true, 3
+	far.ApplyTargets([]feed.TargetChange{{ID: "t", Entry: &later}}, 3, false, start)
+	if s := far.Snapshot(Ask{Mark: mark}, start); len(s.Targets) != 1 || !s.Targets[0].Draining {
+		t.Errorf("delta %+v, want the target as draining", s)
+	}
+}
+
+// A host that has been told by another one, or has been away for long, gets all.
+func TestUnknownMarksGetTheWholeTable(t *testing.T) {
+	far := NewState()
+	for i := range maxDepartures + 10 {
+		e := fleet.Target{ID: fmt.Sprint(i), Service: "s", Born: 1, Sequence: 1}
+		far.ApplyTargets([]feed.TargetChange{{ID: e.ID, Entry: &e}, {ID: e.ID}}, int64(i), false, start)
+	}
+	for name, mark := range map[string]Mark{
+		"none": {}, "another state's": {Instance: far.instance + 1, Revision: far.revision}, "too old": {Instance: far.instance, Revision: 1},
+	} {
+		if s := far.Snapshot(Ask{Mark: mark}, start); s.IsDelta {
+			t.Errorf("%s: a delta, want the whole table", name)
+		}
+	}
+}
