Gossip mostly within large regions

Cause: of the three datagrams that a host sends in a round two went to other regions.

Change: with eight other hosts or more in the region one datagram of a round leaves it.

--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -22,6 +22,9 @@
 	avoidFor = 2 * time.Second
 	// freshAfter is how long beats may be on their way through other hosts.
 	freshAfter = 1200 * time.Millisecond
+	// largeRegion is the number of other hosts in a region from which on one datagram
+	// of a round goes to another region: enough hosts send one for all to hear in time.
+	largeRegion = 8
 	// maxLoad bounds the load that a host tells.
 	maxLoad = 1 << 15
 )
@@ -164,24 +167,41 @@
 }
 
 // partners returns up to n heard hosts at random, and a silent one if asked for.
+// In large regions all but one are of the own one: links between regions are billed.
 func (s *state) partners(n int, silent bool, now time.Time) []string {
-	var heard, quiet []string
+	var near, far, quiet []string
 	for _, m := range s.members {
 		switch {
-		case m.isHeard(now):
-			heard = append(heard, m.host.Gossip)
-		case !m.isGone:
+		case !m.isHeard(now) && !m.isGone:
 			quiet = append(quiet, m.host.Gossip)
+		case !m.isHeard(now):
+		case m.host.Region == s.self.Region:
+			near = append(near, m.host.Gossip)
+		default:
+			far = append(far, m.host.Gossip)
 		}
 	}
-	rand.Shuffle(len(heard), func(i, j int) { heard[i], heard[j] = heard[j], heard[i] })
-	out := heard[:min(n, len(heard))]
+	shuffle(near)
+	shuffle(far)
+	var out []string
+	if len(near) >= largeRegion && n < len(near) {
+		out = near[:n-1]
+		out = append(out, far[:min(1, len(far))]...)
+	} else {
+		out = slices.Concat(near, far)
+		shuffle(out)
+		out = out[:min(n, len(out))]
+	}
 	if (silent || len(out) == 0) && len(quiet) > 0 {
 		out = append(out, quiet[rand.IntN(len(quiet))])
 	}
 	return out
 }
 
+func shuffle(list []string) {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
 // thaw moves what was heard on by the time for which this process didn't run.
 func (s *state) thaw(gap time.Duration) {
 	for _, m := range s.members {
--- a/entry/internal/roster/state_test.go
+++ b/entry/internal/roster/state_test.go
@@ -67,6 +67,35 @@
 	}
 }
 
+// Regions of two dozen hosts hear of each other in time although only one of three
+// datagrams goes between them, and one of ten is lost.
+func TestOneDatagramOfARoundLeavesALargeRegion(t *testing.T) {
+	const hosts = 73
+	f := newFleet(hosts)
+	f.run(6 * time.Second)
+	sent, far := 0, 0
+	f.cut = func(from, to string) bool {
+		sent++
+		if f.states[from].self.Region != f.states[to].self.Region {
+			far++
+		}
+		return sent%10 == 0 // lost
+	}
+	for range 100 {
+		f.run(roundEvery)
+		for at, s := range f.states {
+			for _, m := range s.members {
+				if silent := f.now.Sub(m.heard); silent >= deadAfter {
+					t.Fatalf("%s has not heard %s for %s", at, m.host.Name, silent)
+				}
+			}
+		}
+	}
+	if most := sent/3 + hosts; far == 0 || far > most {
+		t.Errorf("%d of %d datagrams go to other regions, want 1 to %d", far, sent, most)
+	}
+}
+
 // A host that dies is out within half of the seven seconds that the directory has.
 func TestDeadHostIsOutInTime(t *testing.T) {
 	f := newFleet(9)
