Count results of one name once

A piece whose order had run again was made twice at one target, and the test's targets give both results one name; the first one's bytes were never taken off.

Ruled out: the early freeing itself; the names alone lead to it, as the new test shows without any.

Change: a result that replaces one of its name takes over its bytes.

--- a/entry/internal/batch/desk_test.go
+++ b/entry/internal/batch/desk_test.go
@@ -455,6 +455,24 @@
 	}
 }
 
+// Two results of one name count once, since they are freed together.
+func TestResultsOfOneNameCountOnce(t *testing.T) {
+	q := NewQueue(spec(4))
+	q.SetTargets(stageTargets("a"))
+	for _, id := range []string{"x", "y"} {
+		q.Add(Job{ID: id, Pieces: 1, ResultBytes: 1000, TimeLeft: 6 * time.Second, DueIn: 2 * time.Second}, start, func() bool { return false }, func(Result) {})
+		c := q.Plan(start)[0]
+		q.Done(c, []Outcome{{Handle: "10.0.0.0:1/same"}}, FailureNone, start.Add(c.Expected))
+	}
+	if got := q.engines["t0"].bytes; got != 1000 {
+		t.Errorf("%d bytes counted, want 1000", got)
+	}
+	q.Free([]string{"10.0.0.0:1/same"}, start.Add(time.Second))
+	if got := q.engines["t0"].bytes; got != 0 {
+		t.Errorf("%d bytes counted once the results are freed, want none", got)
+	}
+}
+
 // Regions of an order bind its pieces, whatever stands free elsewhere.
 func TestPiecesStayInAllowedRegions(t *testing.T) {
 	d := newDesk(8, "a", "b")
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -315,8 +315,8 @@
 			m = made[i]
 		}
 		if m.Handle != "" && e != nil {
+			e.bytes += j.job.ResultBytes - e.held[m.Handle].bytes // a target may name two results alike
 			e.held[m.Handle] = held{bytes: j.job.ResultBytes, made: c.started, until: now.Add(q.spec.HoldFor)}
-			e.bytes += j.job.ResultBytes
 			q.size += lifeWeight * (float64(j.job.ResultBytes) - q.size)
 		}
 		if j.finished {
