Free and use what a lost home had made

Cause: a home that follows a lost one found the targets' space full for the four seconds that results live: requests gave their results up at the lost home, and what was there of half-made stages was made again.

Change: hosts give results up at the home of the moment, too, with their names, if it isn't the one that had them made. Polls tell of half-made stages, and a home that takes an order over makes only the pieces that are missing.

--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -61,6 +61,7 @@
 	byID       map[string]*order
 	committed  map[string]int // pieces released and not yet made, by service
 	frees      map[string][]string
+	released   map[string]map[string][]string // results of other homes, by service and target
 	coming     map[string]*arrivals
 	sessions   map[string]lastUse
 	depth      map[string]int        // place of a service in the chains of orders, from 1
@@ -94,16 +95,17 @@
 	job     string // id in its queue; empty: not begun
 	done    bool
 	handles []string
-	missing int  // pieces still counted as committed
-	users   int  // stages that still need the results
-	hasRead bool // the results before it are of no more use to it
+	part    []string // results of some pieces, from a home before; empty ones are missing
+	missing int      // pieces still counted as committed
+	users   int      // stages that still need the results
+	hasRead bool     // the results before it are of no more use to it
 	isUsed  bool
 }
 
 // NewDesk returns an empty desk.
 func NewDesk() *Desk {
 	return &Desk{
-		queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{},
+		queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{}, released: map[string]map[string][]string{},
 		depth: map[string]int{}, neighbours: map[string]*neighbour{},
 	}
 }
@@ -305,7 +307,7 @@
 		}
 	}
 	o.state[i].job = job.ID
-	d.queues[s.Service].Add(job, now, func() bool { return d.giveUpInputs(o, i) }, func(r Result) { d.outcome(o, i, r) })
+	d.queues[s.Service].Add(job, o.state[i].part, now, func() bool { return d.giveUpInputs(o, i) }, func(r Result) { d.outcome(o, i, r) })
 }
 
 // giveUpInputs gives up what a stage at work has read, if space is short there.
@@ -433,11 +435,25 @@
 }
 
 // Drop ends an order whose caller has left, or gives up the results of one that
-// is done.
-func (d *Desk) Drop(id string) {
-	if o := d.byID[id]; o != nil {
+// is done. It reports whether the desk knew it.
+func (d *Desk) Drop(id string) bool {
+	o := d.byID[id]
+	if o != nil {
 		d.drop(o, Result{Reason: ReasonDropped})
 	}
+	return o != nil
+}
+
+// Release gives up results that a home before had made.
+func (d *Desk) Release(handles []string) {
+	for service, q := range d.queues {
+		for id, list := range q.makers(handles) {
+			if d.released[service] == nil {
+				d.released[service] = map[string][]string{}
+			}
+			d.released[service][id] = append(d.released[service][id], list...)
+		}
+	}
 }
 
 func (d *Desk) free(service string, handles []string) {
@@ -456,6 +472,15 @@
 		}
 	}
 	clear(d.frees)
+	for service, targets := range d.released {
+		if out[service] == nil {
+			out[service] = map[string][]string{}
+		}
+		for id, handles := range targets {
+			out[service][id] = append(out[service][id], handles...)
+		}
+	}
+	clear(d.released)
 	return out
 }
 
@@ -469,7 +494,7 @@
 }
 
 // HasFrees reports whether results were given up.
-func (d *Desk) HasFrees() bool { return len(d.frees) > 0 }
+func (d *Desk) HasFrees() bool { return len(d.frees) > 0 || len(d.released) > 0 }
 
 // Done takes the outcome of a call.
 func (d *Desk) Done(service string, c *Call, made []Outcome, failure Failure, now time.Time) {
--- a/entry/internal/batch/desk_test.go
+++ b/entry/internal/batch/desk_test.go
@@ -291,7 +291,7 @@
 	q := NewQueue(spec(4))
 	q.SetTargets(stageTargets("a"))
 	for _, id := range []string{"x", "y"} {
-		q.Add(Job{ID: id, Pieces: 4, ResultBytes: 1000, TimeLeft: 6 * time.Second, DueIn: 2 * time.Second}, start, func() bool { return false }, func(Result) {})
+		q.Add(Job{ID: id, Pieces: 4, ResultBytes: 1000, TimeLeft: 6 * time.Second, DueIn: 2 * time.Second}, nil, start, func() bool { return false }, func(Result) {})
 	}
 	calls := q.Plan(start)
 	if len(calls) != 2 {
@@ -460,7 +460,7 @@
 	q := NewQueue(spec(4))
 	q.SetTargets(stageTargets("a"))
 	for _, id := range []string{"x", "y"} {
-		q.Add(Job{ID: id, Pieces: 1, ResultBytes: 1000, TimeLeft: 6 * time.Second, DueIn: 2 * time.Second}, start, func() bool { return false }, func(Result) {})
+		q.Add(Job{ID: id, Pieces: 1, ResultBytes: 1000, TimeLeft: 6 * time.Second, DueIn: 2 * time.Second}, nil, start, func() bool { return false }, func(Result) {})
 		c := q.Plan(start)[0]
 		q.Done(c, []Outcome{{Handle: "10.0.0.0:1/same"}}, FailureNone, start.Add(c.Expected))
 	}
@@ -473,6 +473,46 @@
 	}
 }
 
+// A stage that was half made goes on from there at another home.
+func TestHalfMadeStageGoesOnAtAnotherHome(t *testing.T) {
+	first := newDesk(2, "a")
+	o := newOrder("x", 3)
+	submit(first, o, start)
+	c := first.Plan(start)["p"][0]
+	now := start.Add(c.Expected)
+	first.Done("p", c, made(c), FailureNone, now)
+	if o.Made = first.Made("x"); len(o.Made) != 1 || o.Made[0].IsDone || len(o.Made[0].Handles) != 3 {
+		t.Fatalf("made %+v, want two of three results of one stage", o.Made)
+	}
+	second := newDesk(4, "a")
+	r := submit(second, o, now)
+	calls := second.Plan(now)["p"]
+	if len(calls) != 1 || len(calls[0].Pieces) != 1 || calls[0].Pieces[0].Number != 2 {
+		t.Fatalf("calls %v, want one for piece 2", calls)
+	}
+	second.Done("p", calls[0], made(calls[0]), FailureNone, now.Add(time.Second))
+	if r.Reason != ReasonNone || len(r.Handles) != 3 || r.Handles[0] != c.Address+"/x!0.0" {
+		t.Errorf("result %+v, want three handles", r)
+	}
+	second.Drop("x")
+	if got := len(second.Frees(now)["p"]["t0"]); got != 3 {
+		t.Errorf("%d results freed, want 3", got)
+	}
+}
+
+// Results of a home that was lost are freed by the one after it.
+func TestResultsOfALostHomeAreFreed(t *testing.T) {
+	d := newDesk(8, "a", "b")
+	d.Release([]string{"10.0.0.0:1/x!0.0", "10.0.0.1:1/x!0.1", "10.0.0.9:1/x!0.2"})
+	got := d.Frees(start)["p"]
+	if len(got["t0"]) != 1 || len(got["t1"]) != 1 {
+		t.Errorf("freed %v, want one result at each of t0 and t1", got)
+	}
+	if d.HasFrees() {
+		t.Error("results are freed twice")
+	}
+}
+
 // Regions of an order bind its pieces, whatever stands free elsewhere.
 func TestPiecesStayInAllowedRegions(t *testing.T) {
 	d := newDesk(8, "a", "b")
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -244,15 +244,22 @@
 }
 
 // Drop ends an order whose caller has left, or gives up the results of one that
-// is done. use says where the request went, if it did.
-func (h *Home) Drop(id string, use Use) {
+// is done, also if a home before has made them. use says where the request went,
+// if it did.
+func (h *Home) Drop(id string, use Use, handles []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.tickets, id)
 	now := time.Now()
+	isKnown := false
 	for _, d := range h.desks {
-		d.Drop(id)
+		isKnown = d.Drop(id) || isKnown
 		d.Used(use, now)
+	}
+	for _, d := range h.desks {
+		if !isKnown {
+			d.Release(handles)
+		}
 		h.advance(d, now)
 	}
 	if use.Session != "" && h.tell != nil {
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -63,7 +63,7 @@
 // Made is what is there of a stage.
 type Made struct {
 	IsDone  bool     `cbor:"is_done"`
-	Handles []string `cbor:"handles,omitempty"` // empty once no stage needs them
+	Handles []string `cbor:"handles,omitempty"` // none once no stage needs them; of a stage under way some are empty
 }
 
 // Reason says why a job has no results.
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -133,11 +133,15 @@
 	return n
 }
 
-// Add takes a job. finish is called once, and onRead before it if the inputs have
+// Add takes a job, of which part may be made already. finish is called once, and onRead before it if the inputs have
 // been read by then; it returns whether they are given up.
-func (q *Queue) Add(j Job, now time.Time, onRead func() bool, finish func(Result)) {
+func (q *Queue) Add(j Job, part []string, now time.Time, onRead func() bool, finish func(Result)) {
 	e := &entry{job: j, added: now, due: now.Add(j.DueIn), until: now.Add(j.TimeLeft), onRead: onRead, finish: finish, handles: make([]string, j.Pieces)}
 	for i := range j.Pieces {
+		if i < len(part) && part[i] != "" {
+			e.handles[i] = part[i]
+			continue
+		}
 		e.todo = append(e.todo, i)
 	}
 	q.jobs = append(q.jobs, e)
@@ -270,18 +274,40 @@
 	return ""
 }
 
-// adopt notes results that another home had made. A handle begins with the
-// address of its maker.
-func (q *Queue) adopt(handles []string, bytes int64, now time.Time) {
+// makers returns results by the target that has made them. A handle begins with
+// the address of its maker.
+func (q *Queue) makers(handles []string) map[string][]string {
+	out := map[string][]string{}
 	for _, h := range handles {
-		for _, e := range q.engines {
+		for id, e := range q.engines {
 			if strings.HasPrefix(h, e.target.Address+"/") {
-				e.held[h] = held{bytes: bytes, made: now, until: now.Add(q.spec.HoldFor)}
-				e.bytes += bytes
+				out[id] = append(out[id], h)
 				break
 			}
 		}
 	}
+	return out
+}
+
+// adopt notes results that another home had made.
+func (q *Queue) adopt(handles []string, bytes int64, now time.Time) {
+	for id, list := range q.makers(handles) {
+		e := q.engines[id]
+		for _, h := range list {
+			e.bytes += bytes - e.held[h].bytes
+			e.held[h] = held{bytes: bytes, made: now, until: now.Add(q.spec.HoldFor)}
+		}
+	}
+}
+
+// part returns the results that there are of a job under way; empty ones are
+// missing.
+func (q *Queue) part(id string) []string {
+	e := q.byID[id]
+	if e == nil || len(e.todo)+e.pending == e.job.Pieces {
+		return nil
+	}
+	return slices.Clone(e.handles)
 }
 
 // Address returns where a target is.
--- a/entry/internal/batch/takeover.go
+++ b/entry/internal/batch/takeover.go
@@ -13,6 +13,10 @@
 	for i, m := range made {
 		st := &o.state[i]
 		if !kept[i] || st.done {
+			if q := d.queues[o.Stages[i].Service]; q != nil && !m.IsDone && len(m.Handles) == o.pieces(i) {
+				st.part = m.Handles
+				q.adopt(m.Handles, o.Stages[i].ResultBytes, d.now)
+			}
 			continue
 		}
 		st.done, st.handles = true, m.Handles
@@ -71,14 +75,17 @@
 	if o == nil || o.ended {
 		return nil
 	}
-	var out []Made
+	out, isAny := make([]Made, len(o.state)), false
 	for i := range o.state {
-		if o.state[i].done && o.pieces(i) > 0 && out == nil {
-			out = make([]Made, len(o.state))
+		st := &o.state[i]
+		out[i] = Made{IsDone: st.done, Handles: st.handles}
+		if !st.done && st.job != "" {
+			out[i].Handles = d.queues[o.Stages[i].Service].part(st.job)
 		}
+		isAny = isAny || st.done && o.pieces(i) > 0 || out[i].Handles != nil
 	}
-	for i := range out {
-		out[i] = Made{IsDone: o.state[i].done, Handles: o.state[i].handles}
+	if !isAny {
+		return nil
 	}
 	return out
 }
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -133,10 +133,9 @@
 				order.Region = r.area // where it can be handed over no more
 			}
 		case result.Reason == batch.ReasonNone:
-			id := order.ID
 			return &Results{
 				Handles: result.Handles, Waited: result.Wait, Near: result.Near, Prefer: result.Prefer,
-				free: func(use batch.Use) { r.drop(home, id, use) },
+				free: func(use batch.Use) { r.free(home, order.Region, idBody{ID: order.ID, Use: use}, result.Handles) },
 			}, nil
 		case result.Reason == batch.ReasonMoved:
 			order.Region, order.Moved = result.Region, true
@@ -177,7 +176,7 @@
 				return res, nil
 			}
 			if ctx.Err() != nil {
-				r.local.Drop(order.ID, batch.Use{})
+				r.local.Drop(order.ID, batch.Use{}, nil)
 				return batch.Result{}, ctx.Err()
 			}
 		}
@@ -191,7 +190,7 @@
 		cancel()
 		switch {
 		case ctx.Err() != nil:
-			r.drop(home, order.ID, batch.Use{})
+			r.drop(home, idBody{ID: order.ID})
 			return batch.Result{}, ctx.Err()
 		case err != nil:
 			return batch.Result{Made: made}, fmt.Errorf("%w: %w", errNoAnswer, err)
@@ -206,22 +205,38 @@
 }
 
 type idBody struct {
-	ID  string    `cbor:"id"`
-	Use batch.Use `cbor:"use"`
+	ID      string    `cbor:"id"`
+	Use     batch.Use `cbor:"use"`
+	Handles []string  `cbor:"handles,omitempty"` // for a home that doesn't know the id
+}
+
+// free gives up results at the home that has made them, and at the one that has
+// followed it if there is one.
+func (r *Runner) free(home roster.Host, region string, body idBody, handles []string) {
+	body.Use.Region = r.split.Region(body.Use.DataCentre)
+	now, isOther := r.homes.Home(region)
+	if !isOther {
+		now = roster.Host{}
+	}
+	if now.Name != home.Name {
+		next := body
+		next.Handles = handles
+		r.drop(now, next)
+	}
+	r.drop(home, body)
 }
 
 // drop gives up an order or its results. A message that is lost costs the
 // results' space until their life is over.
-func (r *Runner) drop(home roster.Host, id string, use batch.Use) {
-	use.Region = r.split.Region(use.DataCentre)
+func (r *Runner) drop(home roster.Host, body idBody) {
 	if home.Name == "" {
-		r.local.Drop(id, use)
+		r.local.Drop(body.ID, body.Use, body.Handles)
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pollSlack)
 		defer cancel()
-		_ = r.bus.Send(ctx, Peer(home), KindDrop, idBody{ID: id, Use: use}) // the home forgets orders that nobody asks for
+		_ = r.bus.Send(ctx, Peer(home), KindDrop, body) // the home forgets orders that nobody asks for
 	}()
 }
 
@@ -279,7 +294,7 @@
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		home.Drop(in.ID, in.Use)
+		home.Drop(in.ID, in.Use, in.Handles)
 		return nil, nil
 	})
 }
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -421,7 +421,9 @@
 		}
 		w.read(res.Handles, at)
 		w.after(r.kind.After, func() {
-			w.desks[desk].Drop(id)
+			if !w.desks[desk].Drop(id) {
+				w.desks[desk].Release(res.Handles)
+			}
 			w.served(r)
 		})
 		return
