Make the decisions of a desk repeatable

Refusals were spread by the global source of chance, and sums and plans went over maps in any order.

Change: a desk gets its source of chance, and goes over services and targets by name.

--- a/entry/internal/batch/admit.go
+++ b/entry/internal/batch/admit.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -70,14 +70,14 @@
 	for service, pieces := range o.load {
 		d.arrivals(service).add(o.Priority, float64(pieces), now)
 		if !d.queues[service].hasTargets() {
-			return spread(absentRetry), false
+			return d.spread(absentRetry), false
 		}
 	}
 	wait := d.waitBehind(o, ahead, now)
 	if now.Add(wait + o.chain).Before(o.until) {
 		return 0, true
 	}
-	return spread(wait), false
+	return d.spread(wait), false
 }
 
 // waitBehind returns how long an order waits for the pieces ahead of it, given
@@ -105,25 +105,29 @@
 // that they won't be done in time, and hands over those that another region would
 // serve better.
 func (d *Desk) sortOut(now time.Time) {
+	type ending struct {
+		order  *order
+		result Result
+	}
 	ahead := map[string]int{}
-	out := map[*order]Result{}
+	var out []ending
 	for _, o := range d.waiting {
 		wait := d.waitBehind(o, ahead, now)
 		ok := !now.Add(wait + o.chain).After(o.until)
 		if region, isBetter := d.elsewhere(o, d.releaseIn(o, ahead, now), ok, now); isBetter {
-			out[o] = Result{Reason: ReasonMoved, Region: region}
+			out = append(out, ending{o, Result{Reason: ReasonMoved, Region: region}})
 			continue
 		}
 		if !ok {
-			out[o] = Result{Reason: ReasonBusy, RetryAfter: spread(wait)}
+			out = append(out, ending{o, Result{Reason: ReasonBusy, RetryAfter: d.spread(wait)}})
 			continue
 		}
 		for service, n := range o.load {
 			ahead[service] += n
 		}
 	}
-	for o, r := range out {
-		d.drop(o, r)
+	for _, e := range out {
+		d.drop(e.order, e.result)
 	}
 }
 
@@ -163,16 +167,17 @@
 // above returns the pieces a second of more urgent requests.
 func (a *arrivals) above(priority int, now time.Time) float64 {
 	sum := 0.0
-	for p, f := range a.by {
+	for _, p := range slices.Sorted(maps.Keys(a.by)) {
 		if p < priority {
-			sum += f.decayed(now)
+			sum += a.by[p].decayed(now)
 		}
 	}
 	return sum
 }
 
-func spread(d time.Duration) time.Duration {
-	return max(time.Duration((1+busySpread*(rand.Float64()-0.5))*float64(d)), minRetry)
+// spread varies a time so that refused callers don't return together.
+func (d *Desk) spread(t time.Duration) time.Duration {
+	return max(time.Duration((1+busySpread*(d.rand.Float64()-0.5))*float64(t)), minRetry)
 }
 
 // releaseAll starts waiting orders in their order while their services have room.
--- a/entry/internal/batch/desk.go
+++ b/entry/internal/batch/desk.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -56,6 +57,7 @@
 // nothing yet, so the desk refuses and reorders among them only. It isn't safe
 // for concurrent use.
 type Desk struct {
+	rand       *rand.Rand
 	queues     map[string]*Queue
 	waiting    []*order
 	byID       map[string]*order
@@ -102,9 +104,10 @@
 	isUsed  bool
 }
 
-// NewDesk returns an empty desk.
-func NewDesk() *Desk {
+// NewDesk returns an empty desk. random spreads the return of refused callers.
+func NewDesk(random *rand.Rand) *Desk {
 	return &Desk{
+		rand:   random,
 		queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{}, coming: map[string]*arrivals{}, sessions: map[string]lastUse{}, frees: map[string][]string{}, released: map[string]map[string][]string{},
 		depth: map[string]int{}, neighbours: map[string]*neighbour{},
 	}
@@ -227,8 +230,8 @@
 	}
 	d.releaseAll(now)
 	var out map[string][]*Call
-	for name, q := range d.queues {
-		if calls := q.Plan(now); len(calls) > 0 {
+	for _, name := range d.Services() {
+		if calls := d.queues[name].Plan(now); len(calls) > 0 {
 			if out == nil {
 				out = map[string][]*Call{}
 			}
@@ -249,9 +252,9 @@
 			delete(d.byID, id) // its results end by themselves
 		}
 	}
-	for name, q := range d.queues {
-		q.Expire(now)
-		d.free(name, q.Orphans())
+	for _, name := range d.Services() {
+		d.queues[name].Expire(now)
+		d.free(name, d.queues[name].Orphans())
 	}
 }
 
--- a/entry/internal/batch/desk_test.go
+++ b/entry/internal/batch/desk_test.go
@@ -25,7 +25,7 @@
 }
 
 func newDesk(size int, places ...string) *Desk {
-	d := NewDesk()
+	d := NewDesk(rand.New(rand.NewPCG(1, 1)))
 	for _, s := range []string{"p", "q"} {
 		d.SetService(s, spec(size), stageTargets(places...))
 	}
--- a/entry/internal/batch/fill.go
+++ b/entry/internal/batch/fill.go
@@ -58,7 +58,7 @@
 	}
 	q.recover(now)
 	var best *engine
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if !e.present || now.Before(e.pause) {
 			continue
 		}
@@ -78,7 +78,7 @@
 
 // recover lets slow targets without calls be tried again.
 func (q *Queue) recover(now time.Time) {
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if e.ratio > slowFrom && len(e.calls) == 0 && now.Sub(e.judged) > recoverEvery {
 			e.ratio, e.judged = 1+(e.ratio-1)/2, now
 		}
@@ -102,7 +102,7 @@
 // faster one that is at work.
 func (q *Queue) isSlowWorth(slow *engine, now time.Time) bool {
 	own := now.Add(time.Duration(slow.ratio * float64(q.spec.Call)))
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if e.present && e.ratio <= slowFrom && len(e.calls) > 0 && !now.Before(e.pause) {
 			c := e.calls[len(e.calls)-1]
 			if c.started.Add(c.Expected + q.spec.Call).Before(own) {
@@ -184,7 +184,7 @@
 // so that their space comes free while the calls are still at work. A call that
 // fails after this costs its requests all their stages.
 func (q *Queue) noteReads(now time.Time) {
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		for _, c := range e.calls {
 			if !c.isRead {
 				if c.turn.IsZero() || c.isTight || e.ratio > slowFrom || e.path < 0 || now.Sub(c.turn) < e.path+readTime {
@@ -207,7 +207,7 @@
 // isShort reports whether the space for results at the targets runs short.
 func (q *Queue) isShort() bool {
 	bytes, room := int64(0), int64(0)
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if e.present {
 			bytes, room = bytes+e.bytes, room+q.spec.RoomBytes
 		}
@@ -283,7 +283,7 @@
 // their regions.
 func (q *Queue) places(now time.Time) map[string]string {
 	out := map[string]string{}
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if e.present && e.ratio <= slowFrom && !now.Before(e.pause) {
 			out[e.target.DataCentre] = e.target.Region
 		}
@@ -300,7 +300,7 @@
 	}
 	engines, ahead := 0, 0
 	soonest := time.Duration(math.MaxInt64)
-	for _, o := range q.engines {
+	for _, o := range q.list {
 		if !o.present || now.Before(o.pause) || o.ratio > slowFrom || o.target.DataCentre != j.best {
 			continue
 		}
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -189,7 +190,7 @@
 	}
 	d := h.desks[o.Region]
 	if d == nil {
-		d = NewDesk()
+		d = NewDesk(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		h.desks[o.Region] = d
 	}
 	t := &ticket{desk: d, done: make(chan struct{}), asked: now}
--- a/entry/internal/batch/judge.go
+++ b/entry/internal/batch/judge.go
@@ -1,6 +1,8 @@
 package batch
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -37,7 +39,8 @@
 	}
 	err := float64(took-c.own) / float64(q.spec.Item)
 	sum, n := 0.0, 0.0
-	for class, k := range counts {
+	for _, class := range slices.Sorted(maps.Keys(counts)) {
+		k := counts[class]
 		f, ok := q.items[class]
 		if !ok {
 			if len(q.items) >= maxClasses {
@@ -66,7 +69,7 @@
 // or as space for results comes free.
 func (q *Queue) rate(now time.Time) float64 {
 	sum := 0.0
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if !e.present || now.Before(e.pause) {
 			continue
 		}
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -107,7 +108,8 @@
 	jobs     []*entry
 	byID     map[string]*entry
 	engines  map[string]*engine
-	orphans  []string // results of jobs that have ended otherwise
+	list     []*engine // the same by id, so that equal loads give equal decisions
+	orphans  []string  // results of jobs that have ended otherwise
 	phantoms int
 	life     time.Duration      // mean time from the beginning of a call to the freeing of its results
 	size     float64            // mean bytes of a result
@@ -149,7 +151,7 @@
 }
 
 func (q *Queue) hasTargets() bool {
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if e.present {
 			return true
 		}
@@ -196,6 +198,9 @@
 			delete(q.engines, id)
 		}
 	}
+	if len(q.list) != len(q.engines) || slices.ContainsFunc(q.list, func(e *engine) bool { return q.engines[e.target.ID] != e }) {
+		q.list = slices.SortedFunc(maps.Values(q.engines), func(a, b *engine) int { return cmp.Compare(a.target.ID, b.target.ID) })
+	}
 }
 
 // Drop takes a job out whose caller has left.
@@ -230,7 +235,7 @@
 			q.finish(e, Result{Reason: ReasonLate})
 		}
 	}
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		for h, r := range e.held {
 			if now.After(r.until) {
 				e.bytes -= r.bytes
@@ -266,7 +271,7 @@
 
 // place returns the data centre of the maker of a result; empty if it isn't known.
 func (q *Queue) place(handle string) string {
-	for _, e := range q.engines {
+	for _, e := range q.list {
 		if _, ok := e.held[handle]; ok {
 			return e.target.DataCentre
 		}
--- a/entry/internal/model/model.go
+++ b/entry/internal/model/model.go
@@ -187,7 +187,7 @@
 		w.load.Hosts = len(w.zones)
 	}
 	for range w.load.Hosts {
-		w.desks = append(w.desks, batch.NewDesk())
+		w.desks = append(w.desks, batch.NewDesk(w.rand))
 	}
 	for i := range l.Kinds {
 		w.out.ByKind[l.Kinds[i].Name] = &KindOutcome{}
@@ -375,7 +375,7 @@
 // what their hosts have been told of them.
 func (w *world) loseHome() {
 	lost := w.desks[0]
-	w.desks[0] = batch.NewDesk()
+	w.desks[0] = batch.NewDesk(w.rand)
 	w.refresh(0)
 	orders := w.open
 	w.open = map[string]*open{}
@@ -489,13 +489,15 @@
 // advance makes the calls that a desk plans.
 func (w *world) advance(desk int) {
 	w.refresh(desk)
-	for service, calls := range w.desks[desk].Plan(w.now) {
-		for _, c := range calls {
+	plan := w.desks[desk].Plan(w.now)
+	for _, service := range slices.Sorted(maps.Keys(plan)) {
+		for _, c := range plan[service] {
 			w.call(desk, service, c)
 		}
 	}
-	for _, targets := range w.desks[desk].Frees(w.now) {
-		for id, handles := range targets {
+	frees := w.desks[desk].Frees(w.now)
+	for _, service := range slices.Sorted(maps.Keys(frees)) {
+		for id, handles := range frees[service] {
 			w.after(freeDelay+w.load.Transit, func() { w.targets[id].free(handles) })
 		}
 	}
--- a/entry/internal/model/model_test.go
+++ b/entry/internal/model/model_test.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"reflect"
 	"testing"
 	"time"
 )
@@ -38,6 +39,24 @@
 	return home, alone, first
 }
 
+// Equal loads give equal decisions, so that a failure can be played again.
+func TestRunsRepeat(t *testing.T) {
+	var first Outcome
+	for i := range 4 {
+		l := Sundarban(3)
+		l.Length = seconds(12)
+		l.Bursts = []Burst{{At: seconds(3), For: seconds(5), Factor: 2}}
+		l.HomesLost = []time.Duration{seconds(6)}
+		o := Run(l)
+		o.Fill, o.ByKind = nil, nil
+		if i == 0 {
+			first = o
+		} else if !reflect.DeepEqual(o, first) {
+			t.Fatalf("run %d: %+v, the first was %+v", i+1, o, first)
+		}
+	}
+}
+
 func TestPatternCalmLoad(t *testing.T) {
 	for name, load := range map[string]func(uint64) Load{"union": Union, "sundarban": Sundarban} {
 		t.Run(name, func(t *testing.T) {
