Log requests that a process abandons and answers that targets break off

A host that reached the time limit of its shutdown ended without a line for the requests in progress, so its log could not tell a request that was taken too late from one that was never answered. A broken answer was logged without what its prompt shares with others, so a failing target could not be told from a prompt that makes targets fail. No logic changes, but the shutdown of the callers' server ends 100 ms earlier so that the lines are written.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -59,6 +59,8 @@
 	// stopMargin is the time between the end of the shutdown and the end of the grace
 	// period.
 	stopMargin = 500 * time.Millisecond
+	// logMargin is the time left at the end of the shutdown to log what was not finished.
+	logMargin = 100 * time.Millisecond
 	// Of the log lines with the same level and message in one second, the first
 	// logSampleInitial are written, then one in logSampleThereafter.
 	logSampleInitial    = 400
@@ -353,7 +355,8 @@
 			case <-time.After(hold):
 			case <-ctx.Done():
 			}
-			err := fs.callers.Shutdown(ctx)
+			err := shutdown(ctx, fs.callers)
+			handler.LogPending()
 			log.Info("stopped", "active", handler.Active(), "err", fmt.Sprint(err))
 			r.Close()
 			t.Close()
@@ -365,6 +368,17 @@
 	return fs
 }
 
+// shutdown shuts a server down gracefully. It returns early enough before the deadline of
+// ctx that what is left can be logged.
+func shutdown(ctx context.Context, s *http.Server) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-logMargin))
+		defer cancel()
+	}
+	return s.Shutdown(ctx)
+}
+
 func (fs *fleetServers) start(metricsPort int) error {
 	type endpoint struct {
 		server   *http.Server
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -25,6 +25,15 @@
 	return c.req.Prefix[max(len(c.req.Prefix)-2, 0)].ID
 }
 
+// sharedParts returns the IDs of the parts of the prompt that other requests share.
+func (c *call) sharedParts() []string {
+	out := make([]string, 0, len(c.req.Prefix))
+	for _, p := range c.req.Prefix[:max(len(c.req.Prefix)-1, 0)] {
+		out = append(out, p.ID)
+	}
+	return out
+}
+
 // sharedPrefixTokens returns the number of prompt tokens that other requests share.
 func (c *call) sharedPrefixTokens() int {
 	if !c.route.Sticky {
@@ -242,6 +251,7 @@
 		t.Done(pick.Cancelled)
 	} else {
 		t.Done(pick.Failed)
+		c.recordBroken(t, false, reason)
 	}
 	return result{verdict: verdictMayHaveRun, reason: reason}
 }
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -95,27 +95,31 @@
 
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
-	opts               Options
-	tables             Tables
-	stages             StageRunner
-	balancer           Balancer
-	dialer             Dialer
-	logger             logr.Logger
-	afterStages        afterStages
-	active             atomic.Int64
-	keepAlivesDisabled atomic.Bool
+	opts         Options
+	tables       Tables
+	stages       StageRunner
+	balancer     Balancer
+	dialer       Dialer
+	logger       logr.Logger
+	afterStages  afterStages
+	pending      pending
+	leavingSince atomic.Pointer[time.Time] // nil: the host isn't leaving
 }
 
 // New returns a Handler that sends requests to the targets in tables.
 func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, logger logr.Logger) *Handler {
-	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, logger: logger, afterStages: afterStages{byRoute: map[string]*meanDeviation{}}}
+	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, logger: logger, afterStages: afterStages{byRoute: map[string]*meanDeviation{}}, pending: pending{calls: map[*call]struct{}{}}}
 }
 
 // Active returns the number of requests in progress.
-func (h *Handler) Active() int { return int(h.active.Load()) }
+func (h *Handler) Active() int { return int(h.pending.count.Load()) }
 
-// DisableKeepAlives makes every further response close its connection.
-func (h *Handler) DisableKeepAlives() { h.keepAlivesDisabled.Store(true) }
+// DisableKeepAlives makes every further response close its connection, because the host
+// is leaving.
+func (h *Handler) DisableKeepAlives() {
+	now := time.Now()
+	h.leavingSince.CompareAndSwap(nil, &now)
+}
 
 // call holds the state of one request.
 type call struct {
@@ -132,6 +136,9 @@
 	deadline    time.Time
 	priority    int
 	regions     []string
+	id          string        // as the caller sent it, before the head is validated
+	leavingFor  time.Duration // how long the host had been leaving when the request arrived
+	phase       atomic.Int32  // of type phase
 	results     *graph.Results
 	headWritten bool // the response head is written
 	mayHaveRun  bool // a target may have run the request
@@ -156,14 +163,14 @@
 // ServeHTTP handles one request: it validates it, runs its stages, sends it to a target
 // and writes the response.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
-	if h.keepAlivesDisabled.Load() || len(r.TransferEncoding) > 0 {
+	now := time.Now()
+	c := &call{h: h, w: w, r: r, start: now, id: wire.AnswerID(r.Header), leavingFor: h.leavingFor(now)}
+	defer h.pending.add(c)()
+	if c.leavingFor > 0 || len(r.TransferEncoding) > 0 {
 		// Other servers may take bytes after a chunked body for a part of the body, so the
 		// connection carries no further request.
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{h: h, w: w, r: r, start: time.Now()}
 	defer c.finish()
 	if c.checkHead() && c.readBody() {
 		c.run()
@@ -322,10 +329,12 @@
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	for try := 1; ; try++ {
+		c.setPhase(phaseStages)
 		if err := c.runStages(ctx); err != nil {
 			c.handleStageError(err)
 			return
 		}
+		c.setPhase(phaseTarget)
 		err := c.tryTargets(ctx)
 		if !errors.Is(err, errResultsGone) {
 			return
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"chivepost/entry/internal/pick"
 	"chivepost/share/fleet"
 )
 
@@ -15,6 +16,9 @@
 	// Histogram of the time to the first byte; keys are the upper bounds of the buckets.
 	firstByteTimes = expvar.NewMap("edge_first_byte_by_ms_count")
 	sendCount      = expvar.NewInt("edge_sends_count")
+	takenLeaving   = expvar.NewInt("edge_requests_while_leaving_count")
+	abandonedCount = expvar.NewInt("edge_requests_abandoned_count")
+	brokenAnswers  = expvar.NewInt("edge_target_answers_broken_count")
 	resumeCount    = expvar.NewInt("edge_resumes_count")
 )
 
@@ -44,6 +48,9 @@
 	if c.status == http.StatusServiceUnavailable {
 		refusalsByReason.Add(c.refusalReason(), 1)
 	}
+	if c.leavingFor > 0 {
+		takenLeaving.Add(1)
+	}
 	name, version := "", int64(0)
 	if c.route != nil {
 		name = c.route.Name
@@ -57,7 +64,16 @@
 		"staged", c.stagesTook.Round(time.Millisecond).String(), "first", c.firstByte.Round(time.Millisecond).String(),
 		"took", time.Since(c.start).Round(time.Millisecond).String(), "events", c.events, "aim", c.latencyObjective().String(),
 		"time_left", c.req.TimeLeft.String(), "retry_after", c.retryAfter.Round(time.Millisecond).String(),
-		"from_event", c.resumesStream, "kind", c.kind())
+		"from_event", c.resumesStream, "kind", c.kind(), "leaving_for", c.leavingFor.Round(time.Millisecond).String())
+}
+
+// recordBroken counts and logs an answer that a target broke off, with the parts of the
+// prompt that other requests share: they tell a target that fails from a prompt that
+// makes targets fail.
+func (c *call) recordBroken(t *pick.Chosen, begun bool, reason string) {
+	brokenAnswers.Add(1)
+	c.h.logger.Info("target broke off", "id", c.req.ID, "target", t.ID, "started_at", t.StartMillis, "service", c.service.Name, "shared_parts", c.sharedParts(),
+		"head_received", begun, "events", c.events, "reason", reason)
 }
 
 func (c *call) latencyObjective() time.Duration {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -69,6 +69,7 @@
 			t.Done(pick.Cancelled)
 		} else {
 			t.Done(pick.Failed)
+			c.recordBroken(t, true, err.Error())
 		}
 		return result{verdict: verdictMayHaveRun, reason: "the target's answer ended early: " + err.Error()}
 	}
@@ -84,6 +85,7 @@
 
 // writeHeldAnswer writes a complete answer to the caller.
 func (c *call) writeHeldAnswer(h *heldAnswer) {
+	c.phase.Store(int32(phaseAnswer))
 	c.status, c.headWritten = h.status, true
 	c.firstByte = time.Since(c.start)
 	copyHeader(c.w.Header(), h.header)
@@ -106,6 +108,7 @@
 // writeLongAnswer relays an answer that is too long to be held; start is what was read
 // of its body.
 func (c *call) writeLongAnswer(t *pick.Chosen, a *dialer.Answer, start []byte) result {
+	c.phase.Store(int32(phaseAnswer))
 	c.status, c.headWritten = a.Status, true
 	c.firstByte = time.Since(c.start)
 	copyHeader(c.w.Header(), wire.ReturnedHeaders(a.Header))
@@ -251,6 +254,7 @@
 	if c.stagesTook > 0 {
 		c.h.afterStages.record(c.route.Name, c.firstByte-c.stagesTook)
 	}
+	c.phase.Store(int32(phaseAnswer))
 	c.headWritten, c.status = true, a.Status
 	copyHeader(c.w.Header(), wire.ReturnedHeaders(a.Header))
 	c.w.WriteHeader(a.Status)
@@ -268,6 +272,7 @@
 		return result{verdict: verdictMayHaveRun, reason: reason}
 	}
 	t.Done(pick.Failed)
+	c.recordBroken(t, true, reason)
 	if c.headWritten {
 		c.resumes++
 	}
