Refuse requests that a leaving host can't finish

Cause: until the end of the hold a leaving host took every request, with no look at the time that it had left itself. Not the cause: a lost announcement or a stale directory. The hosts were out of the directory within 20 ms, and callers may use the lists and connections that they have for some seconds.

Now the moments of a shutdown are one plan that follows from the grace period and the TTL of the directory. A request that arrives while the host leaves is taken if its deadline lies before the moment at which the host ends what is left, or, until the lists of callers have expired, if nearly all requests of its route took less time than that. The decision is made again before a request is sent to a target, with the times from the send to the end. What is refused is refused as not run and closes its connection; Retry-After is short if another host is live. After the hold every request is refused.

Two tests call Leave in place of DisableKeepAlives, which it replaces, and check what they did before.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -24,6 +24,7 @@
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/edge"
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/lines"
@@ -48,14 +49,6 @@
 	// memoryLimitRatio is the part of the host's memory above which the garbage collector
 	// works harder.
 	memoryLimitRatio = 0.6
-	// holdFactor is the number of directory TTLs for which callers may still use a host
-	// that is leaving.
-	holdFactor = 3
-	// directoryTTL is how long callers cache a response of the directory.
-	directoryTTL = 2 * time.Second
-	// maxHoldRatio limits the hold to a part of the grace period, after which the process
-	// is killed.
-	maxHoldRatio = 0.55
 	// stopMargin is the time between the end of the shutdown and the end of the grace
 	// period.
 	stopMargin = 500 * time.Millisecond
@@ -143,6 +136,9 @@
 // Rank returns the rank of this host for a key.
 func (refs *fleetRefs) Rank(key string) int { return refs.roster.Rank(key) }
 
+// hasPeers reports whether another host is live and isn't leaving.
+func (refs *fleetRefs) hasPeers() bool { return len(refs.roster.Alive()) > 0 }
+
 // offset returns the operator offset of the tables, or -1 before they are created.
 func (refs *fleetRefs) offset() int64 {
 	if refs.tables == nil {
@@ -305,7 +301,7 @@
 }
 
 func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, log logr.Logger) *edge.Handler {
-	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region}, t, runner, balancer, d, log.WithName("edge"))
+	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, log.WithName("edge"))
 	return refs.handler
 }
 
@@ -348,11 +344,11 @@
 		OnStart: func(context.Context) error { return fs.start(c.MetricsPort) },
 		OnStop: func(ctx context.Context) error {
 			log.Info("stopping", "active", handler.Active())
+			plan := drain.NewPlan(time.Now(), s.GracePeriod, min(edge.DirectoryTTL, s.MaxTTL))
 			r.AnnounceLeave()
-			handler.DisableKeepAlives()
-			hold := min(holdFactor*directoryTTL, time.Duration(maxHoldRatio*float64(s.GracePeriod)))
+			handler.Leave(plan)
 			select {
-			case <-time.After(hold):
+			case <-time.After(time.Until(plan.Closing)):
 			case <-ctx.Done():
 			}
 			err := shutdown(ctx, fs.callers)
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -65,6 +65,10 @@
 			return nil
 		}
 		now := time.Now()
+		if !c.mayBeSent(now) {
+			c.refuseLeaving()
+			return nil
+		}
 		view := c.h.tables.View()
 		query := pick.Query{
 			Targets: view.Targets[c.service.Name], Regions: c.regions, Tried: tried, Affinity: c.prefixID(),
@@ -169,6 +173,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	now := time.Now()
+	if c.firstSend.IsZero() {
+		c.firstSend = now
+	}
 	left := c.deadline.Sub(now)
 	header := wire.ForwardedHeaders(c.r.Header)
 	sent := wire.TargetHeaders{Target: t.ID, TimeLeft: left, Priority: min(c.priority, 9), LastEvent: c.req.LastEvent}
--- a/entry/internal/edge/directory.go
+++ b/entry/internal/edge/directory.go
@@ -16,9 +16,9 @@
 	// minNearHosts is how many hosts the caller's data centre needs for hosts elsewhere
 	// to be left out, so that a caller can fail over within the list.
 	minNearHosts = 2
-	// directoryTTL is how long callers cache a response. Some cache it three times as
+	// DirectoryTTL is how long callers cache a response. Some cache it three times as
 	// long; a stopping host keeps serving for that time.
-	directoryTTL = 2 * time.Second
+	DirectoryTTL = 2 * time.Second
 	// busyLoadFactor is the load, relative to the least loaded host, above which a host
 	// is not listed.
 	busyLoadFactor = 4
@@ -61,7 +61,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := wire.EncodeAddresses(addresses, min(directoryTTL, d.maxTTL))
+	body, err := wire.EncodeAddresses(addresses, min(DirectoryTTL, d.maxTTL))
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -19,6 +19,7 @@
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/roster"
@@ -468,9 +469,9 @@
 	}
 }
 
-func TestDisabledKeepAlivesCloseConnections(t *testing.T) {
+func TestLeavingHostClosesConnections(t *testing.T) {
 	h := startHost(t, fakeStages{}, ok)
-	h.handler.DisableKeepAlives()
+	h.handler.Leave(drain.NewPlan(time.Now(), 8*time.Second, DirectoryTTL))
 	if got := h.send(t, "/once/x", nil); !got.isClosed || got.status != http.StatusOK {
 		t.Errorf("got %+v, want 200 and close", got)
 	}
--- a/entry/internal/edge/estimate.go
+++ b/entry/internal/edge/estimate.go
@@ -8,8 +8,8 @@
 const (
 	// estimateWeight is the weight of a new measurement in the moving averages.
 	estimateWeight = 0.1
-	// estimateDeviations is the number of mean deviations added to the mean, so that about
-	// nine in ten requests need less than the estimate.
+	// estimateDeviations is the number of mean deviations added to the mean for a time that
+	// about nine in ten requests keep.
 	estimateDeviations = 1.5
 	// maxEstimatedRoutes bounds the routes with an estimate of their own.
 	maxEstimatedRoutes = 4096
@@ -20,34 +20,50 @@
 	mean, deviation time.Duration
 }
 
-// afterStages estimates, for each route, the time from the end of the stages to the first
-// byte of the answer.
-type afterStages struct {
+// routeTimes estimates, for each route, how long a part of a request takes.
+type routeTimes struct {
 	mu      sync.Mutex
 	byRoute map[string]*meanDeviation
 }
 
-// estimate returns the time that a request of the route needs after its stages.
-func (a *afterStages) estimate(route string) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	m := a.byRoute[route]
+// estimate returns a time that about nine in ten requests of the route keep, or
+// minAfterStages without a measurement.
+func (r *routeTimes) estimate(route string) time.Duration {
+	if t, ok := r.atDeviations(route, estimateDeviations); ok {
+		return t
+	}
+	return minAfterStages
+}
+
+// usual returns a time that nearly all requests of the route keep. It returns false if
+// there is no measurement.
+func (r *routeTimes) usual(route string) (time.Duration, bool) {
+	return r.atDeviations(route, usualDeviations)
+}
+
+func (r *routeTimes) atDeviations(route string, n float64) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.byRoute[route]
 	if m == nil {
-		return minAfterStages
+		return 0, false
 	}
-	return m.mean + time.Duration(estimateDeviations*float64(m.deviation))
+	return m.mean + time.Duration(n*float64(m.deviation)), true
 }
 
-// record adds a measurement of that time. Routes beyond maxEstimatedRoutes are ignored.
-func (a *afterStages) record(route string, took time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	m := a.byRoute[route]
+// record adds a measurement. Routes beyond maxEstimatedRoutes are ignored.
+func (r *routeTimes) record(route string, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.byRoute[route]
 	if m == nil {
-		if len(a.byRoute) >= maxEstimatedRoutes {
+		if len(r.byRoute) >= maxEstimatedRoutes {
 			return
 		}
-		a.byRoute[route] = &meanDeviation{mean: took, deviation: took / 4}
+		if r.byRoute == nil {
+			r.byRoute = map[string]*meanDeviation{}
+		}
+		r.byRoute[route] = &meanDeviation{mean: took, deviation: took / 4}
 		return
 	}
 	diff := took - m.mean
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -18,6 +18,7 @@
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/table"
@@ -87,40 +88,37 @@
 	Do(ctx context.Context, target, address string, limit int, req dialer.Request) (*dialer.Answer, error)
 }
 
-// Options holds the location of the host that runs a Handler.
+// Options describes the host that runs a Handler.
 type Options struct {
 	DataCentre string
 	Region     string
+	// HasPeers reports whether another host can take requests; nil means that none can.
+	HasPeers func() bool
 }
 
 // Handler is the HTTP handler for requests of callers.
 type Handler struct {
-	opts         Options
-	tables       Tables
-	stages       StageRunner
-	balancer     Balancer
-	dialer       Dialer
-	logger       logr.Logger
-	afterStages  afterStages
-	pending      pending
-	leavingSince atomic.Pointer[time.Time] // nil: the host isn't leaving
+	opts        Options
+	tables      Tables
+	stages      StageRunner
+	balancer    Balancer
+	dialer      Dialer
+	logger      logr.Logger
+	afterStages routeTimes // from the end of the stages to the first byte of the answer
+	totals      routeTimes // from the start to the end of complete answers
+	afterSend   routeTimes // from the first send to the end of complete answers
+	pending     pending
+	plan        atomic.Pointer[drain.Plan] // nil: the host isn't leaving
 }
 
 // New returns a Handler that sends requests to the targets in tables.
 func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, logger logr.Logger) *Handler {
-	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, logger: logger, afterStages: afterStages{byRoute: map[string]*meanDeviation{}}, pending: pending{calls: map[*call]struct{}{}}}
+	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
 }
 
 // Active returns the number of requests in progress.
 func (h *Handler) Active() int { return int(h.pending.count.Load()) }
 
-// DisableKeepAlives makes every further response close its connection, because the host
-// is leaving.
-func (h *Handler) DisableKeepAlives() {
-	now := time.Now()
-	h.leavingSince.CompareAndSwap(nil, &now)
-}
-
 // call holds the state of one request.
 type call struct {
 	h           *Handler
@@ -142,6 +140,8 @@
 	results     *graph.Results
 	headWritten bool // the response head is written
 	mayHaveRun  bool // a target may have run the request
+	isAnswered  bool // a target's answer was written completely
+	firstSend   time.Time
 
 	// The fields below are mostly for the log line and the counters.
 	status           int
@@ -158,6 +158,7 @@
 	resumes          int
 	retryAfter       time.Duration
 	resumesStream    bool // the caller resumes a stream that broke
+	isRefusedLeaving bool
 }
 
 // ServeHTTP handles one request: it validates it, runs its stages, sends it to a target
@@ -172,7 +173,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
-	if c.checkHead() && c.readBody() {
+	if c.checkHead() && c.readBody() && c.admit() {
 		c.run()
 	}
 }
--- a/entry/internal/edge/pending.go
+++ b/entry/internal/edge/pending.go
@@ -50,14 +50,6 @@
 	}
 }
 
-// leavingFor returns how long the host has been leaving, or 0 if it isn't.
-func (h *Handler) leavingFor(now time.Time) time.Duration {
-	if since := h.leavingSince.Load(); since != nil {
-		return now.Sub(*since)
-	}
-	return 0
-}
-
 // setPhase records how far the request has come, unless the response has begun.
 func (c *call) setPhase(p phase) {
 	if !c.headWritten {
--- a/entry/internal/edge/pending_test.go
+++ b/entry/internal/edge/pending_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr/funcr"
 
+	"chivepost/entry/internal/drain"
 	"chivepost/platform/wire"
 )
 
@@ -48,7 +49,7 @@
 	})
 	var log logLines
 	h.handler.logger = funcr.New(log.add, funcr.Options{})
-	h.handler.DisableKeepAlives()
+	h.handler.Leave(drain.NewPlan(time.Now(), 8*time.Second, DirectoryTTL))
 	time.Sleep(time.Millisecond)
 	answered := make(chan received)
 	go func() { answered <- h.send(t, "/once/x", nil) }()
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -48,6 +48,7 @@
 	if c.status == http.StatusServiceUnavailable {
 		refusalsByReason.Add(c.refusalReason(), 1)
 	}
+	c.recordTimes(time.Now())
 	if c.leavingFor > 0 {
 		takenLeaving.Add(1)
 	}
@@ -94,6 +95,8 @@
 // keys.
 func (c *call) refusalReason() string {
 	switch {
+	case c.isRefusedLeaving:
+		return "leaving"
 	case c.config == nil:
 		return "no_configuration"
 	case c.sends > 0:
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -80,6 +80,7 @@
 	}
 	t.Done(pick.Answered)
 	c.writeHeldAnswer(h)
+	c.isAnswered = c.reason == ""
 	return result{verdict: verdictDone}
 }
 
@@ -124,6 +125,7 @@
 		t.Done(pick.Failed)
 		c.abort("the answer ended early")
 	}
+	c.isAnswered = true
 	t.Done(pick.Answered)
 	return result{verdict: verdictDone}
 }
@@ -209,7 +211,7 @@
 		}
 		if errors.Is(err, io.EOF) && n+c.events > 0 {
 			t.Done(pick.Answered)
-			c.status = http.StatusOK
+			c.status, c.isAnswered = http.StatusOK, true
 			return result{verdict: verdictDone}
 		}
 		if err != nil {
