Close idle connections of a stopping host without cutting requests

http.Server.Shutdown closes a connection that it counts as idle.

drain.Server leaves the decision to the goroutine that reads. While the server is closing, the read deadline of idle and new connections lies in the past, so a read has either returned bytes, and the request is answered, or fails before it takes any, and the connection closes with nothing lost. A read that returns bytes restores the deadline that the server had set. Shutdown waits for the last connection instead of polling for it.

TestSmuggledRequests now runs behind the new connections and fails if ConnContext doesn't unwrap them.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"fmt"
 	"math/rand/v2"
@@ -307,9 +308,11 @@
 
 // fleetServers holds the HTTP servers of a host on the platform.
 type fleetServers struct {
-	callers, ready, peers, directory, metrics *http.Server
-	settings                                  boot.Settings
-	log                                       logr.Logger
+	callers  *drain.Server
+	settings boot.Settings
+	log      logr.Logger
+
+	ready, peers, directory, metrics *http.Server
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
@@ -328,7 +331,7 @@
 		return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	}
 	fs := &fleetServers{
-		callers: server(handler),
+		callers: drain.NewServer(server(handler)),
 		ready: server(router(wire.PathReady, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if !isReady() {
 				w.WriteHeader(http.StatusServiceUnavailable)
@@ -366,7 +369,7 @@
 
 // shutdown shuts a server down gracefully. It returns early enough before the deadline of
 // ctx that what is left can be logged.
-func shutdown(ctx context.Context, s *http.Server) error {
+func shutdown(ctx context.Context, s *drain.Server) error {
 	if deadline, ok := ctx.Deadline(); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-logMargin))
@@ -377,7 +380,7 @@
 
 func (fs *fleetServers) start(metricsPort int) error {
 	type endpoint struct {
-		server   *http.Server
+		server   interface{ Serve(l net.Listener) error }
 		address  string
 		required bool
 	}
@@ -403,7 +406,7 @@
 			l = edge.WrapListener(l)
 		}
 		go func() {
-			if err := e.server.Serve(l); err != nil && err != http.ErrServerClosed {
+			if err := e.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				fs.log.Error(err, "listener failed", "address", e.address)
 			}
 		}()
--- /dev/null
+++ b/entry/internal/drain/server.go
@@ -0,0 +1,198 @@
+package drain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Server is an HTTP server that answers each request that it has read, also when it shuts
+// down.
+//
+// http.Server.Shutdown closes a connection as idle although the next request was just read
+// from it: the state of the connection changes only afterwards. The request is then handled
+// with nothing to answer on. Server lets the reads of idle connections fail instead, so that
+// a read either returns bytes, which are then answered, or ends the connection.
+type Server struct {
+	*http.Server
+	isClosing atomic.Bool
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
+	empty     chan struct{} // closed when a closing server has no connection left
+}
+
+// NewServer returns a server that sets the ConnState of s, which must be nil.
+func NewServer(s *http.Server) *Server {
+	out := &Server{Server: s, conns: map[*conn]struct{}{}, empty: make(chan struct{})}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		tracked, ok := c.(*conn)
+		if !ok {
+			return
+		}
+		switch state {
+		case http.StateIdle:
+			tracked.setIdle()
+		case http.StateHijacked:
+			out.remove(tracked)
+		}
+	}
+	return out
+}
+
+// Serve accepts connections from l. It returns http.ErrServerClosed after Shutdown or
+// Close.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	err := s.Server.Serve(&listener{Listener: l, server: s})
+	if s.isClosing.Load() {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// Shutdown closes the listeners and the idle connections, and waits until the others are
+// closed too. If ctx ends first, it closes them and returns the error of ctx.
+func (s *Server) Shutdown(ctx context.Context) error {
+	for _, c := range s.close() {
+		c.update()
+	}
+	select {
+	case <-s.empty:
+		return s.Server.Shutdown(ctx)
+	case <-ctx.Done():
+		_ = s.Close() // the error of ctx says more
+		return ctx.Err()
+	}
+}
+
+// close closes the listeners and returns the open connections.
+func (s *Server) close() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isFirst := s.isClosing.CompareAndSwap(false, true)
+	for _, l := range s.listeners {
+		_ = l.Close() // it may be closed already
+	}
+	s.listeners = nil
+	if isFirst && len(s.conns) == 0 {
+		close(s.empty)
+	}
+	open := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	return open
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.update()
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.conns[c]; !ok {
+		return
+	}
+	delete(s.conns, c)
+	if s.isClosing.Load() && len(s.conns) == 0 {
+		select {
+		case <-s.empty: // a connection was accepted while the listener closed
+		default:
+			close(s.empty)
+		}
+	}
+}
+
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	inner, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: inner, server: l.server}
+	c.isIdle.Store(true)
+	l.server.add(c)
+	return c, nil
+}
+
+// conn is a connection whose reads fail while it is idle and its server is closing.
+type conn struct {
+	net.Conn
+	server *Server
+	isIdle atomic.Bool // no byte was read since the last response
+
+	mu           sync.Mutex
+	readDeadline time.Time // as set by the server
+	isExpired    bool      // the deadline in force is in the past, in place of readDeadline
+}
+
+// NetConn returns the connection as it was accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.isIdle.Load() {
+		c.isIdle.Store(false)
+		c.update()
+	}
+	return n, err
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.isExpired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+func (c *conn) Close() error {
+	c.server.remove(c)
+	return c.Conn.Close()
+}
+
+func (c *conn) setIdle() {
+	c.isIdle.Store(true)
+	c.update()
+}
+
+// update puts the read deadline into the past if the connection is idle and its server is
+// closing, and restores it otherwise.
+func (c *conn) update() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	expire := c.isIdle.Load() && c.server.isClosing.Load()
+	if expire == c.isExpired {
+		return
+	}
+	c.isExpired = expire
+	deadline := c.readDeadline
+	if expire {
+		deadline = time.Unix(1, 0)
+	}
+	_ = c.Conn.SetReadDeadline(deadline) // it fails only on a closed connection
+}
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -6,9 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"reflect"
 	"strings"
 	"sync/atomic"
@@ -32,6 +32,7 @@
 type testHost struct {
 	view    table.View
 	handler *Handler
+	server  *drain.Server
 	url     string
 	runs    atomic.Int32
 }
@@ -115,12 +116,14 @@
 	pool := dialer.New()
 	t.Cleanup(pool.Close)
 	h.handler = New(Options{DataCentre: "dc", Region: "r"}, h, stages, balancer, pool, logr.Discard())
-	server := httptest.NewUnstartedServer(h.handler)
-	server.Listener = WrapListener(server.Listener)
-	server.Config.ConnContext = ConnContext
-	server.Start()
-	t.Cleanup(server.Close)
-	h.url = server.URL
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.server = drain.NewServer(&http.Server{Handler: h.handler, ConnContext: ConnContext, ReadHeaderTimeout: time.Minute, ErrorLog: log.New(io.Discard, "", 0)})
+	go func() { _ = h.server.Serve(WrapListener(l)) }()
+	t.Cleanup(func() { _ = h.server.Close() })
+	h.url = "http://" + l.Addr().String()
 	return h
 }
 
--- a/entry/internal/edge/framing.go
+++ b/entry/internal/edge/framing.go
@@ -63,6 +63,9 @@
 // ConnContext gives requests access to their connection. It is the http.Server.ConnContext
 // of a server that uses WrapListener.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if outer, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = outer.NetConn()
+	}
 	return context.WithValue(ctx, connKey{}, c)
 }
 
