End the requests of a stopping host before its process ends

Callers saw their connection close without an answer when the process ended with the request in its stages or at a target: the time limit of the stop ended the process, and nothing answered what was left. That also hit requests taken before SIGTERM. The process ended with an error and without a line for what it gave up.

Now the handler ends them itself, some hundred ms before the process ends and within the last sixth of the grace period: a request that no target has run is refused as not run, one that may have run gets 502, and a stream breaks off so that it doesn't look complete. A body that doesn't arrive is no longer waited for, and writes to callers that don't read fail. The process then logs `stopped` and ends without an error; the stop's time limit is the grace period, so it no longer ends the process before its plan does.

TestHostsThatStopInSeriesLoseNoRequest stops three hosts one after the other while 24 callers go on over kept connections. It fails without the end of what is left (context deadline exceeded, streams cut) and without admission (streams cut that came after the hosts had left the lists). With each part switched off, one of the tests of this commit fails: reason, body, writes.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -44,17 +44,14 @@
 	LogLevel    string `default:"info" enum:"debug,info,error" help:"Least level of log lines: ${enum}."`
 	MetricsPort int    `default:"9464" help:"Port of the metrics on the host's own address; 0 for none."`
 	PeerKey     string `default:"fleet" help:"Secret that the hosts of a deployment share."`
+
+	stopAt time.Time // when the process was told to stop
 }
 
 const (
 	// memoryLimitRatio is the part of the host's memory above which the garbage collector
 	// works harder.
 	memoryLimitRatio = 0.6
-	// stopMargin is the time between the end of the shutdown and the end of the grace
-	// period.
-	stopMargin = 500 * time.Millisecond
-	// logMargin is the time left at the end of the shutdown to log what was not finished.
-	logMargin = 100 * time.Millisecond
 	// Of the log lines with the same level and message in one second, the first
 	// logSampleInitial are written, then one in logSampleThereafter.
 	logSampleInitial    = 400
@@ -107,7 +104,9 @@
 		_, err := boot.Load()
 		log.Info("settings read again", "err", fmt.Sprint(err))
 	}
-	stop, cancelStop := context.WithTimeout(context.Background(), settings.GracePeriod-stopMargin)
+	c.stopAt = time.Now()
+	// The shutdown ends by its plan, before the process is killed.
+	stop, cancelStop := context.WithDeadline(context.Background(), c.stopAt.Add(settings.GracePeriod))
 	defer cancelStop()
 	return app.Stop(stop)
 }
@@ -345,17 +344,10 @@
 	fs.callers.ConnContext = edge.ConnContext
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return fs.start(c.MetricsPort) },
-		OnStop: func(ctx context.Context) error {
+		OnStop: func(context.Context) error {
 			log.Info("stopping", "active", handler.Active())
-			plan := drain.NewPlan(time.Now(), s.GracePeriod, min(edge.DirectoryTTL, s.MaxTTL))
 			r.AnnounceLeave()
-			handler.Leave(plan)
-			select {
-			case <-time.After(time.Until(plan.Closing)):
-			case <-ctx.Done():
-			}
-			err := shutdown(ctx, fs.callers)
-			handler.LogPending()
+			err := handler.Shutdown(drain.NewPlan(c.stopAt, s.GracePeriod, min(edge.DirectoryTTL, s.MaxTTL)), fs.callers)
 			log.Info("stopped", "active", handler.Active(), "err", fmt.Sprint(err))
 			r.Close()
 			t.Close()
@@ -367,17 +359,6 @@
 	return fs
 }
 
-// shutdown shuts a server down gracefully. It returns early enough before the deadline of
-// ctx that what is left can be logged.
-func shutdown(ctx context.Context, s *drain.Server) error {
-	if deadline, ok := ctx.Deadline(); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-logMargin))
-		defer cancel()
-	}
-	return s.Shutdown(ctx)
-}
-
 func (fs *fleetServers) start(metricsPort int) error {
 	type endpoint struct {
 		server   interface{ Serve(l net.Listener) error }
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -57,6 +57,10 @@
 		if c.isCallerGone() {
 			return nil
 		}
+		if c.isAborted() {
+			c.giveUp(failure, leavingReason)
+			return nil
+		}
 		if ctx.Err() != nil {
 			if c.headWritten {
 				c.abort("deadline exceeded within the stream")
@@ -137,6 +141,10 @@
 
 // giveUp ends a request for which no further target is tried.
 func (c *call) giveUp(failure *heldAnswer, reason string) {
+	isAborted := c.isAborted()
+	if isAborted {
+		reason = leavingReason
+	}
 	switch {
 	case c.isCallerGone():
 	case c.headWritten:
@@ -145,6 +153,8 @@
 		c.writeHeldAnswer(failure)
 	case c.mayHaveRun:
 		c.fail(http.StatusBadGateway, reason)
+	case isAborted:
+		c.refuseLeaving()
 	default:
 		c.refuse(reason, 0)
 	}
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -109,6 +109,7 @@
 	afterSend   routeTimes // from the first send to the end of complete answers
 	pending     pending
 	plan        atomic.Pointer[drain.Plan] // nil: the host isn't leaving
+	isAborting  atomic.Bool
 }
 
 // New returns a Handler that sends requests to the targets in tables.
@@ -124,6 +125,9 @@
 	h           *Handler
 	w           http.ResponseWriter
 	r           *http.Request
+	ctx         context.Context // ends with the request or when the host ends the request
+	cancel      context.CancelCauseFunc
+	bodyRead    bodyRead
 	req         wire.Request
 	route       *fleet.Route
 	account     *fleet.Account
@@ -166,7 +170,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	c := &call{h: h, w: w, r: r, start: now, id: wire.AnswerID(r.Header), leavingFor: h.leavingFor(now)}
+	c.ctx, c.cancel = context.WithCancelCause(r.Context())
+	defer c.cancel(nil)
 	defer h.pending.add(c)()
+	if h.isAborting.Load() {
+		c.end(time.Time{})
+	}
 	if c.leavingFor > 0 || len(r.TransferEncoding) > 0 {
 		// Other servers may take bytes after a chunked body for a part of the body, so the
 		// connection carries no further request.
@@ -298,8 +307,7 @@
 		c.w.Header().Set("Connection", "close")
 		return c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 	}
-	rc := http.NewResponseController(c.w)
-	_ = rc.SetReadDeadline(c.deadline) // not every connection supports deadlines
+	c.beginRead()
 	var err error
 	if n := c.r.ContentLength; n > 0 {
 		c.body = make([]byte, n)
@@ -316,7 +324,10 @@
 			return c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
 		}
 	}
-	_ = rc.SetReadDeadline(time.Time{})
+	c.endRead()
+	if err != nil && c.isAborted() {
+		return c.refuseLeaving()
+	}
 	if err != nil {
 		c.w.Header().Set("Connection", "close")
 		return c.reject(http.StatusBadRequest, "the body is incomplete")
@@ -327,7 +338,7 @@
 // run runs the stages and sends the request to a target. If stage results get lost, both
 // run again, at most maxStageRuns times in all.
 func (c *call) run() {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	for try := 1; ; try++ {
 		c.setPhase(phaseStages)
@@ -386,6 +397,10 @@
 	if c.isCallerGone() {
 		return
 	}
+	if c.isAborted() {
+		c.refuseLeaving()
+		return
+	}
 	var failed *graph.Error
 	if !errors.As(err, &failed) {
 		c.fail(http.StatusGatewayTimeout, "deadline exceeded in the stages")
--- a/entry/internal/edge/leave.go
+++ b/entry/internal/edge/leave.go
@@ -1,7 +1,11 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
+	"net/http"
+	"sync"
 	"time"
 
 	"chivepost/entry/internal/drain"
@@ -17,6 +21,10 @@
 	usualDeviations = 4
 )
 
+const leavingReason = "the host is leaving"
+
+var errLeaving = errors.New(leavingReason)
+
 // Leave makes the handler refuse the requests that it can't finish under the plan of the
 // host's shutdown. Every further response closes its connection.
 func (h *Handler) Leave(plan drain.Plan) { h.plan.CompareAndSwap(nil, &plan) }
@@ -76,5 +84,63 @@
 	if c.h.opts.HasPeers != nil && c.h.opts.HasPeers() {
 		after = minLeavingRetryAfter + time.Duration(rand.Int64N(int64(leavingRetryAfterSpread)))
 	}
-	return c.refuse("the host is leaving", after)
+	return c.refuse(leavingReason, after)
+}
+
+// Abort ends all requests in progress, because the process is about to end: those that have
+// not run are refused, those that may have run fail, and streams break off. Callers that
+// read slowly get what they have read by writeBy.
+func (h *Handler) Abort(writeBy time.Time) {
+	h.isAborting.Store(true)
+	h.pending.mu.Lock()
+	defer h.pending.mu.Unlock()
+	for c := range h.pending.calls {
+		c.end(writeBy)
+	}
+}
+
+// end makes the handler of the request end it. A zero writeBy sets no limit.
+func (c *call) end(writeBy time.Time) {
+	c.cancel(errLeaving)
+	if !writeBy.IsZero() {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(writeBy) // not every connection supports deadlines
+	}
+	c.bodyRead.mu.Lock()
+	defer c.bodyRead.mu.Unlock()
+	if c.bodyRead.inProgress {
+		c.setReadDeadline(c.start)
+	}
+}
+
+// isAborted reports whether the host has ended the request.
+func (c *call) isAborted() bool { return errors.Is(context.Cause(c.ctx), errLeaving) }
+
+// bodyRead tells whether the body is being read. At other times the server reads from the
+// connection to detect that the caller disconnects, and must not be interrupted.
+type bodyRead struct {
+	mu         sync.Mutex
+	inProgress bool
+}
+
+// beginRead lets reads of the body fail at the deadline or when the host ends the request.
+func (c *call) beginRead() {
+	c.bodyRead.mu.Lock()
+	defer c.bodyRead.mu.Unlock()
+	c.bodyRead.inProgress = true
+	if c.isAborted() {
+		c.setReadDeadline(c.start)
+		return
+	}
+	c.setReadDeadline(c.deadline)
+}
+
+func (c *call) endRead() {
+	c.bodyRead.mu.Lock()
+	defer c.bodyRead.mu.Unlock()
+	c.bodyRead.inProgress = false
+	c.setReadDeadline(time.Time{})
+}
+
+func (c *call) setReadDeadline(t time.Time) {
+	_ = http.NewResponseController(c.w).SetReadDeadline(t) // not every connection supports deadlines
 }
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -269,6 +269,9 @@
 	if c.isCallerGone() || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTargetSilent) {
 		t.Done(pick.Cancelled)
 		if c.headWritten && !c.isCallerGone() {
+			if c.isAborted() {
+				c.abort(leavingReason)
+			}
 			c.abort("deadline exceeded within the stream")
 		}
 		return result{verdict: verdictMayHaveRun, reason: reason}
