Don't let SIGHUP end a host or displace its SIGTERM

Two ways in which a signal that is part of planned work cut all requests of a host without a shutdown:

- `fleet` received all signals through one channel of eight.
While one SIGHUP was being handled, eight more filled it, and a SIGTERM after them was dropped; the process was killed at the end of the grace period.
Now stops and reloads have a channel each.

The grace period also counted from the moment at which the process got to the signal, not from the signal: a host told to stop while it started planned to end later than it was killed. The time is now that of the first signal.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -9,10 +9,8 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -71,8 +69,8 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Register first, so that a signal during the start also leads to a graceful shutdown.
+	signals := notifySignals()
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryBytes)))
 	out := lines.New(os.Stdout)
 	defer out.Close()
@@ -97,14 +95,10 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
-		}
+	c.stopAt = signals.awaitStop(func() {
 		_, err := boot.Load()
 		log.Info("settings read again", "err", fmt.Sprint(err))
-	}
-	c.stopAt = time.Now()
+	})
 	// The shutdown ends by its plan, before the process is killed.
 	stop, cancelStop := context.WithDeadline(context.Background(), c.stopAt.Add(settings.GracePeriod))
 	defer cancelStop()
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -32,19 +30,20 @@
 }
 
 // Run serves until SIGTERM or SIGINT and then shuts the host down gracefully. It ignores
-// further signals, so that the shutdown interrupts no request.
+// further signals, so that the shutdown interrupts no request. On SIGHUP it reads the
+// settings again, only to log whether they are valid.
 func (c *serveCmd) Run() error {
 	settings, _, err := conf.Load(c.File)
 	if err != nil {
 		return err
 	}
 	// Register first, so that a signal during the start also leads to a graceful shutdown.
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signals := notifySignals()
+	var log logr.Logger
 	app := fx.New(
 		fx.Supply(settings),
 		fx.Provide(newLogger, newIncarnation, newRecorder, newTransport, newTargets, newNode, newServers),
-		fx.Invoke(func(*servers) {}),
+		fx.Invoke(func(*servers) {}), fx.Populate(&log),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
 	)
@@ -56,7 +55,10 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	<-signals
+	signals.awaitStop(func() {
+		_, _, err := conf.Load(c.File)
+		log.Info("settings read again", "err", fmt.Sprint(err))
+	})
 	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancelStop()
 	return app.Stop(stop)
