Stop the other servers of a host without cutting requests

The race of http.Server.Shutdown also acted at the product's own interface: `serve` closed the connections of callers and operators as idle although a request had begun to arrive. On the platform the directory and the readiness checks weren't stopped at all; the end of the process cut what they were answering.

All of them now use drain.Server. The listener for peers stays as it was: its connections are hijacked, and what peers had asked of a host that is gone they ask of the next home, with their progress.

The new specs send three bytes of a request on a kept connection, stop the servers and send the rest. With http.Server.Shutdown they get EOF, for callers and for operators.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -58,6 +58,9 @@
 	maxHeaderBytes = 64 << 10
 	// headerTimeout limits how long a client may take to send the headers of a request.
 	headerTimeout = 10 * time.Second
+	// lookupTimeout limits the end of requests to the directory and of readiness probes when
+	// the host stops.
+	lookupTimeout = 100 * time.Millisecond
 	// idleTimeout is how long idle connections stay open.
 	idleTimeout = 90 * time.Second
 )
@@ -301,11 +304,10 @@
 
 // fleetServers holds the HTTP servers of a host on the platform.
 type fleetServers struct {
-	callers  *drain.Server
-	settings boot.Settings
-	log      logr.Logger
-
-	ready, peers, directory, metrics *http.Server
+	callers, ready, directory *drain.Server
+	peers, metrics            *http.Server
+	settings                  boot.Settings
+	log                       logr.Logger
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
@@ -325,23 +327,26 @@
 	}
 	fs := &fleetServers{
 		callers: drain.NewServer(server(handler)),
-		ready: server(router(wire.PathReady, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ready: drain.NewServer(server(router(wire.PathReady, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if !isReady() {
 				w.WriteHeader(http.StatusServiceUnavailable)
 			}
-		}))),
+		})))),
 		peers:     server(bus),
-		directory: server(router(wire.PathResolve, edge.NewDirectory(r, t, handler.Active, isReady, s.MaxTTL))),
+		directory: drain.NewServer(server(router(wire.PathResolve, edge.NewDirectory(r, t, handler.Active, isReady, s.MaxTTL)))),
 		metrics:   server(router("/debug/vars", expvar.Handler())),
 		settings:  s, log: log,
 	}
 	fs.callers.ConnContext = edge.ConnContext
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return fs.start(c.MetricsPort) },
-		OnStop: func(context.Context) error {
+		OnStop: func(ctx context.Context) error {
 			log.Info("stopping", "active", handler.Active())
 			r.AnnounceLeave()
 			err := handler.Shutdown(drain.NewPlan(c.stopAt, s.GracePeriod, min(edge.DirectoryTTL, s.MaxTTL)), fs.callers)
+			lookupCtx, cancel := context.WithTimeout(ctx, lookupTimeout)
+			defer cancel()
+			err = errors.Join(err, fs.directory.Shutdown(lookupCtx), fs.ready.Shutdown(lookupCtx))
 			log.Info("stopped", "active", handler.Active(), "err", fmt.Sprint(err))
 			r.Close()
 			t.Close()
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"chivepost/entry/internal/conf"
+	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/front"
 	"chivepost/entry/internal/node"
 	"chivepost/entry/internal/peers"
@@ -121,7 +122,8 @@
 
 // servers holds the HTTP servers of an entry host.
 type servers struct {
-	callers, peers, operators *http.Server
+	callers, operators *drain.Server
+	peers              *http.Server
 }
 
 func newServers(s conf.Settings, n *node.Node, bus *peers.Transport, log logr.Logger,
@@ -132,9 +134,9 @@
 	}, n.Config(), n, n.Drain(), n.Burn(), n.Run)
 	operator := front.NewOperatorHandler(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	srv := &servers{
-		callers:   newServer(s, caller.Router()),
+		callers:   drain.NewServer(newServer(s, caller.Router())),
 		peers:     newServer(s, bus),
-		operators: newServer(s, operator.Router()),
+		operators: drain.NewServer(newServer(s, operator.Router())),
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return srv.start(s, log) },
@@ -164,7 +166,7 @@
 // before a caller connects.
 func (srv *servers) start(s conf.Settings, log logr.Logger) error {
 	type endpoint struct {
-		server  *http.Server
+		server  interface{ Serve(l net.Listener) error }
 		address string
 		limit   int
 	}
--- a/entry/cmd/serve_test.go
+++ b/entry/cmd/serve_test.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +13,7 @@
 	"time"
 
 	"chivepost/entry/internal/conf"
+	"chivepost/entry/internal/drain"
 
 	"github.com/go-logr/logr"
 	. "github.com/onsi/ginkgo/v2"
@@ -42,10 +45,10 @@
 
 func startServers(s conf.Settings) *servers {
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	srv := &servers{callers: newServer(s, ok), peers: newServer(s, ok), operators: newServer(s, ok)}
+	srv := &servers{callers: drain.NewServer(newServer(s, ok)), peers: newServer(s, ok), operators: drain.NewServer(newServer(s, ok))}
 	Expect(srv.start(s, logr.Discard())).To(Succeed())
 	DeferCleanup(func() {
-		for _, server := range []*http.Server{srv.callers, srv.peers, srv.operators} {
+		for _, server := range []*http.Server{srv.callers.Server, srv.peers, srv.operators.Server} {
 			_ = server.Close()
 		}
 	})
@@ -115,3 +118,40 @@
 		Eventually(get).WithTimeout(5 * time.Second).Should(Succeed())
 	})
 })
+
+// Incident "lost in restarts": a connection on which a request had begun to arrive was closed
+// as idle when the host stopped.
+var _ = DescribeTable("a host that stops answers a request that it has begun to read", func(address func(conf.Settings) string) {
+	s := testSettings()
+	srv := startServers(s)
+	conn, err := net.Dial("tcp", address(s))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	reader := bufio.NewReader(conn)
+	send := func(parts ...string) {
+		for _, p := range parts {
+			_, err := conn.Write([]byte(p))
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	receive := func() {
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	}
+	send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive()
+	send("GET")
+	time.Sleep(50 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- srv.stop(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	send(" / HTTP/1.1\r\nHost: h\r\n\r\n")
+	receive()
+	Eventually(stopped).WithTimeout(5 * time.Second).Should(Receive(BeNil()))
+},
+	Entry("from a caller", func(s conf.Settings) string { return s.Host.Address }),
+	Entry("from an operator", func(s conf.Settings) string { return s.Host.OperatorAddress }),
+)
