Waste less stage work on a leaving host

At arrival a refusal costs nothing where another host is live, so the time that a request is given has four mean deviations above the mean. Before the send it costs the work of the stages, so the time there is now the one that nine in ten requests keep. What takes longer is ended in order.

--- a/entry/internal/edge/estimate.go
+++ b/entry/internal/edge/estimate.go
@@ -35,12 +35,8 @@
 	return minAfterStages
 }
 
-// usual returns a time that nearly all requests of the route keep. It returns false if
+// atDeviations returns the mean of a route plus n mean deviations. It returns false if
 // there is no measurement.
-func (r *routeTimes) usual(route string) (time.Duration, bool) {
-	return r.atDeviations(route, usualDeviations)
-}
-
 func (r *routeTimes) atDeviations(route string, n float64) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/entry/internal/edge/leave.go
+++ b/entry/internal/edge/leave.go
@@ -16,9 +16,9 @@
 	// another host can take at once.
 	minLeavingRetryAfter    = 50 * time.Millisecond
 	leavingRetryAfterSpread = 150 * time.Millisecond
-	// usualDeviations is the number of mean deviations added to the mean for a time that
-	// nearly all requests keep.
-	usualDeviations = 4
+	// arrivalDeviations is the number of mean deviations added to the mean, so that nearly all
+	// requests that a leaving host takes end in time.
+	arrivalDeviations = 4
 )
 
 const leavingReason = "the host is leaving"
@@ -46,26 +46,27 @@
 	}
 	now := time.Now()
 	if now.Before(plan.Closing) {
-		if !c.deadline.After(plan.Abort) || now.Before(plan.Unlisted) && c.usuallyEndsBefore(plan.Abort, &c.h.totals, now) {
+		if !c.deadline.After(plan.Abort) || now.Before(plan.Unlisted) && c.likelyEndsBefore(plan.Abort, &c.h.totals, arrivalDeviations, now) {
 			return true
 		}
 	}
 	return c.refuseLeaving()
 }
 
-// mayBeSent reports whether the host can finish a request that is now sent to a target. A
+// mayBeSent reports whether the host can finish a request that is now sent to a target. The
+// time is less generous than that of admit, since a refusal wastes the work of the stages. A
 // request that has begun to run is sent on in any case, since it can't be refused.
 func (c *call) mayBeSent(now time.Time) bool {
 	plan := c.h.plan.Load()
 	return plan == nil || c.headWritten || c.mayHaveRun || !c.deadline.After(plan.Abort) ||
-		c.usuallyEndsBefore(plan.Abort, &c.h.afterSend, now)
+		c.likelyEndsBefore(plan.Abort, &c.h.afterSend, estimateDeviations, now)
 }
 
-// usuallyEndsBefore reports whether nearly all requests of the route that are at the same
-// point would end before a moment. It returns false if there is no measurement.
-func (c *call) usuallyEndsBefore(moment time.Time, times *routeTimes, now time.Time) bool {
-	usual, ok := times.usual(c.route.Name)
-	return ok && !now.Add(usual).After(moment)
+// likelyEndsBefore reports whether most requests of the route that are at the same point
+// would end before a moment. It returns false if there is no measurement.
+func (c *call) likelyEndsBefore(moment time.Time, times *routeTimes, deviations float64, now time.Time) bool {
+	took, ok := times.atDeviations(c.route.Name, deviations)
+	return ok && !now.Add(took).After(moment)
 }
 
 // recordTimes adds the times of a request that was answered completely by a target.
