Bound the head of a target's answer

Callers of a target that sent bytes without end where the head of its answer was due waited for the whole deadline and longer, and the host could run out of memory on a single request.

Cause: the dialer parses heads with http.ReadResponse on the raw connection, which bounds neither a line nor the number of headers, and skipped interim answers without counting them. (The limits of net/http belong to its Transport, which the dialer doesn't use.) Ruled out: chunk lines and trailers; net/http bounds both by the read buffer.

Change: everything before the body of an answer, interim answers and answers to other requests included, is at most 64 KiB (maxHeadBytes). Beyond it the request failed at the target: the connection is closed, the target counted as failed, and a request that may be repeated goes to another one.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -22,11 +22,17 @@
 	// asyncBodySize is the size in bytes from which on a body is written while the answer is
 	// read, because a target may answer before it has read a long body.
 	asyncBodySize = 16 << 10
+	// maxHeadBytes bounds what is read before the body of an answer: its head, interim
+	// answers and answers to other requests.
+	maxHeadBytes = 64 << 10
 )
 
+var errHeadTooLong = fmt.Errorf("the head of the answer is longer than %d bytes", maxHeadBytes)
+
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net       net.Conn
+	head      headLimit
 	reader    *bufio.Reader
 	idleSince time.Time     // when it was released
 	idleLimit time.Duration // how long it may be idle; negative: it must not be reused
@@ -34,6 +40,25 @@
 	closed    atomic.Bool
 }
 
+// headLimit reads from a connection, up to a limit while the head of an answer is due.
+type headLimit struct {
+	source  io.Reader
+	limited bool
+	left    int // while limited
+}
+
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // dial opens a connection. The kernel detects an unresponsive peer: it closes the
 // connection if sent bytes aren't acknowledged within userTimeout, and probes it when idle.
 func dial(ctx context.Context, address string) (*conn, error) {
@@ -49,11 +74,13 @@
 			return err
 		},
 	}
-	c, err := d.DialContext(ctx, "tcp", address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{net: c, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	c := &conn{net: raw, head: headLimit{source: raw}}
+	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
+	return c, nil
 }
 
 // isClean reports whether an idle connection is open and has nothing to read. Bytes that
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -281,9 +281,13 @@
 			}
 		}()
 	}
+	c.head.limited, c.head.left = true, maxHeadBytes
 	for range maxStrayAnswers + 1 {
 		resp, err := readHead(c, req.Method) //nolint:bodyclose // the connection is released or closed as a whole
 		if err != nil {
+			if c.head.left == 0 {
+				err = errHeadTooLong // the parser reports what is left of a line as malformed
+			}
 			return nil, &SendError{Sent: true, Stale: used && isConnectionEnd(err), Err: err}
 		}
 		if id := ""; req.ID != "" {
@@ -298,6 +302,7 @@
 				continue
 			}
 		}
+		c.head.limited = false
 		a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 		a.reusable = !resp.Close && c.idleLimit >= 0
 		a.idleLimit = defaultIdleLimit
--- /dev/null
+++ b/entry/internal/edge/endless_test.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"chivepost/platform/wire"
+)
+
+// socketSlack is room for what the kernel buffers between a target and the host.
+const socketSlack = 1 << 20
+
+// endless returns a script that answers with start and then repeats unit until the
+// connection closes, and a count of the bytes of these. ID in start is the request's.
+func endless(start, unit string) (targetScript, *atomic.Int64) {
+	written := &atomic.Int64{}
+	block := []byte(strings.Repeat(unit, 1+(4<<10)/len(unit)))
+	return func(w net.Conn, r *http.Request) {
+		_ = w.(*net.TCPConn).SetWriteBuffer(32 << 10)
+		_, err := io.WriteString(w, strings.ReplaceAll(start, "ID", r.Header.Get(wire.HeaderID)))
+		for err == nil {
+			var n int
+			n, err = w.Write(block)
+			written.Add(int64(n))
+		}
+	}, written
+}
+
+// answerHead is the start of an answer, up to the headers of its body.
+func answerHead(status int) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s: ID\r\n%s: sig\r\n", status, wire.HeaderID, wire.HeaderReceipt)
+}
+
+// A target in trouble may send bytes without end. Its connection is closed early, it is
+// ejected, and a repeatable request is answered by another target.
+func TestEndlessAnswers(t *testing.T) {
+	tests := []struct {
+		name, path, start, unit string
+		status                  int // without another target
+		limit                   int64
+	}{
+		{"head, repeatable", "/safe/x", "", "x", 502, 64 << 10},
+		{"head, once", "/once/x", "", "x", 502, 64 << 10},
+		{"head, stream", "/stream/x", answerHead(200), "A: b\r\n", 502, 64 << 10},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			script, written := endless(test.start, test.unit)
+			// The route allows two attempts, and the second one fails as well.
+			h := startHost(t, fakeStages{}, script, script)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			start := time.Now()
+			got := h.send(t, test.path, nil)
+			took := time.Since(start)
+			runtime.ReadMemStats(&after)
+			if got.err != nil || got.status != test.status {
+				t.Errorf("got %+v, want status %d", got, test.status)
+			}
+			if limit := 700 * time.Millisecond; took > limit {
+				t.Errorf("answered after %v, want at most %v of the 900ms that the caller waits", took, limit)
+			}
+			runs := int64(h.runs.Load())
+			if limit := runs * (test.limit + socketSlack); written.Load() > limit {
+				t.Errorf("the targets could send %d bytes, want at most %d", written.Load(), limit)
+			}
+			if limit := uint64(runs*8*test.limit + 2<<20); after.TotalAlloc-before.TotalAlloc > limit {
+				t.Errorf("allocated %d bytes, want at most %d", after.TotalAlloc-before.TotalAlloc, limit)
+			}
+		})
+	}
+}
+
+// A target that sends bytes without end is ejected after failing twice, and repeatable
+// requests are answered by the other target in time.
+func TestEndlessTargetIsEjected(t *testing.T) {
+	bad, _ := endless("", "x")
+	var badRuns atomic.Int32
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		badRuns.Add(1)
+		bad(w, r)
+	}, ok)
+	for range 30 {
+		start := time.Now()
+		got := h.send(t, "/safe/x", nil)
+		if got.err != nil || got.status != http.StatusOK || got.body != "whole" {
+			t.Errorf("got %+v, want 200", got)
+		}
+		if took := time.Since(start); took > 200*time.Millisecond {
+			t.Errorf("answered after %v, want the route's objective of 200ms", took)
+		}
+	}
+	if n := badRuns.Load(); n == 0 || n > 2 {
+		t.Errorf("%d requests reached the target in trouble, want 1 or 2", n)
+	}
+}
