Don't wait for the body of a refusal

Callers whose request a target had refused got 504 at their deadline, or nothing but a late repeat, if the body of the refusal kept coming slowly: the true answer, another target or 503, was known from the head on.

Cause: the edge read up to 1 MiB of the body for as long as the caller's deadline allowed, only so that the connection could be reused. Ruled out: the verdict doesn't depend on the body, as the header states it.

Change: Answer.Discard reads at most 64 KiB for at most 50 ms. After that the connection is closed.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -25,6 +25,10 @@
 	// maxHeadBytes bounds what is read before the body of an answer: its head, interim
 	// answers and answers to other requests.
 	maxHeadBytes = 64 << 10
+	// maxDiscardBytes and discardTimeout bound the rest of a body that is read only so that
+	// the connection can be reused: more costs more than another connection.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 50 * time.Millisecond
 )
 
 var errHeadTooLong = fmt.Errorf("the head of the answer is longer than %d bytes", maxHeadBytes)
@@ -146,6 +150,14 @@
 	return n, err
 }
 
+// Discard reads the rest of the body, if it is short and arrives soon, so that the connection
+// can be reused.
+func (a *Answer) Discard() {
+	_ = a.conn.net.SetReadDeadline(time.Now().Add(discardTimeout)) // fails only if the connection is closed
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxDiscardBytes+1))
+	_ = a.conn.net.SetReadDeadline(time.Time{})
+}
+
 // Close returns the connection to the pool if the answer was read to its end and the
 // connection is in a known state, and closes it otherwise. It may be called more than once.
 func (a *Answer) Close() {
--- a/entry/internal/dialer/endless_test.go
+++ b/entry/internal/dialer/endless_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -115,3 +116,41 @@
 		}
 	}
 }
+
+// A body that is of no use is read only if that takes little, and then its connection is
+// reused.
+func TestDiscard(t *testing.T) {
+	tests := []struct {
+		name, body string
+		conns      int32
+	}{
+		{"short", "Content-Length: 3\r\n\r\nbye", 1},
+		{"long", "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 1000000), 2},
+		{"incomplete", "Content-Length: 3\r\n\r\nb", 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			address, conns := startCountingTarget(t, func(c net.Conn, _ *http.Request, _ string) {
+				_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nId: 1\r\n"+test.body)
+			})
+			p := New()
+			defer p.Close()
+			for range 2 {
+				a, err := p.Do(context.Background(), "t", address, 1, newRequest("1", "b"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				start := time.Now()
+				a.Discard()
+				if took := time.Since(start); took > 4*discardTimeout {
+					t.Errorf("discarded for %v, want about %v", took, discardTimeout)
+				}
+				a.Close()
+				time.Sleep(2 * discardTimeout) // the read deadline must not outlast Discard
+			}
+			if got := conns.Load(); got != test.conns {
+				t.Errorf("%d connections, want %d", got, test.conns)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -101,3 +101,47 @@
 		t.Errorf("%d requests reached the target in trouble, want 1 or 2", n)
 	}
 }
+
+// A refusal may come with a body without end, as fast as the link carries it or drop by drop.
+// The host once read 1 MiB of it or until the deadline, though the head says all.
+func TestRefusalWithAnEndlessBody(t *testing.T) {
+	head := answerHead(http.StatusServiceUnavailable) + wire.HeaderNotRun + ": 1\r\n"
+	fast, _ := endless(head+"\r\n", "x")
+	slow := func(w net.Conn, r *http.Request) {
+		_, err := io.WriteString(w, strings.ReplaceAll(head+"Content-Length: 100\r\n\r\n", "ID", r.Header.Get(wire.HeaderID)))
+		for err == nil {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(w, "x")
+		}
+	}
+	for name, script := range map[string]targetScript{"fast": fast, "slow": slow} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 2)
+			h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+				script(w, r)
+				closed <- struct{}{}
+			}, func(w net.Conn, r *http.Request) {
+				script(w, r)
+				closed <- struct{}{}
+			})
+			start := time.Now()
+			got := h.send(t, "/once/x", nil)
+			if took := time.Since(start); took > 400*time.Millisecond {
+				t.Errorf("answered after %v, want early enough for the caller to retry", took)
+			}
+			if got.err != nil || got.status != http.StatusServiceUnavailable || got.header.Get(wire.HeaderRetryAfter) == "" {
+				t.Errorf("got %+v, want 503 with a retry time", got)
+			}
+			if n := h.runs.Load(); n != 2 {
+				t.Errorf("targets got %d requests, want 2", n)
+			}
+			for range 2 {
+				select {
+				case <-closed:
+				case <-time.After(time.Second):
+					t.Fatal("a target's connection is still open")
+				}
+			}
+		})
+	}
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -40,7 +40,7 @@
 func (c *call) handleAnswer(ctx context.Context, cancel context.CancelCauseFunc, t *pick.Chosen, a *dialer.Answer, firstByteTimer *time.Timer) result {
 	head := wire.DecodeAnswer(a.Status, a.Header)
 	if head.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(a, maxHeldAnswer)) // so that the connection can be reused
+		a.Discard()
 		switch a.Status {
 		case http.StatusConflict:
 			t.Done(pick.Answered)
