Treat an endless error answer as a failure of its target

A repeatable request whose target answered 500 and then sent bytes without end was never tried elsewhere: the caller got the bytes until its deadline, then a broken connection.

Cause: an answer above 1 MiB was relayed while read whatever its status, before the check that keeps an error answer back while another target is left. Ruled out: memory; the body was relayed, not held.

Change: an error answer (5xx) above 1 MiB is a failure without an answer: the connection is closed, the target counted as failed, a repeatable request tried elsewhere, and the caller gets 502 if no target is left. Long answers of other statuses are relayed as before.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -49,6 +49,9 @@
 		{"head, repeatable", "/safe/x", "", "x", 502, 64 << 10},
 		{"head, once", "/once/x", "", "x", 502, 64 << 10},
 		{"head, stream", "/stream/x", answerHead(200), "A: b\r\n", 502, 64 << 10},
+		{"failure, repeatable", "/safe/x", answerHead(500) + "\r\n", "x", 502, maxHeldAnswer},
+		{"failure, once", "/once/x", answerHead(500) + "\r\n", "x", 502, maxHeldAnswer},
+		{"failure, stream", "/stream/x", answerHead(503) + "\r\n", "x", 502, maxHeldAnswer},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -62,6 +62,13 @@
 	t.FirstByte()
 	body, err := io.ReadAll(io.LimitReader(a, maxHeldAnswer+1))
 	if err == nil && len(body) > maxHeldAnswer {
+		if a.Status >= http.StatusInternalServerError {
+			// Relaying it would rule out another target.
+			t.Done(pick.Failed)
+			reason := fmt.Sprintf("the target failed with status %d and more than %d bytes", a.Status, maxHeldAnswer)
+			c.recordBroken(t, true, reason)
+			return result{verdict: verdictMayHaveRun, reason: reason}
+		}
 		return c.writeLongAnswer(t, a, body)
 	}
 	if err != nil {
