Read blank lines of a stream in linear time

A stream in which a target sends blank lines without end kept a core busy until the caller's deadline, and was never resumed at another target.

Cause: each blank line made readEvent look through all blank lines before it, since they are kept with the event that follows. The bound of 1 MiB on an event was out of reach: that takes about 10^11 steps. Ruled out: the network; the same bytes without line ends took 0.03 s.

Change: readEvent remembers whether the event has a line that isn't blank.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -53,6 +53,14 @@
 		{"failure, once", "/once/x", answerHead(500) + "\r\n", "x", 502, maxHeldAnswer},
 		{"failure, stream", "/stream/x", answerHead(503) + "\r\n", "x", 502, maxHeldAnswer},
 	}
+	events := answerHead(200) + "\r\n"
+	for _, unit := range []struct{ name, unit string }{
+		{"event", "x"}, {"line", "data: x\n"}, {"blank lines", "\n"}, {"blank lines with CR", "\r\n"},
+	} {
+		test := tests[0]
+		test.name, test.path, test.start, test.unit, test.limit = "stream of one endless "+unit.name, "/stream/x", events, unit.unit, maxEvent
+		tests = append(tests, test)
+	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			script, written := endless(test.start, test.unit)
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -154,8 +154,10 @@
 // and io.ErrUnexpectedEOF if it ends within one.
 func readEvent(r *bufio.Reader) (event, error) {
 	var e event
+	begun := false // some line is not blank
 	for {
 		line, err := r.ReadSlice('\n')
+		begun = begun || len(bytes.TrimSpace(line)) > 0
 		if errors.Is(err, bufio.ErrBufferFull) {
 			e.raw = append(e.raw, line...)
 			if len(e.raw) > maxEvent {
@@ -175,7 +177,7 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(bytes.TrimSpace(e.raw)) == 0 {
+			if !begun {
 				continue // blank lines before an event are kept with it
 			}
 			return e, nil
