Read lines of a stream as wholes

Callers of a stream could get the same bytes of an event twice, or an event that begins with the end of another, when a stream with lines above 4 KiB was broken off and resumed.

Cause: readEvent gets a line that is longer than its buffer in parts, and took the last part for a line of its own. An empty one, from a line that fills the buffer to its last byte, ended the event in its middle, so that half of it was relayed; one that begins like a field set a wrong ID, after which later events were left out as known.

Change: the line is looked at when all of its parts are there.

--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -515,6 +515,23 @@
 	}
 }
 
+// Lines longer than the buffer are read in parts. A part that was empty or began like a field
+// was once taken for a line of its own, which split the event and gave it a wrong ID.
+func TestReadEventWithLongLines(t *testing.T) {
+	const bufferSize = 16 // the least that bufio allows
+	long := "data: 0123456789"
+	for _, want := range []event{
+		{raw: []byte(long + "\nid: 7\n\n"), id: "7"},
+		{raw: []byte("id: 7\n" + long + "id: 8\n\n"), id: "7"},
+		{raw: []byte(long + long + "\r\nid: 7\r\n\r\n"), id: "7"},
+	} {
+		got, err := readEvent(bufio.NewReaderSize(strings.NewReader(string(want.raw)+"id: 9\n\n"), bufferSize))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got event %q with ID %q, %v, want %q with %q", got.raw, got.id, err, want.raw, want.id)
+		}
+	}
+}
+
 func FuzzReadEvent(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\n")
 	f.Add("\r\n\r\nid:2\r\n\r\n")
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -154,35 +154,31 @@
 // and io.ErrUnexpectedEOF if it ends within one.
 func readEvent(r *bufio.Reader) (event, error) {
 	var e event
+	lineStart := 0
 	begun := false // some line is not blank
 	for {
-		line, err := r.ReadSlice('\n')
-		begun = begun || len(bytes.TrimSpace(line)) > 0
-		if errors.Is(err, bufio.ErrBufferFull) {
-			e.raw = append(e.raw, line...)
-			if len(e.raw) > maxEvent {
-				return e, errors.New("an event is too long")
-			}
+		part, err := r.ReadSlice('\n')
+		e.raw = append(e.raw, part...)
+		switch {
+		case len(e.raw) > maxEvent:
+			return e, errors.New("an event is too long")
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && (len(e.raw) > 0 || len(line) > 0) {
-				return e, io.ErrUnexpectedEOF
-			}
+		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+			return e, io.ErrUnexpectedEOF
+		case err != nil:
 			return e, err
 		}
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEvent {
-			return e, errors.New("an event is too long")
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(e.raw[lineStart:], "\r\n")
+		lineStart = len(e.raw)
+		if len(line) == 0 {
 			if !begun {
 				continue // blank lines before an event are kept with it
 			}
 			return e, nil
 		}
-		if v, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		begun = begun || len(bytes.TrimSpace(line)) > 0
+		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(v))
 		}
 	}
