Don't take the comments of a stream for events

A target that sends comments without end held a caller until its deadline, with a status of 200 and no event; a resumable stream was never resumed elsewhere.

Cause: the relay treated a block of comments as an event: it stopped the timer of the first byte, restarted that of silence, freed the results of the stages, and made a stream without any event look complete. Ruled out: memory; comments were relayed as they came.

Change: comments after the first event are still relayed at once, but the rest counts events only. Comments before it are held until it comes. More than 1 MiB of comments in a row breaks the stream off: the target is counted as failed and the stream resumed at another one if the route allows it.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -55,10 +55,15 @@
 	}
 	events := answerHead(200) + "\r\n"
 	for _, unit := range []struct{ name, unit string }{
-		{"event", "x"}, {"line", "data: x\n"}, {"blank lines", "\n"}, {"blank lines with CR", "\r\n"},
+		{"event", "x"},
+		{"line", "data: x\n"},
+		{"blank lines", "\n"},
+		{"blank lines with CR", "\r\n"},
+		{"comments", ": x\n\n"},
+		{"comment", ": x\n"},
 	} {
 		test := tests[0]
-		test.name, test.path, test.start, test.unit, test.limit = "stream of one endless "+unit.name, "/stream/x", events, unit.unit, maxEvent
+		test.name, test.path, test.start, test.unit, test.limit = "stream of endless "+unit.name, "/stream/x", events, unit.unit, maxEvent
 		tests = append(tests, test)
 	}
 	for _, test := range tests {
@@ -73,7 +78,7 @@
 			took := time.Since(start)
 			runtime.ReadMemStats(&after)
 			if got.err != nil || got.status != test.status {
-				t.Errorf("got %+v, want status %d", got, test.status)
+				t.Errorf("got status %d and %d bytes, %v, want status %d", got.status, len(got.body), got.err, test.status)
 			}
 			if limit := 700 * time.Millisecond; took > limit {
 				t.Errorf("answered after %v, want at most %v of the 900ms that the caller waits", took, limit)
@@ -156,3 +161,54 @@
 		})
 	}
 }
+
+// Comments without end are no events: a stream with nothing else is resumed at another
+// target.
+func TestEndlessCommentsAreNoEvents(t *testing.T) {
+	const first, second, comment = "id: 1\ndata: one\n\n", "id: 2\ndata: two\n\n", ": wait\n\n"
+	bad, written := endless(answerHead(200)+"\r\n"+first, comment)
+	serve := func(w net.Conn, r *http.Request) {
+		if r.Header.Get(wire.HeaderLastEvent) == "" {
+			bad(w, r)
+			return
+		}
+		streamHead(w, r)
+		chunk(w, second)
+		chunk(w, "")
+	}
+	h := startHost(t, fakeStages{}, serve, serve)
+	got := h.send(t, "/stream/x", nil)
+	if got.err != nil || got.status != http.StatusOK || h.runs.Load() != 2 {
+		t.Errorf("got status %d, %v from %d targets, want 200 from 2", got.status, got.err, h.runs.Load())
+	}
+	if events := strings.ReplaceAll(got.body, comment, ""); events != first+second {
+		t.Errorf("got events %.200q, want %q", events, first+second)
+	}
+	if limit := int64(maxEvent + socketSlack); written.Load() > limit {
+		t.Errorf("the target could send %d bytes, want at most %d", written.Load(), limit)
+	}
+}
+
+// Comments are relayed as they are, and a stream without an event isn't complete.
+func TestCommentsOfAStream(t *testing.T) {
+	tests := []struct {
+		name, body string
+		status     int
+	}{
+		{"around events", ": hello\n\n: wait\n\nid: 1\ndata: one\n\n: wait\n\nid: 2\n: within\ndata: two\n\n: bye\n\n", 200},
+		{"alone", ": hello\n\n", 502},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+				streamHead(w, r)
+				chunk(w, test.body)
+				chunk(w, "")
+			})
+			got := h.send(t, "/staged/x", nil)
+			if got.err != nil || got.status != test.status || test.status == http.StatusOK && got.body != test.body {
+				t.Errorf("got %+v, want %d %q", got, test.status, test.body)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -144,16 +144,18 @@
 	panic(http.ErrAbortHandler)
 }
 
-// event is one server-sent event, including the blank line that ends it.
+// event is one server-sent event, or comments between events, including the blank line
+// that ends it.
 type event struct {
-	raw []byte
-	id  string
+	raw       []byte
+	id        string
+	isComment bool // it holds nothing but comments, so it is no event
 }
 
 // readEvent reads a whole event. It returns io.EOF if the stream ends between two events
 // and io.ErrUnexpectedEOF if it ends within one.
 func readEvent(r *bufio.Reader) (event, error) {
-	var e event
+	e := event{isComment: true}
 	lineStart := 0
 	begun := false // some line is not blank
 	for {
@@ -178,6 +180,7 @@
 			return e, nil
 		}
 		begun = begun || len(bytes.TrimSpace(line)) > 0
+		e.isComment = e.isComment && line[0] == ':'
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(v))
 		}
@@ -202,15 +205,28 @@
 // before a resume, are left out.
 func (c *call) relayStream(ctx context.Context, cancel context.CancelCauseFunc, t *pick.Chosen, a *dialer.Answer, firstByteTimer *time.Timer) result {
 	reader := bufio.NewReaderSize(a, eventBuffer)
-	flush := http.NewResponseController(c.w)
 	var silenceTimer *time.Timer
 	if c.route.Resumable {
 		silenceTimer = time.AfterFunc(time.Hour, func() { cancel(errTargetSilent) })
 		defer silenceTimer.Stop()
 	}
 	n := 0
+	var early []byte // comments before the first event, after which the answer begins
+	commentBytes := 0
 	for {
 		e, err := readEvent(reader)
+		if err == nil && e.isComment {
+			if commentBytes += len(e.raw); commentBytes <= maxEvent {
+				if !c.headWritten {
+					early = append(early, e.raw...)
+				} else if !c.writeStream(t, e.raw) {
+					return result{verdict: verdictDone}
+				}
+				continue
+			}
+			err = fmt.Errorf("no event in %d bytes", commentBytes)
+		}
+		commentBytes = 0
 		if firstByteTimer != nil && n == 0 {
 			firstByteTimer.Stop()
 		}
@@ -229,18 +245,12 @@
 		}
 		if !c.headWritten {
 			c.writeStreamHead(a)
+			e.raw = append(early, e.raw...)
 		}
 		if silenceTimer != nil {
 			silenceTimer.Reset(max(minStreamSilence, 4*c.route.MaxGap))
 		}
-		if _, err := c.w.Write(e.raw); err != nil {
-			t.Done(pick.Cancelled)
-			c.reason = "caller disconnected"
-			return result{verdict: verdictDone}
-		}
-		if err := flush.Flush(); err != nil {
-			t.Done(pick.Cancelled)
-			c.reason = "caller disconnected"
+		if !c.writeStream(t, e.raw) {
 			return result{verdict: verdictDone}
 		}
 		c.events++
@@ -254,6 +264,19 @@
 	}
 }
 
+// writeStream writes a part of a stream. It returns false if the caller has disconnected.
+func (c *call) writeStream(t *pick.Chosen, raw []byte) bool {
+	_, err := c.w.Write(raw)
+	if err == nil {
+		err = http.NewResponseController(c.w).Flush()
+	}
+	if err != nil {
+		t.Done(pick.Cancelled)
+		c.reason = "caller disconnected"
+	}
+	return err == nil
+}
+
 // writeStreamHead writes the response head of a stream and records the time to the first
 // byte.
 func (c *call) writeStreamHead(a *dialer.Answer) {
