Let long answers outlast the timeout of the first byte

Callers of a repeatable route got a broken connection instead of a long answer (above 1 MiB) that took longer than the timeout for its first byte, and its sound target was counted as failed.

Cause: the timer that starts another target ran on until the attempt ended, also when the head of the answer was written and no other target could be tried. Ruled out: streams; they stop the timer at their first event. Not changed: an answer that is still held is given up for another target when the timer fires.

Change: the timer stops when a long answer is relayed.

Result, with the race detector: TestLongAnswerOutlastsTheFirstByteTimeout failed before, with 1,062,912 of 1,079,296 bytes and a broken connection. It passes now. TestEndlessAnswerDoesNotLookComplete passed before too: an answer without end is relayed with little memory, broken off at the caller's deadline and not complete.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -212,3 +213,66 @@
 		})
 	}
 }
+
+// A long answer of a target that is sound is relayed for as long as the caller waits. The
+// timer for the first byte once broke it off.
+func TestLongAnswerOutlastsTheFirstByteTimeout(t *testing.T) {
+	const length = maxHeldAnswer + 30<<10
+	serve := func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, strings.ReplaceAll(answerHead(200), "ID", r.Header.Get(wire.HeaderID))+"Content-Length: %d\r\n\r\n", length)
+		_, _ = io.WriteString(w, strings.Repeat("x", maxHeldAnswer+10<<10))
+		for range 20 {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(w, strings.Repeat("y", 1<<10))
+		}
+	}
+	h := startHost(t, fakeStages{}, serve, serve)
+	got := h.send(t, "/safe/x", nil)
+	if got.err != nil || got.status != http.StatusOK || len(got.body) != length {
+		t.Errorf("got status %d and %d bytes, %v, want 200 and %d", got.status, len(got.body), got.err, length)
+	}
+}
+
+// A long answer that goes on at the deadline of its caller must not look complete.
+func TestEndlessAnswerDoesNotLookComplete(t *testing.T) {
+	for name, headers := range map[string]string{
+		"ends with its connection": "\r\n",
+		"chunked":                  "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			unit := "x"
+			if name == "chunked" {
+				unit = "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n"
+			}
+			script, _ := endless(answerHead(200)+headers, unit)
+			h := startHost(t, fakeStages{}, script)
+			req, err := http.NewRequest(http.MethodPost, h.url+"/once/x", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "svc"
+			req.Header.Set(wire.HeaderID, "id1")
+			req.Header.Set("Authorization", "Token k")
+			req.Header.Set(wire.HeaderTimeLeft, "500")
+			start := time.Now()
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			n, err := io.Copy(io.Discard, resp.Body)
+			runtime.ReadMemStats(&after)
+			if !errors.Is(err, io.ErrUnexpectedEOF) || n <= maxHeldAnswer {
+				t.Errorf("got %d bytes and %v, want more than %d and %v", n, err, maxHeldAnswer, io.ErrUnexpectedEOF)
+			}
+			if took := time.Since(start); took > 700*time.Millisecond {
+				t.Errorf("cut off after %v, want 500ms", took)
+			}
+			if got := after.TotalAlloc - before.TotalAlloc; got > 8*maxHeldAnswer {
+				t.Errorf("allocated %d bytes for an answer of %d, want at most %d", got, n, 8*maxHeldAnswer)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -69,6 +69,9 @@
 			c.recordBroken(t, true, reason)
 			return result{verdict: verdictMayHaveRun, reason: reason}
 		}
+		if firstByteTimer != nil {
+			firstByteTimer.Stop() // no other target can be tried any more
+		}
 		return c.writeLongAnswer(t, a, body)
 	}
 	if err != nil {
