Don't wait for the body of a refused stage call

The home made the pieces of a stage call that its target had refused wait for the call's timeout if the body of the refusal kept coming, and then took the target for one that times out.

Cause: the client read the body before it looked at the status, although it uses the body of a 200 only.

--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -105,8 +105,8 @@
 	return err
 }
 
-// post sends a request to a target and reads the answer. Errors are of type
-// *dialer.SendError.
+// post sends a request to a target and reads the answer, but a body only if its status is
+// 200. Errors are of type *dialer.SendError.
 func (c *Client) post(ctx context.Context, target, address, path string, body []byte) (int, http.Header, []byte, error) {
 	a, err := c.dialer.Do(ctx, target, address, maxConnections, dialer.Request{
 		Method: http.MethodPost, URI: path, Host: address, Header: wire.StageHeader(target), Body: body,
@@ -116,6 +116,10 @@
 		return 0, nil, nil, err
 	}
 	defer a.Close()
+	if a.Status != http.StatusOK {
+		a.Discard()
+		return a.Status, a.Header, nil, nil
+	}
 	data, err := io.ReadAll(io.LimitReader(a, maxAnswer))
 	if err != nil {
 		return 0, nil, nil, &dialer.SendError{Sent: true, Err: err}
