Reject stage answers that go on past their limit

A stage call counted as complete if its target sent the results and then blanks without end, so results of a target in trouble were passed on.

Cause: the body was read up to 1 MiB and what was cut off was not noticed.

Change: an answer that is longer than the limit is a broken call.

Result: the case "results" of TestEndlessStageAnswers failed before, with a handle and no failure. It passes now.

--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -120,7 +120,10 @@
 		a.Discard()
 		return a.Status, a.Header, nil, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(a, maxAnswer))
+	data, err := io.ReadAll(io.LimitReader(a, maxAnswer+1))
+	if err == nil && len(data) > maxAnswer {
+		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswer)
+	}
 	if err != nil {
 		return 0, nil, nil, &dialer.SendError{Sent: true, Err: err}
 	}
--- a/entry/internal/maker/maker_test.go
+++ b/entry/internal/maker/maker_test.go
@@ -45,10 +45,11 @@
 }
 
 // A stage target in trouble may send bytes without end. The call once ended at its timeout
-// though the target had refused it.
+// though the target had refused it, and an answer that went on past the limit counted.
 func TestEndlessStageAnswers(t *testing.T) {
 	const timeout = 2 * time.Second
 	refusal := "HTTP/1.1 503 Busy\r\n" + wire.HeaderNotRun + ": 1\r\n\r\n"
+	results := "HTTP/1.1 200 OK\r\n\r\n" + `{"Items":[{"Handle":"t/1"}]}`
 	block := strings.Repeat(" ", 4<<10)
 	tests := []struct {
 		name, start, unit string
@@ -59,6 +60,7 @@
 		{"refusal", refusal, block, 0, batch.FailureRefused},
 		{"slow refusal", refusal, " ", 20 * time.Millisecond, batch.FailureRefused},
 		{"failure", "HTTP/1.1 500 Broken\r\n\r\n", " ", 20 * time.Millisecond, batch.FailureBroken},
+		{"results", results, block, 0, batch.FailureBroken},
 		{"garbage", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 4<<10), 0, batch.FailureBroken},
 	}
 	for _, test := range tests {
