Bound the headers of answers to HTTP clients

One answer with headers without end from the store, a peer, a target of the product's own interface or its services made a host allocate 173 MB, about as much as the smallest hosts have, before the client gave up.

Cause: net/http allows 10 MiB of response headers unless a Transport sets a limit, and none did. Parsed into a map they take many times that. Ruled out: interim answers and lines; they fall under the same limit.

Change: each Transport that an entry host uses allows 64 KiB, as the host's servers do for requests.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -54,7 +54,7 @@
 	// logSampleInitial are written, then one in logSampleThereafter.
 	logSampleInitial    = 400
 	logSampleThereafter = 25
-	// maxHeaderBytes limits the size of request headers.
+	// maxHeaderBytes limits the size of the headers of requests and responses.
 	maxHeaderBytes = 64 << 10
 	// headerTimeout limits how long a client may take to send the headers of a request.
 	headerTimeout = 10 * time.Second
@@ -160,13 +160,14 @@
 func newStore(s boot.Settings) *store.Client {
 	return store.New(s.StoreAddress, &http.Client{Transport: &http.Transport{
 		DialContext: netDialer().DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}})
 }
 
 func newBus(s boot.Settings, c *fleetCmd, log logr.Logger) *peers.Transport {
 	return peers.New(peers.Options{
 		Host: s.HostName, Incarnation: uint64(time.Now().UnixNano()), Key: c.PeerKey, MaxHandlers: 1024, RatePerSecond: 5000,
-		Client: &http.Client{Transport: &http.Transport{DialContext: netDialer().DialContext}},
+		Client: &http.Client{Transport: &http.Transport{DialContext: netDialer().DialContext, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}, log.WithName("peers"))
 }
 
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -108,10 +108,15 @@
 	return events.New(f), nil
 }
 
+// newPlatformClient returns the HTTP client for the platform's services.
+func newPlatformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
+}
+
 func newNode(s conf.Settings, inc incarnation, bus *peers.Transport, targets target.Caller, recorder *events.Recorder,
 	log logr.Logger,
 ) (*node.Node, error) {
-	platform := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
+	platform := newPlatformClient()
 	return node.New(node.Deps{
 		Settings: s, Incarnation: uint64(inc), Seed: rand.Uint64(),
 		Log:      logsvc.New(s.Platform.LogURL, platform, logsvc.WithDataCentre(s.Host.DataCentre)),
--- a/entry/internal/peers/transport.go
+++ b/entry/internal/peers/transport.go
@@ -29,6 +29,9 @@
 	delayedFrames = expvar.NewInt("peer_held_frames_count")
 )
 
+// maxHeaderBytes limits the size of response headers.
+const maxHeaderBytes = 64 << 10
+
 // Handler handles a call or message from a peer. The result of a call is sent as
 // its reply; that of a message is dropped.
 type Handler func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)
@@ -81,7 +84,7 @@
 		o.RedialDelay = 100 * time.Millisecond
 	}
 	if o.Client == nil {
-		o.Client = &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: false}}
+		o.Client = &http.Client{Transport: &http.Transport{ForceAttemptHTTP2: false, MaxResponseHeaderBytes: maxHeaderBytes}}
 	}
 	return o
 }
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -19,6 +19,9 @@
 	"chivepost/share/units"
 )
 
+// maxHeaderBytes limits the size of response headers.
+const maxHeaderBytes = 64 << 10
+
 // Options configures a Client. The zero value is usable.
 type Options struct {
 	// DataCentre is that of the calling host and is sent with each call.
@@ -69,11 +72,12 @@
 func (c *Client) newHTTPClient(disableKeepAlives bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         c.opts.Dial,
-			DisableKeepAlives:   disableKeepAlives,
-			DisableCompression:  true,
-			MaxIdleConnsPerHost: c.opts.MaxIdlePerTarget,
-			IdleConnTimeout:     30 * time.Second,
+			DialContext:            c.opts.Dial,
+			DisableKeepAlives:      disableKeepAlives,
+			DisableCompression:     true,
+			MaxIdleConnsPerHost:    c.opts.MaxIdlePerTarget,
+			IdleConnTimeout:        30 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
