Bound the answers of the log service and of the host list

A value without end in an answer of the log service or of the host list took memory until the call timed out: 356 MB allocated in two calls of 2 s and 184 MB in one, with the race detector.

Cause: json.Decoder buffers a value as a whole, and it read the body without a limit. The store's client on the platform had one.

Change: a page of the log is at most 32 MiB, or 8 times limits.max_frame if that is more (a page holds up to 4 configurations, in base64); the answer to an append 4 KiB, the host list 2 MiB.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -108,6 +108,10 @@
 	return events.New(f), nil
 }
 
+// framesPerPage is the number of largest messages that a page of the log may be as long as:
+// it holds up to 4 configurations in base64.
+const framesPerPage = 8
+
 // newPlatformClient returns the HTTP client for the platform's services.
 func newPlatformClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
@@ -119,7 +123,8 @@
 	platform := newPlatformClient()
 	return node.New(node.Deps{
 		Settings: s, Incarnation: uint64(inc), Seed: rand.Uint64(),
-		Log:      logsvc.New(s.Platform.LogURL, platform, logsvc.WithDataCentre(s.Host.DataCentre)),
+		Log: logsvc.New(s.Platform.LogURL, platform, logsvc.WithDataCentre(s.Host.DataCentre),
+			logsvc.WithMaxPageBytes(max(logsvc.DefaultMaxPageBytes, framesPerPage*int64(s.Limits.MaxFrame)))),
 		HostList: hosts.New(s.Platform.HostsURL, platform, hosts.WithDataCentre(s.Host.DataCentre)),
 		Bus:      bus, Targets: targets, Recorder: recorder, Logger: log,
 	})
--- a/share/hosts/hosts.go
+++ b/share/hosts/hosts.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 )
@@ -49,6 +50,9 @@
 // HeaderDataCentre is the header with the data centre of the calling host.
 const HeaderDataCentre = "X-Data-Centre"
 
+// maxListBytes bounds the list, in which a host takes about 140 bytes.
+const maxListBytes = 2 << 20
+
 // Client reads the host list over HTTP. It is safe for concurrent use.
 type Client struct {
 	base       string
@@ -101,7 +105,7 @@
 		return List{}, fmt.Errorf("read host list: status %d", resp.StatusCode)
 	}
 	var list List
-	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&list); err != nil {
 		return List{}, fmt.Errorf("decode host list: %w", err)
 	}
 	c.mu.Lock()
--- a/share/hosts/hosts_test.go
+++ b/share/hosts/hosts_test.go
@@ -1,11 +1,14 @@
 package hosts_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"testing"
+	"time"
 
 	"chivepost/share/hosts"
 
@@ -51,3 +54,22 @@
 	_, err := hosts.New(server.URL, server.Client()).Hosts(context.Background())
 	Expect(err).To(MatchError("read host list: status 404"))
 })
+
+// Guards against a list without end that takes all memory.
+var _ = It("rejects a list without end", func() {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write([]byte(`{"version":1,"hosts":[{"name":"`))
+		for err == nil {
+			_, err = w.Write(bytes.Repeat([]byte("x"), 4<<10))
+		}
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := hosts.New(server.URL, server.Client()).Hosts(ctx)
+	runtime.ReadMemStats(&after)
+	Expect(err).To(MatchError(ContainSubstring("unexpected EOF")))
+	Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<=", 16<<20), "bytes allocated")
+})
--- a/share/logsvc/logsvc.go
+++ b/share/logsvc/logsvc.go
@@ -49,20 +49,31 @@
 
 // Client calls the log service over HTTP.
 type Client struct {
-	base       string
-	http       *http.Client
-	dataCentre string
+	base         string
+	http         *http.Client
+	dataCentre   string
+	maxPageBytes int64
 }
 
+const (
+	// DefaultMaxPageBytes bounds the answer to a read unless WithMaxPageBytes does.
+	DefaultMaxPageBytes = 32 << 20
+	// maxAppendAnswerBytes bounds the answer to an append, which holds one offset.
+	maxAppendAnswerBytes = 4 << 10
+)
+
 // Option sets an option of a Client in New.
 type Option func(*Client)
 
 // WithDataCentre sends the calling host's data centre with each call.
 func WithDataCentre(name string) Option { return func(c *Client) { c.dataCentre = name } }
 
+// WithMaxPageBytes bounds the answer to a read. Records are encoded in base64.
+func WithMaxPageBytes(n int64) Option { return func(c *Client) { c.maxPageBytes = n } }
+
 // New returns a client of the log service at the URL base, such as "http://127.0.0.1:7000".
 func New(base string, client *http.Client, opts ...Option) *Client {
-	c := &Client{base: base, http: client}
+	c := &Client{base: base, http: client, maxPageBytes: DefaultMaxPageBytes}
 	for _, o := range opts {
 		o(c)
 	}
@@ -102,7 +113,7 @@
 	var out struct {
 		Offset int64 `json:"offset"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAppendAnswerBytes)).Decode(&out); err != nil {
 		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrUnknown, err)
 	}
 	return out.Offset, nil
@@ -130,7 +141,7 @@
 		return Page{}, fmt.Errorf("read %s: status %d: %w", stream, resp.StatusCode, ErrUnavailable)
 	}
 	var page Page
-	if err := json.NewDecoder(resp.Body).Decode(&page); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, c.maxPageBytes)).Decode(&page); err != nil {
 		return Page{}, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, err)
 	}
 	return page, nil
