Don't wait for the rest of an answer of the log service

An append or read whose outcome was known returned only at its timeout if the answer went on slowly.

Cause: up to 4 KiB of the rest of a body are read so that the connection can be reused, for as long as the call lasts.

Change: this ends after 50 ms, and the connection is closed.

--- a/share/logsvc/endless_test.go
+++ b/share/logsvc/endless_test.go
@@ -29,7 +29,8 @@
 	}
 }
 
-// Guards against an answer without end that takes all memory.
+// Guards against an answer without end that takes all memory, or the whole time of a call
+// whose outcome is known.
 var _ = DescribeTable("cuts off answers without end",
 	func(handler http.HandlerFunc, wantAppend, wantRead error) {
 		const timeout, maxPage = 2 * time.Second, 1 << 20
@@ -58,4 +59,6 @@
 		Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<=", 16*maxPage), "bytes allocated")
 	},
 	Entry("one value", endless(200, `{"x":"`, strings.Repeat("x", 4<<10), 0), logsvc.ErrUnknown, logsvc.ErrUnavailable),
+	Entry("after the answer", endless(200, `{"offset":1}`, "x", 20*time.Millisecond), nil, nil),
+	Entry("with a failure", endless(503, "", "x", 20*time.Millisecond), logsvc.ErrUnavailable, logsvc.ErrUnavailable),
 )
--- a/share/logsvc/logsvc.go
+++ b/share/logsvc/logsvc.go
@@ -60,6 +60,10 @@
 	DefaultMaxPageBytes = 32 << 20
 	// maxAppendAnswerBytes bounds the answer to an append, which holds one offset.
 	maxAppendAnswerBytes = 4 << 10
+	// maxDiscardBytes and discardTimeout bound the rest of a body that is read only so that
+	// the connection can be reused.
+	maxDiscardBytes = 4 << 10
+	discardTimeout  = 50 * time.Millisecond
 )
 
 // Option sets an option of a Client in New.
@@ -158,9 +162,11 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// closeBody reads up to 4 KiB of the rest of the body before closing it, so that the
-// connection can be reused.
+// closeBody reads the rest of the body before closing it, if it is short and arrives soon,
+// so that the connection can be reused.
 func closeBody(resp *http.Response) {
-	_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+	timer := time.AfterFunc(discardTimeout, func() { _ = resp.Body.Close() }) // ends the read
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
 	_ = resp.Body.Close()
 }
