Break off streams of engines that go on without a token

A call to an engine that sent blank lines, comments or chunks without text for ever lasted until its deadline, when nothing could be tried elsewhere any more.

Cause: the reader of a stream skips what holds no token and had no bound on it. Ruled out: memory; a line is at most 1 MiB, the output at most MaxOutput.

Change: more than 1 MiB between two tokens is a malformed response.

--- a/share/target/endless_test.go
+++ b/share/target/endless_test.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// head is the head of a response that ends with its connection.
+const head = "HTTP/1.1 200 OK\r\n" + target.HeaderRequestID + ": " + id + "\r\n\r\n"
+
 // Guards against a target that occupies the memory of its caller or the whole time of a call
 // with bytes that never end.
 var _ = DescribeTable("cuts off responses without end",
@@ -47,4 +50,9 @@
 	Entry("bytes without a line end", bundle.KindStage, false, "", "x", target.ReasonConnectionLost, uint64(4<<20)),
 	Entry("headers", bundle.KindStage, false, "HTTP/1.1 200 OK\r\n", "A: b\r\n", target.ReasonConnectionLost, uint64(4<<20)),
 	Entry("headers, once", bundle.KindStage, true, "HTTP/1.1 200 OK\r\n", "A: b\r\n", target.ReasonConnectionLost, uint64(4<<20)),
+	Entry("output", bundle.KindStage, false, head, "x", target.ReasonTooLarge, uint64(64<<20)),
+	Entry("line of a stream", bundle.KindEngine, false, head, "x", target.ReasonConnectionLost, uint64(16<<20)),
+	Entry("blank lines of a stream", bundle.KindEngine, false, head, "\n", target.ReasonFormat, uint64(16<<20)),
+	Entry("comments of a stream", bundle.KindEngine, false, head+tokenChunk, ": x\n\n", target.ReasonFormat, uint64(16<<20)),
+	Entry("chunks of a stream without tokens", bundle.KindEngine, false, head, `data: {"id":"c1"}`+"\n\n", target.ReasonFormat, uint64(64<<20)),
 )
--- a/share/target/stream.go
+++ b/share/target/stream.go
@@ -12,13 +12,24 @@
 // maxLineBytes limits a line of a stream, which holds one chunk.
 const maxLineBytes = 1 << 20
 
+// maxIdleBytes limits what a stream may send between two tokens.
+const maxIdleBytes = 1 << 20
+
 // readStream reads a streamed completion up to DoneMark. The stream is complete if a
 // finish reason and the number of received tokens precede the mark.
 func (c *Client) readStream(ctx context.Context, body io.Reader, onToken func(int, string), res *Result) *CallError {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
 	s := stream{maxOutput: c.opts.MaxOutput, onToken: onToken}
+	idleBytes, lastCount := 0, 0
 	for scanner.Scan() {
+		idleBytes += len(scanner.Bytes()) + 1
+		if s.tokenCount > lastCount {
+			idleBytes, lastCount = 0, s.tokenCount
+		}
+		if idleBytes > maxIdleBytes {
+			return &CallError{Reason: ReasonFormat, Detail: fmt.Sprintf("stream has no token in %d bytes", idleBytes)}
+		}
 		data, ok := strings.CutPrefix(scanner.Text(), "data:")
 		if !ok {
 			continue // The protocol uses only data fields.
