Don't blame a target for callers that leave a long answer

A sound target was ejected after two callers in a row had disconnected within a long answer (above 1 MiB), so other callers were sent elsewhere or got 503.

Cause: any error while a long answer was relayed counted as a failure of the target, also one from writing to the caller. Ruled out: streams; they tell the two apart.

Change: a caller that disconnects counts as cancelled. A target that breaks a long answer off is logged as for other answers.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -276,3 +277,39 @@
 		})
 	}
 }
+
+// A caller that disconnects within a long answer says nothing about the target, which was
+// once ejected for it.
+func TestCallerDisconnectsWithinALongAnswer(t *testing.T) {
+	long, _ := endless(answerHead(200)+"\r\n", "x")
+	var others atomic.Int32
+	h := startHost(t, fakeStages{}, long, func(w net.Conn, r *http.Request) {
+		others.Add(1) // the first of two idle targets is chosen unless it is ejected
+		long(w, r)
+	})
+	for range 3 {
+		ctx, cancel := context.WithCancel(context.Background())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+"/once/x", strings.NewReader("body"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "svc"
+		req.Header.Set(wire.HeaderID, "id1")
+		req.Header.Set("Authorization", "Token k")
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.CopyN(io.Discard, resp.Body, 2*maxHeldAnswer); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		resp.Body.Close()
+		for h.handler.Active() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	if n := others.Load(); n != 0 {
+		t.Errorf("%d requests went to the other target, want 0", n)
+	}
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -132,7 +133,13 @@
 		_, err = io.Copy(c.w, a)
 	}
 	if err != nil {
+		var op *net.OpError
+		if c.isCallerGone() || errors.As(err, &op) && op.Op == "write" {
+			t.Done(pick.Cancelled)
+			c.abort("caller disconnected")
+		}
 		t.Done(pick.Failed)
+		c.recordBroken(t, true, err.Error())
 		c.abort("the answer ended early")
 	}
 	c.isAnswered = true
