Hold at most 256 KiB of an answer or an event

64 callers whose requests were at targets that send bytes without end made the heap of a host grow to 70 to 150 MB, of the 184 MB that the smallest hosts have.

Cause: each of them held up to 1 MiB of an answer, or of an event of a stream, and as much again while the buffer grew. Ruled out: heads (7 to 15 MB for 64 callers); relayed bodies, which aren't held.

Change: maxHeldAnswer and maxEvent are 256 KiB. An answer between the old and the new bound is relayed while read, so a break within it reaches the caller instead of being tried elsewhere.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -313,3 +314,63 @@
 		t.Errorf("%d requests went to the other target, want 0", n)
 	}
 }
+
+// The smallest host has 184 MB. Requests at targets in trouble must leave it half of that.
+func TestEndlessAnswersFitIntoTheMemory(t *testing.T) {
+	const callers, limit = 64, 92 << 20
+	tests := []struct{ name, path, start, unit string }{
+		{"heads", "/safe/x", "", "x"},
+		{"headers", "/safe/x", answerHead(200), "A: b\r\n"},
+		{"failures", "/safe/x", answerHead(500) + "\r\n", "x"},
+		{"long answers", "/once/x", answerHead(200) + "\r\n", "x"},
+		{"events", "/stream/x", answerHead(200) + "\r\n", "x"},
+		{"comments", "/stream/x", answerHead(200) + "\r\n", ": x\n\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			script, _ := endless(test.start, test.unit)
+			h := startHost(t, fakeStages{}, script, script, script)
+			done := make(chan struct{})
+			peak := make(chan uint64)
+			go func() {
+				highest := uint64(0)
+				for {
+					var m runtime.MemStats
+					runtime.ReadMemStats(&m)
+					highest = max(highest, m.HeapInuse)
+					select {
+					case <-done:
+						peak <- highest
+						return
+					case <-time.After(5 * time.Millisecond):
+					}
+				}
+			}()
+			var wait sync.WaitGroup
+			for range callers {
+				wait.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					defer cancel()
+					req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+test.path, strings.NewReader("body"))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					req.Host = "svc"
+					req.Header.Set(wire.HeaderID, "id1")
+					req.Header.Set("Authorization", "Token k")
+					if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						resp.Body.Close()
+					}
+				})
+			}
+			wait.Wait()
+			close(done)
+			got := <-peak
+			if got > limit {
+				t.Errorf("the heap took %d bytes, want at most %d", got, limit)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -21,9 +21,9 @@
 
 const (
 	// maxHeldAnswer is the largest answer, in bytes, that is read whole before it is relayed.
-	maxHeldAnswer = 1 << 20
+	maxHeldAnswer = 256 << 10
 	// maxEvent is the largest event of a stream in bytes.
-	maxEvent = 1 << 20
+	maxEvent = 256 << 10
 	// eventBuffer is the size of the read buffer in bytes; it holds several events.
 	eventBuffer = 4 << 10
 )
