Let a stream end with blank lines or comments

Callers got a broken connection, or the stream was resumed and its sound target counted as failed, if a blank line or a comment followed the last event.

Cause: anything behind the last event was taken for the start of another one.

Change: a stream is broken off if it ends within an event or a line. What else follows the last event is relayed, and the stream is complete.

--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -532,6 +532,25 @@
 	}
 }
 
+// A stream that ends within an event has been broken off; what else may follow the last event
+// leaves it complete.
+func TestEndOfAStream(t *testing.T) {
+	const bufferSize = 16 // the least that bufio allows
+	for rest, want := range map[string]error{
+		"": io.EOF, "\n": io.EOF, "\r\n\r\n": io.EOF, ": bye\n": io.EOF, "\n: bye\n": io.EOF,
+		"i": io.ErrUnexpectedEOF, ": b": io.ErrUnexpectedEOF, "id: 2\n": io.ErrUnexpectedEOF, ": hi\nid: 2\n": io.ErrUnexpectedEOF,
+		"data: 0123456789": io.ErrUnexpectedEOF, "data: 0123456789\n": io.ErrUnexpectedEOF,
+	} {
+		r := bufio.NewReaderSize(strings.NewReader("id: 1\n\n"+rest), bufferSize)
+		if e, err := readEvent(r); err != nil || e.id != "1" {
+			t.Errorf("got event %q, %v, want the first", e.raw, err)
+		}
+		if e, err := readEvent(r); !errors.Is(err, want) || string(e.raw) != rest {
+			t.Errorf("rest %q: got %q, %v, want %v", rest, e.raw, err, want)
+		}
+	}
+}
+
 func FuzzReadEvent(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\n")
 	f.Add("\r\n\r\nid:2\r\n\r\n")
--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -192,13 +192,16 @@
 	}
 }
 
-// Comments are relayed as they are, and a stream without an event isn't complete.
+// Comments and blank lines are relayed as they are, also behind the last event, where they
+// once made the stream look broken. A stream without an event isn't complete.
 func TestCommentsOfAStream(t *testing.T) {
 	tests := []struct {
 		name, body string
 		status     int
 	}{
 		{"around events", ": hello\n\n: wait\n\nid: 1\ndata: one\n\n: wait\n\nid: 2\n: within\ndata: two\n\n: bye\n\n", 200},
+		{"line behind the last event", "id: 1\ndata: one\n\n: bye\n", 200},
+		{"blank line behind the last event", "id: 1\ndata: one\n\n\r\n", 200},
 		{"alone", ": hello\n\n", 502},
 	}
 	for _, test := range tests {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -162,8 +162,8 @@
 	isComment bool // it holds nothing but comments, so it is no event
 }
 
-// readEvent reads a whole event. It returns io.EOF if the stream ends between two events
-// and io.ErrUnexpectedEOF if it ends within one.
+// readEvent reads a whole event. It returns io.EOF if the stream ends between two events,
+// with what follows the last one, and io.ErrUnexpectedEOF if it ends within one.
 func readEvent(r *bufio.Reader) (event, error) {
 	e := event{isComment: true}
 	lineStart := 0
@@ -176,7 +176,7 @@
 			return e, errors.New("an event is too long")
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
+		case errors.Is(err, io.EOF) && (!e.isComment || len(bytes.TrimSpace(e.raw[lineStart:])) > 0):
 			return e, io.ErrUnexpectedEOF
 		case err != nil:
 			return e, err
@@ -241,6 +241,9 @@
 			firstByteTimer.Stop()
 		}
 		if errors.Is(err, io.EOF) && n+c.events > 0 {
+			if c.headWritten && len(e.raw) > 0 && !c.writeStream(t, e.raw) {
+				return result{verdict: verdictDone}
+			}
 			t.Done(pick.Answered)
 			c.status, c.isAnswered = http.StatusOK, true
 			return result{verdict: verdictDone}
