End requests whose callers don't read their answers

A caller that kept its connection open but didn't read an answer without end kept its request in progress for good, so a shutdown of the host ran into its limit.

Cause: the deadline ends reading from the target only; a write to the caller had no limit in time. Ruled out: callers that disconnect, which the server notices.

Change: a response may be written until 2 s after the deadline.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -377,3 +377,31 @@
 		})
 	}
 }
+
+// A caller that doesn't read what a target sends without end once kept its request, and so
+// the shutdown of the host, for as long as its connection was open.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	for _, test := range []struct{ name, path, unit string }{
+		{"answer", "/once/x", "x"},
+		{"stream", "/stream/x", "data: " + strings.Repeat("x", 16<<10) + "\n\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			script, _ := endless(answerHead(200)+"\r\n", test.unit)
+			h := startHost(t, fakeStages{}, script)
+			c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: svc\r\n%s: 1\r\nAuthorization: Token k\r\n%s: 300\r\nContent-Length: 0\r\n\r\n", test.path, wire.HeaderID, wire.HeaderTimeLeft)
+			for h.handler.Active() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(300*time.Millisecond + writeSlack + 500*time.Millisecond)
+			if n := h.handler.Active(); n != 0 {
+				t.Errorf("%d requests in progress after the deadline and %v, want 0", n, writeSlack)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -60,6 +60,9 @@
 	// prefixLookupTimeout bounds that call.
 	minPrefixTokens     = 1500
 	prefixLookupTimeout = 120 * time.Millisecond
+	// writeSlack is how long after the deadline a response may still be written, by a host
+	// that was paused or to a caller that reads slowly.
+	writeSlack = 2 * time.Second
 	// maxStageRuns is how often the stages of a request run if their results get lost.
 	maxStageRuns = 3
 )
@@ -340,6 +343,9 @@
 func (c *call) run() {
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetWriteDeadline(c.deadline.Add(writeSlack)) // not every connection supports deadlines
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	for try := 1; ; try++ {
 		c.setPhase(phaseStages)
 		if err := c.runStages(ctx); err != nil {
