Answer the first request of a connection that a stopping host accepted

Callers that had just connected to a host when it closed its listener saw their connection close without an answer, and couldn't know whether the request had run. drain.Server counts a new connection as idle and let its reads fail at once; http.Server.Shutdown gives such a connection 5 s.

Idle connections now have 100 ms to send a request, and each response of a closing server closes its connection. A connection that was kept can still close while its next request is on its way, as with any HTTP server.

The new spec failed before with an unexpected EOF.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -60,7 +60,7 @@
 	headerTimeout = 10 * time.Second
 	// lookupTimeout limits the end of requests to the directory and of readiness probes when
 	// the host stops.
-	lookupTimeout = 100 * time.Millisecond
+	lookupTimeout = 250 * time.Millisecond
 	// idleTimeout is how long idle connections stay open.
 	idleTimeout = 90 * time.Second
 )
--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -9,13 +9,17 @@
 	"time"
 )
 
+// lingerTime is how long an idle connection of a closing server may still send a request, so
+// that requests on their way are answered.
+const lingerTime = 100 * time.Millisecond
+
 // Server is an HTTP server that answers each request that it has read, also when it shuts
 // down.
 //
 // http.Server.Shutdown closes a connection as idle although the next request was just read
 // from it: the state of the connection changes only afterwards. The request is then handled
-// with nothing to answer on. Server lets the reads of idle connections fail instead, so that
-// a read either returns bytes, which are then answered, or ends the connection.
+// with nothing to answer on. Server lets the reads of idle connections time out instead, so
+// that a read either returns bytes, which are then answered, or ends the connection.
 type Server struct {
 	*http.Server
 	isClosing atomic.Bool
@@ -26,7 +30,8 @@
 	empty     chan struct{} // closed when a closing server has no connection left
 }
 
-// NewServer returns a server that sets the ConnState of s, which must be nil.
+// NewServer returns a server that sets the ConnState of s, which must be nil, and wraps its
+// Handler.
 func NewServer(s *http.Server) *Server {
 	out := &Server{Server: s, conns: map[*conn]struct{}{}, empty: make(chan struct{})}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -36,14 +41,26 @@
 		}
 		switch state {
 		case http.StateIdle:
-			tracked.setIdle()
+			tracked.setIdle(true)
 		case http.StateHijacked:
 			out.remove(tracked)
 		}
 	}
+	s.Handler = out.closeAfter(s.Handler)
 	return out
 }
 
+// closeAfter returns a handler whose responses close their connection when the server is
+// closing.
+func (s *Server) closeAfter(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isClosing.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Serve accepts connections from l. It returns http.ErrServerClosed after Shutdown or
 // Close.
 func (s *Server) Serve(l net.Listener) error {
@@ -57,8 +74,8 @@
 	return err
 }
 
-// Shutdown closes the listeners and the idle connections, and waits until the others are
-// closed too. If ctx ends first, it closes them and returns the error of ctx.
+// Shutdown closes the listeners and, after lingerTime, the idle connections. It waits until
+// the others are closed too. If ctx ends first, it closes them and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
 	for _, c := range s.close() {
 		c.update()
@@ -130,7 +147,7 @@
 	return c, nil
 }
 
-// conn is a connection whose reads fail while it is idle and its server is closing.
+// conn is a connection whose reads time out while it is idle and its server is closing.
 type conn struct {
 	net.Conn
 	server *Server
@@ -138,7 +155,7 @@
 
 	mu           sync.Mutex
 	readDeadline time.Time // as set by the server
-	isExpired    bool      // the deadline in force is in the past, in place of readDeadline
+	lingerUntil  time.Time // limits readDeadline while set
 }
 
 // NetConn returns the connection as it was accepted.
@@ -146,9 +163,8 @@
 
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && c.isIdle.Load() {
-		c.isIdle.Store(false)
-		c.update()
+	if n > 0 {
+		c.setIdle(false)
 	}
 	return n, err
 }
@@ -157,10 +173,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.isExpired {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
+	return c.applyDeadline()
 }
 
 func (c *conn) SetDeadline(t time.Time) error {
@@ -175,24 +188,32 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) setIdle() {
-	c.isIdle.Store(true)
-	c.update()
+func (c *conn) setIdle(isIdle bool) {
+	if c.isIdle.CompareAndSwap(!isIdle, isIdle) {
+		c.update()
+	}
 }
 
-// update puts the read deadline into the past if the connection is idle and its server is
-// closing, and restores it otherwise.
+// update limits the read deadline if the connection is idle and its server is closing, and
+// restores it otherwise.
 func (c *conn) update() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	expire := c.isIdle.Load() && c.server.isClosing.Load()
-	if expire == c.isExpired {
+	lingers := c.isIdle.Load() && c.server.isClosing.Load()
+	if lingers == !c.lingerUntil.IsZero() {
 		return
 	}
-	c.isExpired = expire
+	c.lingerUntil = time.Time{}
+	if lingers {
+		c.lingerUntil = time.Now().Add(lingerTime)
+	}
+	_ = c.applyDeadline() // it fails only on a closed connection
+}
+
+func (c *conn) applyDeadline() error {
 	deadline := c.readDeadline
-	if expire {
-		deadline = time.Unix(1, 0)
+	if !c.lingerUntil.IsZero() && (deadline.IsZero() || deadline.After(c.lingerUntil)) {
+		deadline = c.lingerUntil
 	}
-	_ = c.Conn.SetReadDeadline(deadline) // it fails only on a closed connection
+	return c.Conn.SetReadDeadline(deadline)
 }
--- a/entry/internal/drain/server_test.go
+++ b/entry/internal/drain/server_test.go
@@ -21,6 +21,7 @@
 // bytes.
 type gatedListener struct {
 	net.Listener
+	accepted atomic.Int32
 	isArmed  atomic.Bool
 	received chan struct{} // closed when a read is held
 	release  chan struct{} // closed to let it go on
@@ -31,6 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
+	l.accepted.Add(1)
 	return &gatedConn{c, l}, nil
 }
 
@@ -140,6 +142,17 @@
 		}
 	})
 
+	// Guards against new connections that are closed while their first request is on its way.
+	It("answers the first request of a connection that was just accepted", func() {
+		s := startServer(echo)
+		c, r := s.dial()
+		Eventually(s.gate.accepted.Load).Should(Equal(int32(1)))
+		done := shutdown(s)
+		time.Sleep(20 * time.Millisecond) // the listener is closed
+		Expect(roundTrip(c, r, "first")).To(Equal("first"))
+		Expect(<-done).To(Succeed())
+	})
+
 	// Guards against a request that is cut while its body or its answer is under way.
 	It("waits for requests in progress", func() {
 		begun, finish := make(chan struct{}), make(chan struct{})
