Don't end the context of a request that was read with the one before

If a caller sends its next request before it has an answer, the server may hold both in its buffer. When the host stopped in between, the second was handled with reads of its connection timing out, which net/http takes for a caller that is gone: its context ended, and a handler that heeds it gave up.

The connection of a request counts as active from the start of its handler, wherever its bytes were read.

The new spec failed before with a 500 from a handler that heeds its context.

--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -23,6 +23,7 @@
 type Server struct {
 	*http.Server
 	isClosing atomic.Bool
+	setUp     sync.Once
 
 	mu        sync.Mutex
 	listeners []net.Listener
@@ -46,14 +47,19 @@
 			out.remove(tracked)
 		}
 	}
-	s.Handler = out.closeAfter(s.Handler)
+	s.Handler = out.track(s.Handler)
 	return out
 }
 
-// closeAfter returns a handler whose responses close their connection when the server is
-// closing.
-func (s *Server) closeAfter(h http.Handler) http.Handler {
+type connKey struct{}
+
+// track returns a handler that marks the connection of each request as active. The bytes of
+// the request may have been read with those of the one before.
+func (s *Server) track(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.setIdle(false)
+		}
 		if s.isClosing.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -61,12 +67,24 @@
 	})
 }
 
+// trackConns gives handlers access to their connection, beside what ConnContext does.
+func (s *Server) trackConns() {
+	inner := s.ConnContext
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if inner != nil {
+			ctx = inner(ctx, c)
+		}
+		return context.WithValue(ctx, connKey{}, c)
+	}
+}
+
 // Serve accepts connections from l. It returns http.ErrServerClosed after Shutdown or
 // Close.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
 	s.listeners = append(s.listeners, l)
 	s.mu.Unlock()
+	s.setUp.Do(s.trackConns)
 	err := s.Server.Serve(&listener{Listener: l, server: s})
 	if s.isClosing.Load() {
 		return http.ErrServerClosed
--- a/entry/internal/drain/server_test.go
+++ b/entry/internal/drain/server_test.go
@@ -153,6 +153,41 @@
 		Expect(<-done).To(Succeed())
 	})
 
+	// Guards against a request whose context ends because of the shutdown although its caller
+	// waits for the answer.
+	It("handles a request that it read with the one before", func() {
+		begun, finish := make(chan struct{}), make(chan struct{})
+		s := startServer(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/first" {
+				close(begun)
+				<-finish
+				return
+			}
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusInternalServerError)
+			case <-time.After(300 * time.Millisecond):
+			}
+		})
+		c, r := s.dial()
+		_, err := io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		<-begun
+		done := shutdown(s)
+		time.Sleep(20 * time.Millisecond) // the listener is closed
+		close(finish)
+		for range 2 {
+			resp, err := http.ReadResponse(r, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Body.Close()).To(Succeed())
+			Expect(resp.StatusCode).To(Equal(http.StatusOK))
+			if resp.Close {
+				break
+			}
+		}
+		Expect(<-done).To(Succeed())
+	})
+
 	// Guards against a request that is cut while its body or its answer is under way.
 	It("waits for requests in progress", func() {
 		begun, finish := make(chan struct{}), make(chan struct{})
