Refuse a request that the host ends just as its body is read

A host that ended its requests put the read deadline of one whose body was still being read into the past. If the last bytes had just arrived, the deadline met the read with which net/http detects that a caller disconnects, and the handler took the caller for gone: it wrote nothing, and net/http made an empty 200 of that.

A request that the host has ended no longer counts as one whose caller is gone.

The new test got 200 without an answer of a target before.

--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -419,9 +419,10 @@
 	c.refuse(failed.Error(), failed.RetryAfter)
 }
 
-// isCallerGone reports whether the caller has closed its connection.
+// isCallerGone reports whether the caller has closed its connection. When the host ends the
+// request, the context of the server may end with it and tells nothing.
 func (c *call) isCallerGone() bool {
-	if c.r.Context().Err() == nil {
+	if c.r.Context().Err() == nil || c.isAborted() {
 		return false
 	}
 	c.reason = "caller disconnected"
--- a/entry/internal/edge/shutdown_test.go
+++ b/entry/internal/edge/shutdown_test.go
@@ -283,3 +283,39 @@
 	}
 	return d
 }
+
+// lastRead calls a function when the body has been read, before the handler knows it.
+type lastRead struct {
+	io.ReadCloser
+	left int
+	call func()
+}
+
+func (b *lastRead) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left -= n; b.left == 0 && b.call != nil {
+		b.call()
+		b.call = nil
+	}
+	return n, err
+}
+
+// Guards against an end of a request that net/http takes for a caller that is gone: the
+// request then got an empty success.
+func TestRequestThatEndsWhenItsBodyIsReadIsRefused(t *testing.T) {
+	h := startHost(t, fakeStages{}, ok)
+	inner := h.server.Handler
+	h.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = &lastRead{r.Body, int(r.ContentLength), func() {
+			h.handler.Leave(planIn(-1, -1, -1))
+			h.handler.Abort(time.Now().Add(500 * time.Millisecond))
+			time.Sleep(50 * time.Millisecond) // the server reads from the connection
+		}}
+		inner.ServeHTTP(w, r)
+	})
+	got := h.send(t, "/once/x", nil)
+	if got.status != http.StatusServiceUnavailable || h.runs.Load() != 0 {
+		t.Errorf("got %+v with %d runs, want 503 and none", got, h.runs.Load())
+	}
+	h.awaitIdle(t)
+}
