Answer a resumed stream without further events with the target's receipt

A caller that resumed a stream of which it had every event got an empty 200 without the target's receipt. The handler writes the head with the first event that it relays, and with none it left the response to net/http.

The head is written at the end of such a stream too. The new test got a 200 without a receipt before.

--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -358,6 +358,19 @@
 	}
 }
 
+// Guards against a success without the target's receipt when the caller has every event.
+func TestResumedStreamWithoutFurtherEvents(t *testing.T) {
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		streamHead(w, r)
+		chunk(w, "id: 3\ndata: three\n\n")
+		chunk(w, "")
+	})
+	got := h.send(t, "/stream/x", func(r *http.Request) { r.Header.Set(wire.HeaderLastEvent, "3") })
+	if got.err != nil || got.status != http.StatusOK || got.body != "" || got.header.Get(wire.HeaderReceipt) == "" {
+		t.Errorf("got %+v, want 200 with a receipt and no event", got)
+	}
+}
+
 // A stream that can't go on must not look complete.
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	serve := func(w net.Conn, r *http.Request) {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -245,7 +245,10 @@
 				return result{verdict: verdictDone}
 			}
 			t.Done(pick.Answered)
-			c.status, c.isAnswered = http.StatusOK, true
+			if !c.headWritten {
+				c.writeStreamHead(a) // the caller has every event
+			}
+			c.isAnswered = true
 			return result{verdict: verdictDone}
 		}
 		if err != nil {
