Close the connection of a caller that is gone without an empty success

If a caller closed its side for writing after its request, net/http reported it as disconnected, the handler wrote nothing, and net/http made an empty 200 of that, which a caller that still reads takes for a success.

The connection now closes without a response, as for a stream that breaks. A caller that is gone notices no difference. The new test got a 200 without an answer of a target before.

--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -191,13 +191,18 @@
 }
 
 // finish frees the stage results, and logs and counts the request. It passes a panic
-// on, such as that of abort.
+// on, such as that of abort. Without a response, it closes the connection, since the server
+// would respond with an empty success.
 func (c *call) finish() {
 	if c.results != nil {
 		c.freeResults()
 	}
 	c.record()
-	if p := recover(); p != nil {
+	p := recover()
+	if p == nil && !c.headWritten {
+		p = http.ErrAbortHandler
+	}
+	if p != nil {
 		panic(p)
 	}
 }
--- a/entry/internal/edge/shutdown_test.go
+++ b/entry/internal/edge/shutdown_test.go
@@ -319,3 +319,23 @@
 	}
 	h.awaitIdle(t)
 }
+
+// Guards against an empty success for a caller that has closed its side for writing.
+func TestCallerThatClosesItsSideGetsNoEmptySuccess(t *testing.T) {
+	h := startHost(t, slowStages{200 * time.Millisecond}, ok)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, strings.Replace(rawHead, "/once/", "/staged/", 1)+wire.HeaderPieces+": 2\r\nContent-Length: 0\r\n\r\n")
+	_ = conn.(*net.TCPConn).CloseWrite()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return // closed without an answer
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusMultipleChoices {
+		t.Errorf("got %d without an answer of a target", resp.StatusCode)
+	}
+}
