Let other parts of a host send datagrams with the gossip

Evidence about prompts has to reach all hosts within seconds, by the way that heartbeats take. The message of the roster is an array of fixed length, so a further field would make hosts of the earlier version reject heartbeats in a rolling upgrade. A datagram of another kind begins with a byte that no array begins with: hosts that don't know it count it as bad and ignore it.

--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -79,6 +80,8 @@
 
 	started time.Time
 
+	handlers [256]atomic.Pointer[func(data []byte, from string)] // by kind of datagram
+
 	mu          sync.Mutex
 	hasReadList bool // the list of hosts has been read at least once
 	state       *state
@@ -216,6 +219,10 @@
 		c.logger.Error(err, "failed to encode gossip message")
 		return
 	}
+	c.sendData(data, to)
+}
+
+func (c *Controller) sendData(data []byte, to []string) {
 	for _, address := range to {
 		a, err := net.ResolveUDPAddr("udp4", address)
 		if err != nil {
@@ -238,6 +245,12 @@
 			}
 			continue
 		}
+		if n > 0 {
+			if handle := c.handlers[buf[0]].Load(); handle != nil {
+				(*handle)(buf[1:n], from.String())
+				continue
+			}
+		}
 		var msg message
 		if err := cbor.Unmarshal(buf[:n], &msg); err != nil {
 			gossipBad.Add(1)
