Refuse prompts with a part that crashes targets

A broken answer was charged to the target alone; nothing knew what the requests had in common, a retry doubled the damage, and with many hosts none of them saw enough of the crashes.

The new package blame holds broken answers as evidence against the parts of their prompts, merges it with that of the other hosts, and derives which parts are quarantined. Requests with such a part are refused before their stages and before each send. Crashes that a quarantined part explains don't count against the prompts that ran beside it, and a complete answer clears its parts.

Not counted are refusals, silence, answers cut by the caller, bytes that are no answer, the end of a connection that was idle before, and answers that had been written for more than a second.

Weighed: the last crash decides (quarantines bystanders), a counter per host (with 77 hosts none reaches it), quarantines sent instead of evidence (a wrong one can't be taken back when more is known).

The test of the handler fails without them too: 12 sends instead of 6.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/blame"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/edge"
@@ -83,7 +84,7 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newEdgeHandler, newFleetServers,
-			newBalancer,
+			newBalancer, newBlame,
 			newFleetRefs, dialer.New,
 		),
 		fx.Invoke(func(*fleetServers) {}),
@@ -298,8 +299,12 @@
 	return stageParts{Home: home, Runner: runner}
 }
 
-func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, log logr.Logger) *edge.Handler {
-	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, log.WithName("edge"))
+func newBlame(r *roster.Controller, log logr.Logger) *blame.Controller {
+	return blame.New(r, log.WithName("blame"))
+}
+
+func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, log logr.Logger) *edge.Handler {
+	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, b, log.WithName("edge"))
 	return refs.handler
 }
 
@@ -312,7 +317,7 @@
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
-	home *batch.Home, d *dialer.Pool, log logr.Logger, lc fx.Lifecycle,
+	home *batch.Home, d *dialer.Pool, b *blame.Controller, log logr.Logger, lc fx.Lifecycle,
 ) *fleetServers {
 	isReady := func() bool {
 		view := t.View()
@@ -349,6 +354,7 @@
 			defer cancel()
 			err = errors.Join(err, fs.directory.Shutdown(lookupCtx), fs.ready.Shutdown(lookupCtx))
 			log.Info("stopped", "active", handler.Active(), "err", fmt.Sprint(err))
+			b.Close()
 			r.Close()
 			t.Close()
 			home.Close()
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -68,6 +68,9 @@
 			c.fail(http.StatusGatewayTimeout, "deadline exceeded")
 			return nil
 		}
+		if c.isQuarantined(failure) {
+			return nil
+		}
 		now := time.Now()
 		if !c.mayBeSent(now) {
 			c.refuseLeaving()
@@ -208,10 +211,10 @@
 		firstByteTimer = time.AfterFunc(c.firstByteTimeout(t.ID, left), func() { cancel(errTargetSilent) })
 		defer firstByteTimer.Stop()
 	}
-	c.target, c.targetDataCentre = t.ID, t.DataCentre
+	c.target, c.targetDataCentre, c.answerBegan = t.ID, t.DataCentre, time.Time{}
 	a, err := c.h.dialer.Do(ctx, t.ID, t.Address, c.h.balancer.ConnectionShare(c.service.MaxConnections), req)
 	if err != nil {
-		return c.handleSendError(ctx, t, err)
+		return c.handleSendError(ctx, t, err, time.Since(now))
 	}
 	defer a.Close()
 	c.countSend()
@@ -239,7 +242,7 @@
 
 // handleSendError records the outcome of a failed send and classifies it by whether
 // the request may have reached the target.
-func (c *call) handleSendError(ctx context.Context, t *pick.Chosen, err error) result {
+func (c *call) handleSendError(ctx context.Context, t *pick.Chosen, err error, took time.Duration) result {
 	var send *dialer.SendError
 	if !errors.As(err, &send) {
 		send = &dialer.SendError{Sent: true, Err: err}
@@ -263,6 +266,9 @@
 		return result{verdict: verdictNotSent, reason: reason}
 	}
 	c.countSend()
+	if !send.Stale || took > minStaleWait {
+		c.blameParts(ctx, t, send.Err)
+	}
 	if send.Stale {
 		// Targets close idle connections, so this isn't counted as a failure.
 		t.Done(pick.Cancelled)
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -115,7 +115,7 @@
 	balancer := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, h)
 	pool := dialer.New()
 	t.Cleanup(pool.Close)
-	h.handler = New(Options{DataCentre: "dc", Region: "r"}, h, stages, balancer, pool, logr.Discard())
+	h.handler = New(Options{DataCentre: "dc", Region: "r"}, h, stages, balancer, pool, &fakeBlame{}, logr.Discard())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -106,6 +106,7 @@
 	stages      StageRunner
 	balancer    Balancer
 	dialer      Dialer
+	blame       Blame
 	logger      logr.Logger
 	afterStages routeTimes // from the end of the stages to the first byte of the answer
 	totals      routeTimes // from the start to the end of complete answers
@@ -116,8 +117,8 @@
 }
 
 // New returns a Handler that sends requests to the targets in tables.
-func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, logger logr.Logger) *Handler {
-	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
+func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, b Blame, logger logr.Logger) *Handler {
+	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, blame: b, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
 }
 
 // Active returns the number of requests in progress.
@@ -149,6 +150,8 @@
 	mayHaveRun  bool // a target may have run the request
 	isAnswered  bool // a target's answer was written completely
 	firstSend   time.Time
+	isTrial     bool      // shows whether a quarantined part still crashes targets
+	answerBegan time.Time // at the current target; zero: not yet
 
 	// The fields below are mostly for the log line and the counters.
 	status           int
@@ -166,6 +169,7 @@
 	retryAfter       time.Duration
 	resumesStream    bool // the caller resumes a stream that broke
 	isRefusedLeaving bool
+	quarantinedPart  string // for which the request was refused
 }
 
 // ServeHTTP handles one request: it validates it, runs its stages, sends it to a target
@@ -352,6 +356,9 @@
 	_ = rc.SetWriteDeadline(c.deadline.Add(writeSlack)) // not every connection supports deadlines
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	for try := 1; ; try++ {
+		if c.isQuarantined(nil) {
+			return
+		}
 		c.setPhase(phaseStages)
 		if err := c.runStages(ctx); err != nil {
 			c.handleStageError(err)
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -65,7 +65,8 @@
 		"staged", c.stagesTook.Round(time.Millisecond).String(), "first", c.firstByte.Round(time.Millisecond).String(),
 		"took", time.Since(c.start).Round(time.Millisecond).String(), "events", c.events, "aim", c.latencyObjective().String(),
 		"time_left", c.req.TimeLeft.String(), "retry_after", c.retryAfter.Round(time.Millisecond).String(),
-		"from_event", c.resumesStream, "kind", c.kind(), "leaving_for", c.leavingFor.Round(time.Millisecond).String())
+		"from_event", c.resumesStream, "kind", c.kind(), "leaving_for", c.leavingFor.Round(time.Millisecond).String(),
+		"quarantined_part", c.quarantinedPart)
 }
 
 // recordBroken counts and logs an answer that a target broke off, with the parts of the
@@ -99,6 +100,8 @@
 		return "leaving"
 	case c.config == nil:
 		return "no_configuration"
+	case c.quarantinedPart != "":
+		return "quarantined_part"
 	case c.sends > 0:
 		return "target_refused"
 	case c.stagesTook > 0 && c.results == nil:
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -61,6 +61,7 @@
 		return c.relayStream(ctx, cancel, t, a, firstByteTimer)
 	}
 	t.FirstByte()
+	c.answerBegan = time.Now()
 	body, err := io.ReadAll(io.LimitReader(a, maxHeldAnswer+1))
 	if err == nil && len(body) > maxHeldAnswer {
 		if a.Status >= http.StatusInternalServerError {
@@ -81,6 +82,7 @@
 		} else {
 			t.Done(pick.Failed)
 			c.recordBroken(t, true, err.Error())
+			c.blameParts(ctx, t, err)
 		}
 		return result{verdict: verdictMayHaveRun, reason: "the target's answer ended early: " + err.Error()}
 	}
@@ -90,6 +92,9 @@
 		return result{verdict: verdictMayHaveRun, reason: fmt.Sprintf("the target failed with status %d", a.Status), heldAnswer: h}
 	}
 	t.Done(pick.Answered)
+	if a.Status < http.StatusMultipleChoices {
+		c.clearParts()
+	}
 	c.writeHeldAnswer(h)
 	c.isAnswered = c.reason == ""
 	return result{verdict: verdictDone}
@@ -245,6 +250,9 @@
 				return result{verdict: verdictDone}
 			}
 			t.Done(pick.Answered)
+			if n > 0 {
+				c.clearParts()
+			}
 			if !c.headWritten {
 				c.writeStreamHead(a) // the caller has every event
 			}
@@ -254,7 +262,9 @@
 		if err != nil {
 			return c.handleBrokenStream(ctx, t, err)
 		}
-		n++
+		if n++; n == 1 {
+			c.answerBegan = time.Now()
+		}
 		t.FirstByte()
 		if !isAfter(e.id, c.req.LastEvent) {
 			continue // the caller has this event
@@ -322,6 +332,7 @@
 	}
 	t.Done(pick.Failed)
 	c.recordBroken(t, true, reason)
+	c.blameParts(ctx, t, err)
 	if c.headWritten {
 		c.resumes++
 	}
