Let a started host collect evidence before it refuses prompts

The time for evidence to settle counted from the crash, which was seconds ago.

It now counts from the moment at which the host itself finds the part, and complete answers are sent before crashes. A starting host asks in each of its first six rounds instead of until two datagrams have arrived, since one reply may be two datagrams and either may get lost.

--- a/entry/internal/blame/controller.go
+++ b/entry/internal/blame/controller.go
@@ -30,10 +30,10 @@
 	minSendInterval = 50 * time.Millisecond
 	// fanout is the number of hosts that receive the news of a round.
 	fanout = 3
-	// startRounds is the number of rounds in which a host that starts asks another for all
-	// evidence, and startReplies the number of replies that suffice.
-	startRounds  = 8
-	startReplies = 2
+	// startRounds is the number of rounds in which a host that starts asks another for its
+	// evidence, of which some may get lost. maxReply limits the records of a reply.
+	startRounds = 6
+	maxReply    = 64
 	// syncRounds is the number of rounds between two datagrams with evidence that isn't
 	// news, for hosts that missed it.
 	syncRounds = 12
@@ -58,10 +58,9 @@
 	wait   sync.WaitGroup
 	news   chan struct{}
 
-	mu      sync.Mutex
-	state   *state
-	logged  map[part]quarantine
-	replies int // to WantsAll
+	mu     sync.Mutex
+	state  *state
+	logged map[part]quarantine
 }
 
 // New returns a Controller that exchanges evidence over gossip.
@@ -109,7 +108,7 @@
 	if round > 0 && round%syncRounds == 0 {
 		old = c.state.all(recordsPerDatagram, now)
 	}
-	asks := round > 0 && round <= startRounds && c.replies < startReplies
+	asks := round > 0 && round <= startRounds
 	c.mu.Unlock()
 	for _, m := range msg.split() {
 		if data := c.encode(m); data != nil {
@@ -127,15 +126,15 @@
 // split splits a message into datagrams.
 func (m message) split() []message {
 	var out []message
-	for records := range slices.Chunk(m.Records, recordsPerDatagram) {
-		out = append(out, message{Records: records})
+	for clearances := range slices.Chunk(m.Clearances, recordsPerDatagram) {
+		out = append(out, message{Clearances: clearances})
 	}
-	for clearances := range slices.Chunk(m.Clearances, 2*recordsPerDatagram) {
-		if last := len(out) - 1; last >= 0 && len(out[last].Clearances) == 0 && len(out[last].Records)+len(clearances) <= recordsPerDatagram {
-			out[last].Clearances = clearances
+	for records := range slices.Chunk(m.Records, recordsPerDatagram) {
+		if last := len(out) - 1; last >= 0 && len(out[last].Records) == 0 && len(out[last].Clearances)+len(records) <= recordsPerDatagram {
+			out[last].Records = records
 			continue
 		}
-		out = append(out, message{Clearances: clearances})
+		out = append(out, message{Records: records})
 	}
 	return out
 }
@@ -158,14 +157,11 @@
 	}
 	now := time.Now()
 	c.mu.Lock()
-	if len(msg.Records) > 0 {
-		c.replies++
-	}
 	c.state.merge(msg, now)
 	c.announce(from, now)
 	var reply message
 	if msg.WantsAll {
-		reply = c.state.all(len(c.state.records), now)
+		reply = c.state.all(maxReply, now)
 	}
 	c.mu.Unlock()
 	for _, m := range reply.split() {
--- a/entry/internal/blame/fleet_test.go
+++ b/entry/internal/blame/fleet_test.go
@@ -46,7 +46,6 @@
 	state    *state
 	sentAt   time.Duration
 	isQueued bool // a send of news is scheduled
-	asked    int
 	isDown   bool
 }
 
@@ -111,7 +110,7 @@
 		if round%syncRounds == 0 {
 			sim.send(h, h.state.all(recordsPerDatagram, sim.time()), 1)
 		}
-		if round <= startRounds && h.asked < startReplies {
+		if round <= startRounds {
 			sim.send(h, message{WantsAll: true}, 1)
 		}
 		sim.after(roundInterval, tick)
@@ -188,13 +187,10 @@
 		if to.isDown {
 			return
 		}
-		if len(m.Records) > 0 {
-			to.asked++
-		}
 		to.state.merge(m, sim.time())
 		sim.noteNews(to)
 		if m.WantsAll {
-			for _, reply := range to.state.all(len(to.state.records), sim.time()).split() {
+			for _, reply := range to.state.all(maxReply, sim.time()).split() {
 				sim.deliver(to, from, reply)
 			}
 		}
--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -34,8 +34,8 @@
 	otherWindow = time.Minute
 	// maxOccasions is the number that always suffices.
 	maxOccasions = 5
-	// settleTime is the time from the last of these to the quarantine, in which the
-	// evidence of other hosts arrives.
+	// settleTime is the time until a part that the evidence points to is quarantined, in
+	// which more evidence of other hosts arrives.
 	settleTime = 500 * time.Millisecond
 	// minHold and maxHold bound how long no request with a quarantined part is tried.
 	// Each crash of a trial multiplies the hold by holdFactor.
@@ -413,7 +413,12 @@
 	for p, q := range found {
 		if now.Sub(q.until) > window {
 			delete(found, p)
+			continue
+		}
+		if q.from = now.Add(settleTime); s.quarantines[p].crashes > 0 {
+			q.from = s.quarantines[p].from
 		}
+		found[p] = q
 	}
 	s.quarantines = found
 	for p := range s.trials {
@@ -567,7 +572,7 @@
 	for _, t := range times[min(minOccasions, len(times))-1:] {
 		switch {
 		case q.until.IsZero():
-			q.from, q.until = t.Add(settleTime), t.Add(length)
+			q.until = t.Add(length)
 		case t.After(q.until):
 			length = min(length*holdFactor, maxHold)
 			q.until = t.Add(length)
