--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -37,6 +37,8 @@
 	// settleTime is the time until a part that the evidence points to is quarantined, in
 	// which more evidence of other hosts arrives.
 	settleTime = 500 * time.Millisecond
+	// deriveInterval is the least time between two derivations.
+	deriveInterval = 200 * time.Millisecond
 	// minHold and maxHold bound how long no request with a quarantined part is tried.
 	// Each crash of a trial multiplies the hold by holdFactor.
 	minHold    = time.Minute
@@ -58,7 +60,7 @@
 	// clearInterval is the time after which a further complete answer is shared.
 	clearInterval = 2 * time.Second
 	// maxCrashes, maxRecordsPerCrash and maxClears limit the evidence held.
-	maxCrashes         = 256
+	maxCrashes         = 128
 	maxRecordsPerCrash = 32
 	maxClears          = 1024
 	// maxParts and maxNameBytes limit a record.
@@ -131,6 +133,8 @@
 	cleared     map[part]time.Time // end of the latest complete answer, if there was a crash before
 	suspects    map[part]time.Time // parts with evidence, and the time of the first crash
 	unexplained map[uint64]bool    // crashes without a quarantined part
+	isStale     bool               // there is evidence that the quarantines don't reflect
+	derivedAt   time.Time
 	quarantines map[part]quarantine
 	trials      map[part]time.Time
 	news        []newsItem
@@ -178,7 +182,8 @@
 func (s *state) recordBroken(b Broken, now time.Time) {
 	r := record{Crash: crashID(b.Target, b.StartMillis), Service: b.Service, Parts: b.Parts, Own: shortID(b.Own), Address: shortID(b.Address)}
 	if s.add(r, now) {
-		s.derive(now)
+		s.isStale = true
+		s.refresh(now)
 	}
 }
 
@@ -196,8 +201,9 @@
 		}
 	}
 	if changed {
-		s.derive(now)
+		s.isStale = true
 	}
+	s.refresh(now)
 }
 
 // completedAt returns when this host last relayed a complete answer on a part.
@@ -218,8 +224,9 @@
 		changed = s.clear(part{c.Service, c.Part}, now.Add(-age(c.AgeMs))) || changed
 	}
 	if changed {
-		s.derive(now)
+		s.isStale = true
 	}
+	s.refresh(now)
 }
 
 // age returns the age in a datagram, within bounds.
@@ -253,10 +260,14 @@
 	s.news = append(s.news, newsItem{record: &r, rounds: newsRounds})
 	for _, id := range r.Parts {
 		p := part{r.Service, id}
+		if first, ok := s.suspects[p]; !ok || s.crashedAt[r.Crash].Before(first) {
+			s.suspects[p] = s.crashedAt[r.Crash]
+		}
 		if done := s.completedAt(p); done.After(s.crashedAt[r.Crash]) && !s.isTrusted(p, s.crashedAt[r.Crash]) {
 			s.clear(p, done)
 		}
 	}
+	s.limit()
 	return true
 }
 
@@ -266,6 +277,9 @@
 		return false
 	}
 	s.cleared[p] = at
+	if len(s.cleared) > maxClears {
+		s.limit()
+	}
 	s.news = append(s.news, newsItem{part: p, rounds: newsRounds})
 	return true
 }
@@ -307,8 +321,9 @@
 		}
 	}
 	if changed {
-		s.derive(now)
+		s.isStale = true
 	}
+	s.refresh(now)
 }
 
 func (s *state) forget(crash uint64) {
@@ -352,11 +367,18 @@
 	crashes map[uint64]bool
 }
 
+// refresh derives the quarantines if there is new evidence.
+func (s *state) refresh(now time.Time) {
+	if s.isStale && now.Sub(s.derivedAt) >= deriveInterval {
+		s.derive(now)
+	}
+}
+
 // derive determines the quarantined parts. It takes the part with the most crashes, or a
 // more specific one of the same prompts if that explains nearly all of them, then
 // disregards the crashes that are now explained, and so on.
 func (s *state) derive(now time.Time) {
-	s.limit()
+	s.isStale, s.derivedAt = false, now
 	suspects := map[part]*suspect{}
 	clear(s.suspects)
 	clear(s.unexplained)
@@ -449,6 +471,7 @@
 		return nil
 	}
 	out := best
+	seen := map[string]bool{}
 	for crash := range best.crashes {
 		for _, r := range s.byCrash[crash] {
 			i := slices.Index(r.Parts, best.part.id)
@@ -457,7 +480,11 @@
 			}
 			for _, id := range r.Parts[i+1:] {
 				sus := suspects[part{r.Service, id}]
-				if sus != nil && isMoreSpecific(sus, out) && s.isSufficient(sus) && len(s.occasions(best.part, best.crashes, sus.crashes)) <= 1 {
+				if seen[id] || sus == nil {
+					continue
+				}
+				seen[id] = true
+				if isMoreSpecific(sus, out) && s.isSufficient(sus) && len(s.occasions(best.part, best.crashes, sus.crashes)) <= 1 {
 					out = sus
 				}
 			}
@@ -476,7 +503,13 @@
 	if len(sus.crashes) < minOccasions {
 		return false
 	}
-	times := s.occasions(sus.part, sus.crashes, nil)
+	times := s.times(sus.crashes, nil)
+	if len(times) >= maxOccasions {
+		return true
+	}
+	if times = s.occasions(sus.part, sus.crashes, nil); len(times) < minOccasions {
+		return false
+	}
 	needed := minOccasions + s.otherOccasions(sus, times)/occasionsPerExtra
 	onePrompt, oneAddress := s.spread(sus)
 	if onePrompt {
@@ -528,20 +561,21 @@
 // occasionLength of the first of them count once, unless one prompt has them: then each
 // came after a send that the one before caused.
 func (s *state) occasions(p part, crashes, except map[uint64]bool) []time.Time {
-	var times []time.Time
+	out := s.times(crashes, except)
+	if len(out) >= maxOccasions {
+		return out
+	}
 	byPrompt := map[uint32][]time.Time{}
 	for crash := range crashes {
 		if except[crash] {
 			continue
 		}
-		times = append(times, s.crashedAt[crash])
 		for _, r := range s.byCrash[crash] {
 			if r.Service == p.service && slices.Contains(r.Parts, p.id) {
 				byPrompt[r.Own] = append(byPrompt[r.Own], s.crashedAt[crash])
 			}
 		}
 	}
-	out := separate(times)
 	for _, times := range byPrompt {
 		if len(times) > len(out) {
 			slices.SortFunc(times, time.Time.Compare)
@@ -551,6 +585,17 @@
 	return out
 }
 
+// times returns the times of crashes, except some, that are at least occasionLength apart.
+func (s *state) times(crashes, except map[uint64]bool) []time.Time {
+	times := make([]time.Time, 0, len(crashes))
+	for crash := range crashes {
+		if !except[crash] {
+			times = append(times, s.crashedAt[crash])
+		}
+	}
+	return separate(times)
+}
+
 // separate sorts times and returns those that are at least occasionLength after the one
 // returned before.
 func separate(times []time.Time) []time.Time {
@@ -585,6 +630,7 @@
 // the time after which to retry. If a quarantine has been held, the request may be a
 // trial: rank returns the rank of this host for a key.
 func (s *state) check(service string, parts []string, isTrial bool, rank func(key string) int, now time.Time) (verdict Verdict) {
+	s.refresh(now)
 	for _, id := range parts {
 		p := part{service, id}
 		q, ok := s.quarantines[p]
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -320,6 +320,7 @@
 			s.merge(message{Records: []record{r}}, now)
 		}
 		s.merge(message{Clearances: all.Clearances}, now)
+		s.derive(now)
 		if want == nil {
 			want = s.quarantines
 		}
