--- a/entry/internal/blame/fleet_test.go
+++ b/entry/internal/blame/fleet_test.go
@@ -132,11 +132,13 @@
 
 // run runs the simulation for d.
 func (sim *simulation) run(d time.Duration) {
-	for end := sim.now + d; len(sim.queue) > 0 && sim.queue[0].at <= end; {
+	end := sim.now + d
+	for len(sim.queue) > 0 && sim.queue[0].at <= end {
 		e := heap.Pop(&sim.queue).(event)
 		sim.now = e.at
 		e.run()
 	}
+	sim.now = end
 }
 
 // sendNews sends the news of a host, and in rounds what is still being repeated.
