Keep a quarantine while targets crash for other reasons

Crashes without a part raise the evidence that it needs, and those after its last crash counted as well. They now count up to its last crash. The new case of TestQuarantine failed before.

--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -541,12 +541,12 @@
 }
 
 // otherOccasions returns the number of occasions at which targets of the service crashed
-// without the part, from shortly before the first crash on it.
+// without the part, from shortly before the first crash on it to the last.
 func (s *state) otherOccasions(sus *suspect, times []time.Time) int {
 	var others []time.Time
 	for crash := range s.unexplained {
 		at := s.crashedAt[crash]
-		if !sus.crashes[crash] && s.byCrash[crash][0].Service == sus.part.service && times[0].Sub(at) < otherWindow {
+		if !sus.crashes[crash] && s.byCrash[crash][0].Service == sus.part.service && times[0].Sub(at) < otherWindow && at.Before(times[len(times)-1]) {
 			others = append(others, at)
 		}
 	}
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -224,6 +224,14 @@
 			}
 			d.now = d.now.Add(settleTime)
 		}, []string{"system", "bystander"}, ""},
+		{"crashes without the part later", func(d *deployment) {
+			d.crashOn("s", deadly, deadly, deadly)
+			d.crashOn("s", []string{"a", "b"}, []string{"c", "d"}, []string{"e", "f"}, []string{"g", "h"})
+		}, deadly, "deadly"},
+		{"crashes without the part before", func(d *deployment) {
+			d.crashOn("s", []string{"a", "b"}, []string{"c", "d"}, []string{"e", "f"}, []string{"g", "h"})
+			d.crashOn("s", deadly, deadly, deadly)
+		}, deadly, ""},
 		{"crashes long ago", func(d *deployment) {
 			d.crashOn("s", deadly, deadly)
 			d.now = d.now.Add(window + time.Second)
