Count the time to settle from the evidence, not from its evaluation

Since the quarantines are derived at most each 200 ms, evidence that came within that time of the last derivation waited for the next check or round, up to 0.4 s, and the time to settle began only then.

--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -133,7 +133,7 @@
 	cleared     map[part]time.Time // end of the latest complete answer, if there was a crash before
 	suspects    map[part]time.Time // parts with evidence, and the time of the first crash
 	unexplained map[uint64]bool    // crashes without a quarantined part
-	isStale     bool               // there is evidence that the quarantines don't reflect
+	staleSince  time.Time          // of the first evidence that the quarantines don't reflect; zero: none
 	derivedAt   time.Time
 	quarantines map[part]quarantine
 	trials      map[part]time.Time
@@ -182,7 +182,7 @@
 func (s *state) recordBroken(b Broken, now time.Time) {
 	r := record{Crash: crashID(b.Target, b.StartMillis), Service: b.Service, Parts: b.Parts, Own: shortID(b.Own), Address: shortID(b.Address)}
 	if s.add(r, now) {
-		s.isStale = true
+		s.markStale(now)
 		s.refresh(now)
 	}
 }
@@ -201,7 +201,7 @@
 		}
 	}
 	if changed {
-		s.isStale = true
+		s.markStale(now)
 	}
 	s.refresh(now)
 }
@@ -224,7 +224,7 @@
 		changed = s.clear(part{c.Service, c.Part}, now.Add(-age(c.AgeMs))) || changed
 	}
 	if changed {
-		s.isStale = true
+		s.markStale(now)
 	}
 	s.refresh(now)
 }
@@ -321,7 +321,7 @@
 		}
 	}
 	if changed {
-		s.isStale = true
+		s.markStale(now)
 	}
 	s.refresh(now)
 }
@@ -367,9 +367,16 @@
 	crashes map[uint64]bool
 }
 
+// markStale records that there is new evidence.
+func (s *state) markStale(now time.Time) {
+	if s.staleSince.IsZero() {
+		s.staleSince = now
+	}
+}
+
 // refresh derives the quarantines if there is new evidence.
 func (s *state) refresh(now time.Time) {
-	if s.isStale && now.Sub(s.derivedAt) >= deriveInterval {
+	if !s.staleSince.IsZero() && now.Sub(s.derivedAt) >= deriveInterval {
 		s.derive(now)
 	}
 }
@@ -378,7 +385,11 @@
 // more specific one of the same prompts if that explains nearly all of them, then
 // disregards the crashes that are now explained, and so on.
 func (s *state) derive(now time.Time) {
-	s.isStale, s.derivedAt = false, now
+	foundAt := now
+	if !s.staleSince.IsZero() {
+		foundAt = s.staleSince
+	}
+	s.staleSince, s.derivedAt = time.Time{}, now
 	suspects := map[part]*suspect{}
 	clear(s.suspects)
 	clear(s.unexplained)
@@ -437,7 +448,7 @@
 			delete(found, p)
 			continue
 		}
-		if q.from = now.Add(settleTime); s.quarantines[p].crashes > 0 {
+		if q.from = foundAt.Add(settleTime); s.quarantines[p].crashes > 0 {
 			q.from = s.quarantines[p].from
 		}
 		found[p] = q
