Shut hosts down in overlapping series in the platform's soak run

The soak run terminated single hosts amid unplanned faults, its callers left a host with the next answer of the directory, and no request took longer than 3 s.

A new check judges from the records of callers and targets whether a whole request that a host has read got an answer or a refusal. A process that ends by itself is reported too. Revocations of a key that overlap, or overlap with another change of the configuration, no longer make the key valid while the checker takes it for revoked. The number of hosts is bounded by the memory.

recordSent takes the time limit of the request, which the check of late answers uses instead of one limit for all. The checks of answers moved to checker and are the same, but a stream with too many events is found as well.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 LINT := $(CURDIR)/bin/golangci-lint
 SEED ?= 1
 DURATION ?= 5m
+FAULTS ?= all
+HOSTS ?= 6
 
 .PHONY: build demo soak platform-soak test test-cores histories lint fmt vet tidy clean capacity
 
@@ -21,9 +23,9 @@
 soak: build
 	@SEED=$(SEED) DURATION=$(DURATION) scripts/soak
 
-# The same for hosts on the platform, against its stand-ins.
+# The same for hosts on the platform, against its stand-ins. FAULTS selects what is injected.
 platform-soak: build
-	@bin/chive-stand soak --seed $(SEED) --duration $(DURATION) --dir out/platform-soak-$(SEED)
+	@bin/chive-stand soak --faults $(FAULTS) --hosts $(HOSTS) --seed $(SEED) --duration $(DURATION) --dir out/platform-soak-$(FAULTS)-$(SEED)
 
 # The race detector is on: most packages here share state between goroutines. It runs on
 # one thread for each package: Go 1.26 gives the detector one context for all timers of a
--- a/stand/cmd/soak.go
+++ b/stand/cmd/soak.go
@@ -14,20 +14,18 @@
 type soakCmd struct {
 	Binary   string        `default:"bin/chive-entry" type:"existingfile" help:"Program of the entry hosts."`
 	Dir      string        `default:"out/soak" help:"Folder for settings and logs."`
+	Faults   soak.Faults   `default:"all" enum:"mixed,planned,all" help:"What is injected: mixed faults, planned work alone, or both at once."`
 	Seed     uint64        `default:"1" help:"Seed of faults and load."`
 	Duration time.Duration `default:"1m" help:"How long faults are injected."`
-	Hosts    int           `default:"6" help:"Number of entry hosts, 1 to 200."`
+	Hosts    int           `default:"6" help:"Number of entry hosts, at most 200 and what half of the memory bears."`
 	Callers  int           `default:"12" help:"Number of callers."`
 }
 
 // Run starts a soak run and prints its counts and violations.
 func (c *soakCmd) Run(out output) error {
-	if c.Hosts < 1 || c.Hosts > 200 {
-		return fmt.Errorf("number of hosts is %d, must be 1 to 200", c.Hosts)
-	}
-	_, _ = fmt.Fprintf(out, "seed %d, %s of faults, %d hosts, %d callers\n", c.Seed, c.Duration, c.Hosts, c.Callers)
+	_, _ = fmt.Fprintf(out, "seed %d, %s of faults (%s), %d hosts, %d callers\n", c.Seed, c.Duration, c.Faults, c.Hosts, c.Callers)
 	res, err := soak.Run(context.Background(), soak.Options{
-		Binary: c.Binary, Dir: c.Dir, Seed: c.Seed, Duration: c.Duration, Hosts: c.Hosts, Callers: c.Callers, Out: out,
+		Binary: c.Binary, Dir: c.Dir, Faults: c.Faults, Seed: c.Seed, Duration: c.Duration, Hosts: c.Hosts, Callers: c.Callers, Out: out,
 	})
 	if err != nil {
 		return err
--- a/stand/internal/soak/caller.go
+++ b/stand/internal/soak/caller.go
@@ -1,11 +1,9 @@
 package soak
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -65,7 +63,7 @@
 	for range 3 {
 		h := c.run.hosts[c.rand.IntN(len(c.run.hosts))]
 		call, cancel := context.WithTimeout(ctx, resolveTimeout)
-		req, err := http.NewRequestWithContext(call, http.MethodGet, "http://"+h.address(portDirectory)+wire.PathResolve+"?Name=soak.example&Region="+h.region+"&Zone="+h.dataCentre, nil)
+		req, err := http.NewRequestWithContext(call, http.MethodGet, h.directoryURL(), nil)
 		if err == nil {
 			if resp, doErr := c.client.Do(req); doErr == nil {
 				var out struct{ Addresses []string }
@@ -91,13 +89,13 @@
 	}
 	c.seq++
 	id := fmt.Sprintf("%d-%d", c.n, c.seq)
-	kind := []string{"once", "safe", "stream"}[c.rand.IntN(3)]
+	kind := []string{kindOnce, kindSafe, kindStream}[c.rand.IntN(3)]
 	k := keys[c.rand.IntN(len(keys))]
-	c.run.checker.recordSent(id, kind == "once", k.key, k.account)
+	c.run.checker.recordSent(id, kind == kindOnce, k.key, k.account, callTimeout)
+	c.run.checker.count("sent")
 	call, cancel := context.WithTimeout(ctx, callTimeout+time.Second)
 	defer cancel()
-	body := "body of " + id
-	req, err := http.NewRequestWithContext(call, http.MethodPost, "http://"+c.addresses[c.rand.IntN(len(c.addresses))]+"/"+kind+"/x", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(call, http.MethodPost, "http://"+c.addresses[c.rand.IntN(len(c.addresses))]+"/"+kind+"/x", strings.NewReader(requestBody(id)))
 	if err != nil {
 		return
 	}
@@ -108,8 +106,10 @@
 	} {
 		req.Header.Set(name, value)
 	}
-	if kind == "stream" {
-		req.Header.Set(wire.HeaderPieces, "1,2")
+	q := keptRequest{id: id, kind: kind}
+	if kind == kindStream {
+		q.events = streamEvents
+		req.Header.Set(wire.HeaderPieces, pieces[kind].header())
 		req.Header.Set(wire.HeaderPieceKey, "key-"+id)
 	}
 	// Without GetBody, the HTTP client can't resend the request on its own.
@@ -121,67 +121,12 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }() // checkResponse has read what it needs
-	c.checkResponse(id, kind, body, resp)
-}
-
-// checkResponse records the outcome of a request by its status.
-func (c *caller) checkResponse(id, kind, body string, resp *http.Response) {
-	checker := c.run.checker
-	switch resp.StatusCode {
-	case http.StatusOK:
-		c.checkSuccess(id, kind, body, resp)
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		checker.recordRefused(id)
-		if resp.Header.Get(wire.HeaderRetryAfter) == "" {
-			checker.report("request %s is refused without a Retry-After header", id)
-		}
-	case http.StatusNotFound, http.StatusBadRequest:
-		checker.report("valid request %s gets status %d", id, resp.StatusCode)
-	default:
-		checker.count("status " + strconv.Itoa(resp.StatusCode))
-	}
-	checker.recordAnswered(id)
-}
-
-// checkSuccess checks the headers and the body of a 200 answer.
-func (c *caller) checkSuccess(id, kind, body string, resp *http.Response) {
-	checker := c.run.checker
-	if got := resp.Header.Get(wire.HeaderID); got != id {
-		checker.report("request %s gets the answer to request %s", id, got)
-	}
-	if r := resp.Header.Get(wire.HeaderReceipt); !strings.HasSuffix(r, "-"+id) {
-		checker.report("request %s gets receipt %q", id, r)
-	}
-	if kind != "stream" {
-		got, err := io.ReadAll(resp.Body)
-		switch {
-		case err != nil:
-			checker.count("answer cut off")
-		case string(got) != responseBody(id, body):
-			checker.report("request %s gets answer %q", id, got)
-		default:
-			checker.count("answered")
-		}
-		return
-	}
-	scan := bufio.NewScanner(resp.Body)
-	n := 0
-	for scan.Scan() {
-		text, ok := strings.CutPrefix(scan.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if n++; text != fmt.Sprintf("%s %d", id, n) {
-			checker.report("event %d of request %s is %q", n, id, text)
-			return
-		}
-	}
-	switch {
-	case scan.Err() != nil:
-		checker.count("stream cut off")
-	case n < streamEvents:
-		checker.report("stream of request %s ends without an error after %d of %d events", id, n, streamEvents)
-	default:
-		checker.count("answered")
+	switch o, _, _ := c.run.checker.checkAnswer(q, resp); {
+	case o == answered:
+		c.run.checker.count("answered")
+	case (o == cut || o == timedOut) && q.events > 0:
+		c.run.checker.count("stream cut off")
+	case o == cut || o == timedOut:
+		c.run.checker.count("answer cut off")
 	}
 }
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -23,6 +23,7 @@
 	atMostOnce bool   // the request may run at most once
 	account    string // client account that the key belongs to
 	key        string
+	limit      time.Duration
 	sentAt     time.Time
 	runs       int
 	refused    bool // the caller got an answer that says that the request has not run
@@ -62,11 +63,10 @@
 	return c.unplannedFaults == 0 && now.Sub(c.lastFault) > stabiliseTime
 }
 
-func (c *checker) recordSent(id string, atMostOnce bool, key, account string) {
+func (c *checker) recordSent(id string, atMostOnce bool, key, account string, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id] = &requestState{atMostOnce: atMostOnce, account: account, key: key, sentAt: time.Now()}
-	c.counts["sent"]++
+	c.requests[id] = &requestState{atMostOnce: atMostOnce, account: account, key: key, limit: limit, sentAt: time.Now()}
 }
 
 // recordRun checks a request that a target begins to run. leaving is when the target
@@ -124,7 +124,8 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if took := now.Sub(c.requests[id].sentAt); c.isStable(now) && took > callTimeout+responseSlack {
+	r := c.requests[id]
+	if took := now.Sub(r.sentAt); c.isStable(now) && took > r.limit+responseSlack {
 		c.addViolation("request %s is answered only after %s", id, took)
 	}
 }
@@ -132,6 +133,17 @@
 // responseSlack is how long after its deadline an answer may arrive.
 const responseSlack = 500 * time.Millisecond
 
+// setRevoked records that a key is revoked, unless it was before, or valid again.
+func (c *checker) setRevoked(key string, isRevoked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, wasRevoked := c.revokedAt[key]; isRevoked && !wasRevoked {
+		c.revokedAt[key] = time.Now()
+	} else if !isRevoked {
+		delete(c.revokedAt, key)
+	}
+}
+
 // report records a violation. The caller doesn't hold the lock.
 func (c *checker) report(format string, args ...any) {
 	c.mu.Lock()
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -26,29 +26,32 @@
 // faultKinds are the faults that a run injects. Faults of hosts apply to any host, also to
 // one that another fault affects already.
 var faultKinds = []fault{
-	{"kill", false, func(r *runner, _ time.Duration) func() { r.randomHost().signal(syscall.SIGKILL); return nil }},
-	{"term", true, func(r *runner, _ time.Duration) func() { r.randomHost().signal(syscall.SIGTERM); return nil }},
+	{"kill", false, func(r *runner, _ time.Duration) func() { r.kill(r.randomHost()); return nil }},
+	{"term", true, func(r *runner, _ time.Duration) func() { r.randomHost().terminate(); return nil }},
 	{"hup", true, func(r *runner, _ time.Duration) func() { r.randomHost().signal(syscall.SIGHUP); return nil }},
 	{"pause", false, func(r *runner, _ time.Duration) func() {
 		h := r.randomHost()
+		end := r.trace.recordOutage(h.name)
 		h.signal(syscall.SIGSTOP)
-		return func() { h.signal(syscall.SIGCONT) }
+		return func() { h.signal(syscall.SIGCONT); end() }
 	}},
 	{"kill many", false, func(r *runner, _ time.Duration) func() {
 		for _, h := range r.hosts {
 			if r.rand.IntN(2) == 0 {
-				h.signal(syscall.SIGKILL)
+				r.kill(h)
 			}
 		}
 		return nil
 	}},
 	{"store link", false, func(r *runner, _ time.Duration) func() {
 		h, f := r.randomHost(), r.randomLinkFault()
+		end := r.trace.recordOutage(storeLink(h.name))
 		h.storeProxy.setFault(f)
-		return func() { h.storeProxy.setFault(linkHealthy) }
+		return func() { h.storeProxy.setFault(linkHealthy); end() }
 	}},
 	{"store down", false, func(r *runner, _ time.Duration) func() {
 		f := r.randomLinkFault()
+		end := r.trace.recordOutage(storeOutage)
 		for _, h := range r.hosts {
 			h.storeProxy.setFault(f)
 		}
@@ -56,12 +59,14 @@
 			for _, h := range r.hosts {
 				h.storeProxy.setFault(linkHealthy)
 			}
+			end()
 		}
 	}},
 	{"target link", false, func(r *runner, _ time.Duration) func() {
 		t, f := r.randomTarget(""), r.randomLinkFault()
+		end := r.trace.recordOutage(t.id)
 		t.proxy.setFault(f)
-		return func() { t.proxy.setFault(linkHealthy) }
+		return func() { t.proxy.setFault(linkHealthy); end() }
 	}},
 	{"target slow", false, func(r *runner, _ time.Duration) func() {
 		t := r.randomTarget("")
@@ -90,23 +95,10 @@
 		r.store.put(feed.TopicOperator, feed.EvacuatePrefix+dc, []byte("{}"))
 		return func() { r.store.put(feed.TopicOperator, feed.EvacuatePrefix+dc, nil) }
 	}},
-	{"configuration", true, func(r *runner, _ time.Duration) func() { r.publish(keys...); return nil }},
-	{"key revoked", true, func(r *runner, _ time.Duration) func() {
-		r.publish(keys[0])
-		now := time.Now()
-		r.checker.mu.Lock()
-		r.checker.revokedAt[revocableKey] = now
-		r.checker.mu.Unlock()
-		return func() {
-			r.checker.mu.Lock()
-			delete(r.checker.revokedAt, revocableKey)
-			r.checker.mu.Unlock()
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.publish(keys...)
-		}
-	}},
+	{"configuration", true, func(r *runner, _ time.Duration) func() { r.publish(); return nil }},
+	{"key revoked", true, func(r *runner, _ time.Duration) func() { r.revoke(1); return func() { r.revoke(-1) } }},
 	{"history dropped", false, func(r *runner, _ time.Duration) func() {
+		r.trace.recordOutage(storeOutage)()
 		r.store.dropHistory(feed.TopicOperator)
 		r.store.dropHistory(feed.TopicTargets)
 		return nil
@@ -124,7 +116,7 @@
 	defer r.mu.Unlock()
 	var candidates []*fakeTarget
 	for i := 1; i <= r.seq; i++ {
-		for _, s := range []string{"reg", "llm", "pre"} {
+		for _, s := range services {
 			if t := r.targets[fmt.Sprintf("%s-%d", s, i)]; t != nil && (service == "" || service == s) {
 				candidates = append(candidates, t)
 			}
@@ -150,6 +142,12 @@
 	}
 }
 
+// kill kills the process of a host.
+func (r *runner) kill(h *host) {
+	r.trace.recordOutage(h.name)()
+	h.signal(syscall.SIGKILL)
+}
+
 // inject starts random faults for the duration of the run and returns their number by kind.
 func (r *runner) inject(ctx context.Context) map[string]int {
 	counts := map[string]int{}
@@ -159,7 +157,7 @@
 		f := faultKinds[r.rand.IntN(len(faultKinds))]
 		d := 300*time.Millisecond + time.Duration(r.rand.Int64N(int64(maxFaultTime)))
 		counts[f.name]++
-		_, _ = fmt.Fprintf(r.opts.Out, "%s %s for %s\n", time.Now().Format("15:04:05.000"), f.name, d.Round(time.Millisecond))
+		r.print("%s for %s", f.name, d.Round(time.Millisecond))
 		if !f.planned {
 			r.checker.recordFault(true)
 		}
--- a/stand/internal/soak/host.go
+++ b/stand/internal/soak/host.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"chivepost/platform/boot"
+	"chivepost/platform/wire"
 )
 
 // Ports of a host. Each host has its own loopback address.
@@ -28,9 +29,12 @@
 	name, ip, dataCentre, region string
 	binary, dir                  string
 	storeProxy                   *proxy // between the host and the store
+	trace                        *trace
+	checker                      *checker
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
+	life      *life
 	exited    chan struct{}
 	starts    int
 	isStopped bool
@@ -38,6 +42,11 @@
 
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 
+// directoryURL returns the URL at which the host answers what addresses the service has.
+func (h *host) directoryURL() string {
+	return "http://" + h.address(portDirectory) + wire.PathResolve + "?Name=soak.example&Region=" + h.region + "&Zone=" + h.dataCentre
+}
+
 // settings returns the contents of the settings file that the platform gives to a host.
 func (h *host) settings(regions map[string]string, seeds []string) string {
 	lines := []string{
@@ -46,7 +55,7 @@
 		"Listen.ControlPlane=" + h.address(portPeers), "Listen.Directory=" + h.address(portDirectory),
 		fmt.Sprintf("PortRange=%d,%d", portGossip, portGossip+5), "Seeds=" + strings.Join(seeds, ","),
 		"Platform.Address=" + h.storeProxy.address(), "HeartbeatMs=400", "Bounds.DrainMs=2500", "Bounds.ConfigApplyMs=2500",
-		"Bounds.GraceS=8", "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10", "Bounds.RetryMinExtra=100",
+		fmt.Sprintf("Bounds.GraceS=%d", int(graceTime.Seconds())), fmt.Sprintf("Bounds.ContactMs=%d", contactTime.Milliseconds()), "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10", "Bounds.RetryMinExtra=100",
 	}
 	for dataCentre, region := range regions {
 		lines = append(lines, "Zones."+dataCentre+"="+region)
@@ -71,12 +80,18 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
-	h.cmd, h.exited = cmd, make(chan struct{})
+	h.cmd, h.exited, h.life = cmd, make(chan struct{}), h.trace.recordStart(h.name)
 	h.starts++
-	exited := h.exited
+	exited, current := h.exited, h.life
 	go func() {
 		_ = cmd.Wait() // the log shows why it exited
 		_ = out.Close()
+		h.trace.update(current, func(l *life) {
+			l.ended = time.Now()
+			if l.terminated.IsZero() && !l.isKilled {
+				h.checker.report("the process of %s ended by itself at %s", h.name, l.ended.Format(timeFormat))
+			}
+		})
 		close(exited)
 		time.Sleep(restartDelay)
 		_ = h.start()
@@ -87,13 +102,49 @@
 // restartDelay is how long the platform takes to restart a process.
 const restartDelay = 300 * time.Millisecond
 
-// signal sends a signal to the host's own process.
+// signal sends a signal other than SIGTERM to the host's own process.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd != nil {
-		_ = h.cmd.Process.Signal(s) // the process may have exited
+	if h.cmd == nil {
+		return
 	}
+	switch s {
+	case syscall.SIGKILL:
+		h.trace.update(h.life, func(l *life) { l.isKilled = true })
+	case syscall.SIGHUP:
+		h.trace.recordReload(h.name)
+	}
+	_ = h.cmd.Process.Signal(s) // the process may have exited
+}
+
+// terminate shuts the process down as the platform does: with SIGTERM, and with SIGKILL at the
+// end of the grace period. A process that is leaving already isn't affected.
+func (h *host) terminate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cmd == nil || h.isStopped {
+		return
+	}
+	isFirst := false
+	h.trace.update(h.life, func(l *life) {
+		if isFirst = l.terminated.IsZero() && l.ended.IsZero(); isFirst {
+			l.terminated = time.Now()
+		}
+	})
+	if !isFirst {
+		return
+	}
+	_ = h.cmd.Process.Signal(syscall.SIGTERM) // the process may have exited
+	cmd, exited := h.cmd, h.exited
+	go func() {
+		select {
+		case <-exited:
+		case <-time.After(graceTime):
+			h.checker.count("killed after the grace period")
+			_ = cmd.Process.Kill() // the process may have exited
+		}
+	}()
 }
 
 // stop shuts the host down for good and waits until its process has exited.
@@ -101,11 +152,16 @@
 func (h *host) stop(timeout time.Duration) error {
 	h.mu.Lock()
 	h.isStopped = true
-	cmd, exited := h.cmd, h.exited
+	cmd, exited, current := h.cmd, h.exited, h.life
 	h.mu.Unlock()
 	if cmd == nil {
 		return nil
 	}
+	h.trace.update(current, func(l *life) {
+		if l.terminated.IsZero() {
+			l.terminated = time.Now()
+		}
+	})
 	_ = cmd.Process.Signal(syscall.SIGCONT)
 	_ = cmd.Process.Signal(syscall.SIGTERM)
 	select {
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -4,10 +4,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,17 +17,16 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"chivepost/platform/feed"
 )
 
 // Options configures a run.
 type Options struct {
 	Binary   string        // path of chive-entry
 	Dir      string        // for settings and logs
+	Faults   Faults        // FaultsMixed if empty
 	Seed     uint64        // of faults and load
 	Duration time.Duration // of the faults; load without faults follows
-	Hosts    int           // 1 to 200
+	Hosts    int           // at most what the machine bears
 	Callers  int
 	Out      io.Writer // gets a line for each fault
 }
@@ -49,19 +49,43 @@
 
 var dataCentres = []string{"dc-a", "dc-b", "dc-c"}
 
+// Services of a run: plain requests, models and two of stages.
+const (
+	servicePlain      = "reg"
+	serviceModel      = "llm"
+	serviceStages     = "pre"
+	serviceLongStages = "heavy"
+)
+
+var services = []string{servicePlain, serviceModel, serviceStages, serviceLongStages}
+
+const (
+	// targetsPerDataCentre is the number of targets of each service.
+	targetsPerDataCentre = 1
+	// keptPerCaller is the number of callers with a connection of their own for each other one.
+	keptPerCaller = 5
+)
+
 // runner holds the state of one run.
 type runner struct {
 	opts    Options
 	rand    *rand.Rand
 	store   *fakeStore
 	checker *checker
+	trace   *trace
 	hosts   []*host
-	version int64
+	faults  sync.WaitGroup
+
+	configMu   sync.Mutex
+	configRand *rand.Rand
+	version    int64
+	revoked    int // revocations of revocableKey in force
 
 	mu      sync.Mutex
 	targets map[string]*fakeTarget
 	seq     int
-	faults  sync.WaitGroup
+
+	outMu sync.Mutex
 }
 
 // Result is the summary of a run.
@@ -74,8 +98,13 @@
 
 // Run starts a deployment, injects faults under load and returns what was found.
 func Run(ctx context.Context, opts Options) (Result, error) {
+	if limit := maxHosts(); opts.Hosts < 1 || opts.Hosts > limit {
+		return Result{}, fmt.Errorf("number of hosts is %d, must be 1 to %d on this machine", opts.Hosts, limit)
+	}
+	newRand := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(opts.Seed, stream)) }
 	r := &runner{
-		opts: opts, rand: rand.New(rand.NewPCG(opts.Seed, 99)), store: newFakeStore(), checker: newChecker(), targets: map[string]*fakeTarget{},
+		opts: opts, rand: newRand(99), store: newFakeStore(), checker: newChecker(), trace: newTrace(), targets: map[string]*fakeTarget{},
+		configRand: newRand(96),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -96,14 +125,14 @@
 
 // setUp starts the targets and hosts and publishes the first configuration.
 func (r *runner) setUp(storeAddress string) error {
-	for _, s := range []string{"reg", "llm", "pre"} {
-		for i := range 3 {
-			if err := r.addTarget(s, dataCentres[i]); err != nil {
+	for _, s := range services {
+		for i := range targetsPerDataCentre * len(dataCentres) {
+			if err := r.addTarget(s, dataCentres[i%len(dataCentres)]); err != nil {
 				return err
 			}
 		}
 	}
-	r.publish(keys...)
+	r.publish()
 	if err := os.MkdirAll(r.opts.Dir, 0o755); err != nil {
 		return err
 	}
@@ -116,7 +145,7 @@
 		dataCentre := dataCentres[i%len(dataCentres)]
 		h := &host{
 			name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.10.%d", 1+r.opts.Seed%250, 2+i), dataCentre: dataCentre, region: regions[dataCentre],
-			binary: r.opts.Binary, dir: r.opts.Dir, storeProxy: link,
+			binary: r.opts.Binary, dir: r.opts.Dir, storeProxy: link, trace: r.trace, checker: r.checker,
 		}
 		if len(seeds) < 3 {
 			seeds = append(seeds, h.address(portPeers))
@@ -138,7 +167,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	t, err := startTarget(fmt.Sprintf("%s-%d", service, r.seq), service, dataCentre, r.checker, r.store)
+	t, err := startTarget(fmt.Sprintf("%s-%d", service, r.seq), service, dataCentre, r)
 	if err != nil {
 		return err
 	}
@@ -146,42 +175,21 @@
 	return nil
 }
 
-// publish writes a new version of the configuration in which the given keys are valid.
-func (r *runner) publish(validKeys ...key) {
-	r.version += 1 + int64(r.rand.IntN(3))
-	route := func(name, kind, service string, more map[string]any) map[string]any {
-		out := map[string]any{
-			"Name": name, "Host": "soak.example", "PathPrefix": "/" + name + "/", "Type": kind, "TimeoutMs": callTimeout.Milliseconds(),
-			"TargetLatencyMs": 800, "Service": service, "MaxAttempts": 2,
-		}
-		for k, v := range more {
-			out[k] = v
+// hostOf returns the name of the host with the address.
+func (r *runner) hostOf(address string) string {
+	for _, h := range r.hosts {
+		if h.address(portFrontend) == address {
+			return h.name
 		}
-		return out
 	}
-	tenants := []map[string]any{{"Name": "spare", "ApiKeys": []string{fmt.Sprintf("spare-%d", r.version)}}}
-	for _, k := range validKeys {
-		tenants = append(tenants, map[string]any{"Name": k.account, "ApiKeys": []string{k.key}})
-	}
-	config, _ := json.Marshal(map[string]any{ // plain values don't fail
-		"Version": r.version,
-		"Routes": []any{
-			route("once", "unsafe", "reg", nil), route("safe", "safe", "reg", nil),
-			route("stream", "streaming", "llm", map[string]any{"Resumable": true, "Sticky": true, "ItlTargetMs": 300, "Stages": []any{
-				map[string]any{"Service": "pre", "After": []int{}, "ByteSize": 1000},
-				map[string]any{"Service": "pre", "After": []int{0}, "ByteSize": 1000},
-			}}),
-		},
-		"Services": []any{
-			map[string]any{"Name": "reg", "HealthPath": "/healthz", "MaxConnections": 400},
-			map[string]any{"Name": "llm", "HealthPath": "/healthz", "MaxConnections": 400, "Engine": map[string]any{"Slots": 32}},
-			map[string]any{"Name": "pre", "HealthPath": "/healthz", "MaxConnections": 400, "Segments": map[string]any{
-				"Slots": 1, "Queue": 50, "Batch": 16, "CallMs": stageCallTime.Milliseconds(), "ItemMs": stageItemTime.Milliseconds(), "HeadroomMb": 10, "HandleTtlS": 4,
-			}},
-		},
-		"Tenants": tenants,
-	})
-	r.store.put(feed.TopicOperator, feed.KeyConfig, config)
+	return address
+}
+
+// print writes a line with the time.
+func (r *runner) print(format string, args ...any) {
+	r.outMu.Lock()
+	defer r.outMu.Unlock()
+	_, _ = fmt.Fprintf(r.opts.Out, "%s %s\n", time.Now().Format(timeFormat), fmt.Sprintf(format, args...))
 }
 
 func (r *runner) awaitReady(ctx context.Context) error {
@@ -212,7 +220,12 @@
 	for n := range r.opts.Callers {
 		callers.Go(func() { newCaller(n, r, r.opts.Seed).sendRequests(load) })
 	}
-	faults := r.inject(ctx)
+	if r.opts.Faults != FaultsMixed && r.opts.Faults != "" {
+		for n := range keptPerCaller * r.opts.Callers {
+			callers.Go(func() { newKeptCaller(n, r, r.opts.Seed).sendRequests(load) })
+		}
+	}
+	faults := r.injectAll(ctx)
 	r.faults.Wait() // until every fault has ended
 	time.Sleep(recoveryTime)
 	sent, answered := r.requestCounts()
@@ -233,12 +246,40 @@
 	if out.AnsweredRatio < minAnsweredRatio {
 		r.checker.report("answered ratio after the faults is %.3f, want at least %.2f", out.AnsweredRatio, minAnsweredRatio)
 	}
+	for _, v := range r.trace.losses() {
+		r.checker.report("%s", v)
+	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
 	out.Violations, out.Counts = r.checker.violations, r.checker.counts
 	return out, nil
 }
 
+// injectAll injects the faults that the options select and returns their number by name.
+func (r *runner) injectAll(ctx context.Context) map[string]int {
+	out := map[string]int{}
+	var mu sync.Mutex
+	var parts sync.WaitGroup
+	add := func(part func() map[string]int) {
+		parts.Go(func() {
+			counts := part()
+			mu.Lock()
+			defer mu.Unlock()
+			maps.Copy(out, counts)
+		})
+	}
+	steps := rand.New(rand.NewPCG(r.opts.Seed, 95))
+	kind := cmp.Or(r.opts.Faults, FaultsMixed)
+	if kind == FaultsMixed || kind == FaultsAll {
+		add(func() map[string]int { return r.inject(ctx) })
+	}
+	if kind == FaultsPlanned || kind == FaultsAll {
+		add(func() map[string]int { return r.perform(ctx, planWork(steps, r.opts.Duration, len(r.hosts))) })
+	}
+	parts.Wait()
+	return out
+}
+
 // requestCounts returns how many requests have been sent and answered so far.
 func (r *runner) requestCounts() (sent, answered int) {
 	r.checker.mu.Lock()
@@ -257,6 +298,8 @@
 		h.mu.Unlock()
 		h.storeProxy.close()
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, t := range r.targets {
 		t.stop(false)
 	}
--- a/stand/internal/soak/soak_test.go
+++ b/stand/internal/soak/soak_test.go
@@ -65,39 +65,42 @@
 	}{
 		{"a request that no caller sent", func(c *checker) { c.recordRun("x", "t", "a", "", time.Time{}) }, "no caller sent"},
 		{"twice", func(c *checker) {
-			c.recordSent("x", true, "k", "a")
+			c.recordSent("x", true, "k", "a", callTimeout)
 			c.recordRun("x", "t", "a", "", time.Time{})
 			c.recordRun("x", "u", "a", "", time.Time{})
 		}, "runs 2 times"},
 		{"refused after it has run", func(c *checker) {
-			c.recordSent("x", true, "k", "a")
+			c.recordSent("x", true, "k", "a", callTimeout)
 			c.recordRun("x", "t", "a", "", time.Time{})
 			c.recordRefused("x")
 		}, "although it has run"},
 		{"runs after it was refused", func(c *checker) {
-			c.recordSent("x", true, "k", "a")
+			c.recordSent("x", true, "k", "a", callTimeout)
 			c.recordRefused("x")
 			c.recordRun("x", "t", "a", "", time.Time{})
 		}, "after it was refused"},
-		{"another account", func(c *checker) { c.recordSent("x", false, "k", "a"); c.recordRun("x", "t", "b", "", time.Time{}) }, "runs for account"},
+		{"another account", func(c *checker) {
+			c.recordSent("x", false, "k", "a", callTimeout)
+			c.recordRun("x", "t", "b", "", time.Time{})
+		}, "runs for account"},
 		{"the key itself", func(c *checker) {
-			c.recordSent("x", false, "k", "a")
+			c.recordSent("x", false, "k", "a", callTimeout)
 			c.recordRun("x", "t", "a", "Token k", time.Time{})
 		}, "caller's API key"},
 		{"a leaving target", func(c *checker) {
-			c.recordSent("x", false, "k", "a")
+			c.recordSent("x", false, "k", "a", callTimeout)
 			c.lastFault = time.Now().Add(-time.Minute)
 			c.recordRun("x", "t", "a", "", time.Now().Add(-drainTime-time.Second))
 		}, "began to leave"},
 		{"a revoked key", func(c *checker) {
 			c.lastFault = time.Now().Add(-time.Minute)
 			c.revokedAt["k"] = time.Now().Add(-configApplyTime - time.Second)
-			c.recordSent("x", false, "k", "a")
+			c.recordSent("x", false, "k", "a", callTimeout)
 			c.recordRun("x", "t", "a", "", time.Time{})
 		}, "key was revoked"},
 		{"a late answer", func(c *checker) {
 			c.lastFault = time.Now().Add(-time.Minute)
-			c.recordSent("x", false, "k", "a")
+			c.recordSent("x", false, "k", "a", callTimeout)
 			c.requests["x"].sentAt = time.Now().Add(-callTimeout - time.Second)
 			c.recordAnswered("x")
 		}, "answered only after"},
--- a/stand/internal/soak/target.go
+++ b/stand/internal/soak/target.go
@@ -27,13 +27,32 @@
 	plainCallTime = 10 * time.Millisecond
 	stageCallTime = 40 * time.Millisecond
 	stageItemTime = 2 * time.Millisecond
+	// Long streams pass slower stages and have more time between their events.
+	longEventInterval = 200 * time.Millisecond
+	longStageCallTime = 1100 * time.Millisecond
+	// tokensPerEvent is the number of output tokens in one event.
+	tokensPerEvent = 5
 )
 
+// stagePieces are the numbers of pieces of a request at each stage of its route.
+type stagePieces []int
+
+// header returns the numbers as requests carry them.
+func (p stagePieces) header() string {
+	out := make([]string, len(p))
+	for i, n := range p {
+		out[i] = strconv.Itoa(n)
+	}
+	return strings.Join(out, ",")
+}
+
+// pieces are the pieces of requests by kind.
+var pieces = map[string]stagePieces{kindStream: {1, 2}, kindLong: {3, 2, 1}}
+
 // fakeTarget is a stand-in of a target: a plain service, a model or a stage target.
 type fakeTarget struct {
 	id, service, dataCentre string
-	checker                 *checker
-	store                   *fakeStore
+	run                     *runner
 	proxy                   *proxy
 	server                  *http.Server
 	startMillis             int64
@@ -49,7 +68,7 @@
 }
 
 // startTarget starts a target with a new incarnation and begins to write its entry.
-func startTarget(id, service, dataCentre string, c *checker, s *fakeStore) (*fakeTarget, error) {
+func startTarget(id, service, dataCentre string, r *runner) (*fakeTarget, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -59,7 +78,7 @@
 		return nil, err
 	}
 	t := &fakeTarget{
-		id: id, service: service, dataCentre: dataCentre, checker: c, store: s, proxy: link, startMillis: time.Now().UnixMilli(),
+		id: id, service: service, dataCentre: dataCentre, run: r, proxy: link, startMillis: time.Now().UnixMilli(),
 		stopped: make(chan struct{}), handles: map[string]string{},
 	}
 	t.server = &http.Server{Handler: t}
@@ -92,7 +111,7 @@
 		"Service": t.service, "Address": t.proxy.address(), "Zone": t.dataCentre, "Version": "v1", "Slots": 8, "State": state,
 		"ColdRemainingMs": 0, "Sequence": t.sequence.Add(1), "born": t.startMillis,
 	})
-	t.store.put(feed.TopicTargets, t.id, entry)
+	t.run.store.put(feed.TopicTargets, t.id, entry)
 }
 
 // announceLeave marks the target as draining in its entry.
@@ -104,11 +123,12 @@
 // stop ends the target. With crash it resets the connections and leaves the entry in the
 // store; otherwise it removes the entry.
 func (t *fakeTarget) stop(crash bool) {
+	t.run.trace.recordOutage(t.id)
 	t.stopOnce.Do(func() { close(t.stopped) })
 	if crash {
 		t.proxy.setFault(linkReset)
 	} else {
-		t.store.put(feed.TopicTargets, t.id, nil)
+		t.run.store.put(feed.TopicTargets, t.id, nil)
 	}
 	_ = t.server.Close()
 	t.proxy.close()
@@ -167,53 +187,72 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	t.simulateWork(stageCallTime + time.Duration(len(call.Items))*stageItemTime)
+	callTime := stageCallTime
+	if t.service == serviceLongStages {
+		callTime = longStageCallTime
+	}
+	t.simulateWork(callTime + time.Duration(len(call.Items))*stageItemTime)
 	results := make([]wire.Result, len(call.Items))
 	t.mu.Lock()
 	for i, item := range call.Items {
 		for _, h := range item.Inputs {
 			if !strings.Contains(h, "!"+item.ID+"!") {
-				t.checker.report("piece of request %s has input %s of another request", item.ID, h)
+				t.run.checker.report("piece of request %s has input %s of another request", item.ID, h)
 			}
 		}
 		if item.Stage > 0 && len(item.Inputs) == 0 || item.Stage == 0 && item.Key != "key-"+item.ID {
-			t.checker.report("piece of stage %d of request %s has inputs %v and key %q", item.Stage, item.ID, item.Inputs, item.Key)
+			t.run.checker.report("piece of stage %d of request %s has inputs %v and key %q", item.Stage, item.ID, item.Inputs, item.Key)
 		}
 		t.handleCount++
 		results[i].Handle = fmt.Sprintf("%s/%d!%s!%d.%d", t.proxy.address(), t.handleCount, item.ID, item.Stage, item.Segment)
 	}
 	t.mu.Unlock()
-	t.checker.count("stage calls")
+	t.run.checker.count("stage calls")
 	_ = json.NewEncoder(w).Encode(map[string]any{"Items": results}) // the sender may have disconnected
 }
 
-// serveCall answers a caller's request, with a stream below /stream/.
+// serveCall answers a caller's request, with a stream if it has stages.
 func (t *fakeTarget) serveCall(w http.ResponseWriter, r *http.Request, body string) {
-	id := r.Header.Get(wire.HeaderID)
 	if r.URL.Path == "/healthz" {
 		return
 	}
-	if inputs := r.Header.Get(wire.HeaderInputs); strings.HasPrefix(r.URL.Path, "/stream/") {
-		want := 2 // pieces of the last stage
-		if got := strings.Count(inputs, "!"+id+"!1."); got != want || strings.Count(inputs, ",") != want-1 {
-			t.checker.report("request %s has inputs %q", id, inputs)
+	id := r.Header.Get(wire.HeaderID)
+	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if stages := pieces[kind]; len(stages) > 0 {
+		last := len(stages) - 1
+		want := stages[last] // all pieces of the last stage
+		inputs := r.Header.Get(wire.HeaderInputs)
+		if got := strings.Count(inputs, fmt.Sprintf("!%s!%d.", id, last)); got != want || strings.Count(inputs, ",") != want-1 {
+			t.run.checker.report("request %s has inputs %q, want %d pieces of stage %d", id, inputs, want, last)
 		}
 	}
-	t.checker.recordRun(id, t.id, r.Header.Get(wire.HeaderAccount), r.Header.Get("Authorization"), t.leavingSince())
+	defer t.run.trace.recordRun(id, t.id)()
+	t.run.checker.recordRun(id, t.id, r.Header.Get(wire.HeaderAccount), r.Header.Get("Authorization"), t.leavingSince())
 	w.Header().Set(wire.HeaderID, id)
 	w.Header().Set(wire.HeaderReceipt, "receipt-"+t.id+"-"+id)
-	if !strings.HasPrefix(r.URL.Path, "/stream/") {
+	if len(pieces[kind]) == 0 {
 		t.simulateWork(plainCallTime)
 		text := responseBody(id, body)
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		_, _ = io.WriteString(w, text) // the sender may have disconnected
 		return
 	}
+	t.serveStream(w, r, id, kind)
+}
+
+// serveStream answers with a stream that goes on after the last event that the caller has.
+func (t *fakeTarget) serveStream(w http.ResponseWriter, r *http.Request, id, kind string) {
+	events, interval := streamEvents, eventInterval
+	if kind == kindLong {
+		_, output, _ := strings.Cut(r.Header.Get(wire.HeaderTokens), ",")
+		tokens, _ := strconv.Atoi(output) // the stream is empty without them
+		events, interval = tokens/tokensPerEvent, longEventInterval
+	}
 	lastEvent, _ := strconv.Atoi(r.Header.Get(wire.HeaderLastEvent)) // absent: from the start
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
-	for n := lastEvent + 1; n <= streamEvents; n++ {
-		t.simulateWork(eventInterval)
+	for n := lastEvent + 1; n <= events; n++ {
+		t.simulateWork(interval)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil || flush.Flush() != nil {
 			return
 		}
