Send prompts that crash model targets in the platform's soak run

The soak run had no requests that harm targets, so nothing showed that one part of a prompt crashes target after target (docs/incidents/tainted-prompts.md).

Two checks judge the records of targets: how many such requests reach targets after the fifth crash, and how often sound requests of the route are still served.

--- a/stand/cmd/soak.go
+++ b/stand/cmd/soak.go
@@ -14,7 +14,7 @@
 type soakCmd struct {
 	Binary   string        `default:"bin/chive-entry" type:"existingfile" help:"Program of the entry hosts."`
 	Dir      string        `default:"out/soak" help:"Folder for settings and logs."`
-	Faults   soak.Faults   `default:"all" enum:"mixed,planned,all" help:"What is injected: mixed faults, planned work alone, or both at once."`
+	Faults   soak.Faults   `default:"all" enum:"mixed,planned,tainted,all" help:"What is injected: mixed faults, planned work alone, prompts that crash targets, or all at once."`
 	Seed     uint64        `default:"1" help:"Seed of faults and load."`
 	Duration time.Duration `default:"1m" help:"How long faults are injected."`
 	Hosts    int           `default:"6" help:"Number of entry hosts, at most 200 and what half of the memory bears."`
@@ -36,6 +36,9 @@
 		}
 	}
 	_, _ = fmt.Fprintf(out, "answered after the faults %.3f\n", res.AnsweredRatio)
+	if res.Tainted != "" {
+		_, _ = fmt.Fprintln(out, res.Tainted)
+	}
 	for _, v := range res.Violations {
 		_, _ = fmt.Fprintln(out, "BROKEN:", v)
 	}
--- a/stand/internal/soak/answer.go
+++ b/stand/internal/soak/answer.go
@@ -23,7 +23,7 @@
 		return c.checkSuccess(q, resp)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		c.recordRefused(q.id)
-		if resp.Header.Get(wire.HeaderRetryAfter) == "" {
+		if resp.Header.Get(wire.HeaderRetryAfter) == "" && !q.isTainted {
 			c.report("request %s is refused without a Retry-After header", q.id)
 		}
 		o = refused
--- a/stand/internal/soak/kept.go
+++ b/stand/internal/soak/kept.go
@@ -133,17 +133,21 @@
 
 // keptRequest is a request as drawn.
 type keptRequest struct {
-	id, kind string
-	limit    time.Duration
-	events   int // of the stream, 0: no stream
-	key      key
+	id, kind, prompt string
+	limit            time.Duration
+	events           int // of the stream, 0: no stream
+	key              key
+	isTainted        bool
 }
 
 // draw draws the next request.
 func (k *keptCaller) draw() keptRequest {
 	k.seq++
 	kinds := []string{kindOnce, kindSafe, kindStream}
-	if k.n%2 == 1 { // short requests have callers of their own, since long ones take most of the time
+	switch {
+	case k.run.opts.Faults == FaultsTainted:
+		kinds = append(kinds, kindStream, kindStream, kindStream)
+	case k.n%2 == 1: // short requests have callers of their own, since long ones take most of the time
 		kinds = append(kinds, kindLong, kindLong, kindLong)
 	}
 	q := keptRequest{id: fmt.Sprintf("kept-%d-%d", k.n, k.seq), kind: kinds[k.rand.IntN(len(kinds))], key: keys[k.rand.IntN(len(keys))], limit: callTimeout}
@@ -154,6 +158,10 @@
 		q.events = 1 + k.rand.IntN(maxLongEvents)
 		q.limit = (minLongLimit + upTo(k.rand, maxLongLimit-minLongLimit)).Truncate(time.Millisecond)
 	}
+	if q.events > 0 {
+		q.isTainted = q.kind == kindStream && k.rand.Float64() < k.run.taint.share && k.run.isTainting.Load()
+		q.prompt = k.run.taint.prompt(k.rand, q.isTainted)
+	}
 	return q
 }
 
@@ -170,6 +178,7 @@
 	if q.events > 0 {
 		req.Header.Set(wire.HeaderModel, "m")
 		req.Header.Set(wire.HeaderTokens, fmt.Sprintf("650,%d", q.events*tokensPerEvent))
+		req.Header.Set(wire.HeaderPrefix, q.prompt)
 		req.Header.Set(wire.HeaderPieces, pieces[q.kind].header())
 		req.Header.Set(wire.HeaderPieceKey, "key-"+q.id)
 	}
@@ -191,7 +200,7 @@
 	checker := k.run.checker
 	checker.recordSent(q.id, q.kind == kindOnce, q.key.key, q.key.account, q.limit)
 	checker.count("kept: sent")
-	a := attempt{id: q.id, host: k.run.hostOf(k.address), kind: q.kind, limit: q.limit, began: time.Now()}
+	a := attempt{id: q.id, host: k.run.hostOf(k.address), kind: q.kind, isTainted: q.isTainted, limit: q.limit, began: time.Now()}
 	conn := k.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
--- a/stand/internal/soak/planned.go
+++ b/stand/internal/soak/planned.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"chivepost/platform/feed"
 )
 
 // Faults selects what a run injects.
@@ -16,6 +18,7 @@
 const (
 	FaultsMixed   Faults = "mixed"   // random faults, one after the other
 	FaultsPlanned Faults = "planned" // nothing but planned work
+	FaultsTainted Faults = "tainted" // prompts that crash targets, and restarts of single hosts
 	FaultsAll     Faults = "all"     // all of these at the same time
 )
 
@@ -27,6 +30,9 @@
 	stepInterval = 800 * time.Millisecond
 	// workInterval is the mean time between two reloads or configuration changes.
 	workInterval = 1500 * time.Millisecond
+	// restartInterval is the shortest time between two restarts while targets crash; up to as
+	// much again is added.
+	restartInterval = 5 * time.Second
 )
 
 // step is a piece of planned work.
@@ -41,6 +47,7 @@
 	stepShutdown = "shutdown"
 	stepReload   = "reload"
 	stepPublish  = "new configuration"
+	stepKill     = "single kill"
 )
 
 // planWork draws series of shutdowns, reloads and configuration changes. A series shuts all hosts
@@ -67,6 +74,19 @@
 	return out
 }
 
+// planRestarts draws restarts of single hosts, most of them shutdowns.
+func planRestarts(r *rand.Rand, d time.Duration, hosts int) []step {
+	var out []step
+	for at := taintDelay + upTo(r, restartInterval); at < d; at += restartInterval + upTo(r, restartInterval) {
+		name := stepShutdown
+		if r.IntN(3) == 0 {
+			name = stepKill
+		}
+		out = append(out, step{at, name, []int{r.IntN(hosts)}})
+	}
+	return out
+}
+
 // upTo draws a duration below d.
 func upTo(r *rand.Rand, d time.Duration) time.Duration { return time.Duration(r.Int64N(int64(d))) }
 
@@ -87,6 +107,8 @@
 				h.terminate()
 			case stepReload:
 				h.signal(syscall.SIGHUP)
+			case stepKill:
+				r.kill(h)
 			}
 		}
 		if s.name == stepPublish {
@@ -106,3 +128,36 @@
 		return ctx.Err()
 	}
 }
+
+// injectTaint lets callers send tainted requests from taintDelay on until the duration has passed.
+func (r *runner) injectTaint(ctx context.Context) {
+	if sleep(ctx, taintDelay) != nil {
+		return
+	}
+	r.print("tainted prompts begin: part %s at position %d, share %.3f", r.taint.part, r.taint.position, r.taint.share)
+	r.trace.setTainted(true)
+	r.isTainting.Store(true)
+	_ = sleep(ctx, r.opts.Duration-taintDelay) // they end in any case
+	r.isTainting.Store(false)
+	r.trace.setTainted(false)
+}
+
+// crash crashes a target, which starts again after some time.
+func (r *runner) crash(t *fakeTarget) {
+	r.mu.Lock()
+	isRunning := r.targets[t.id] == t
+	delete(r.targets, t.id)
+	away := taintAwayTime + upTo(r.taintRand, taintAwayTime)
+	r.mu.Unlock()
+	if !isRunning {
+		return // it has crashed or leaves already
+	}
+	r.trace.recordCrash()
+	r.print("%s crashes for %s", t.id, away.Round(time.Millisecond))
+	go func() {
+		t.stop(true)
+		time.Sleep(away)
+		r.store.put(feed.TopicTargets, t.id, nil)
+		r.startReplacement(t)
+	}()
+}
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -15,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,8 +61,10 @@
 var services = []string{servicePlain, serviceModel, serviceStages, serviceLongStages}
 
 const (
-	// targetsPerDataCentre is the number of targets of each service.
+	// targetsPerDataCentre is the number of targets of each service, except for models in runs
+	// with prompts that crash them.
 	targetsPerDataCentre = 1
+	taintedPerDataCentre = 3
 	// keptPerCaller is the number of callers with a connection of their own for each other one.
 	keptPerCaller = 5
 )
@@ -74,16 +77,20 @@
 	checker *checker
 	trace   *trace
 	hosts   []*host
+	taint   taint
 	faults  sync.WaitGroup
 
+	isTainting atomic.Bool
+
 	configMu   sync.Mutex
 	configRand *rand.Rand
 	version    int64
 	revoked    int // revocations of revocableKey in force
 
-	mu      sync.Mutex
-	targets map[string]*fakeTarget
-	seq     int
+	mu        sync.Mutex
+	targets   map[string]*fakeTarget
+	seq       int
+	taintRand *rand.Rand
 
 	outMu sync.Mutex
 }
@@ -94,6 +101,7 @@
 	Counts        map[string]int
 	AnsweredRatio float64 // answers per request sent after the recovery
 	Faults        map[string]int
+	Tainted       string // what was found about prompts that crash targets
 }
 
 // Run starts a deployment, injects faults under load and returns what was found.
@@ -104,7 +112,7 @@
 	newRand := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(opts.Seed, stream)) }
 	r := &runner{
 		opts: opts, rand: newRand(99), store: newFakeStore(), checker: newChecker(), trace: newTrace(), targets: map[string]*fakeTarget{},
-		configRand: newRand(96),
+		taint: newTaint(newRand(98)), taintRand: newRand(97), configRand: newRand(96),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -126,7 +134,11 @@
 // setUp starts the targets and hosts and publishes the first configuration.
 func (r *runner) setUp(storeAddress string) error {
 	for _, s := range services {
-		for i := range targetsPerDataCentre * len(dataCentres) {
+		n := targetsPerDataCentre
+		if s == serviceModel && r.hasTaint() {
+			n = taintedPerDataCentre
+		}
+		for i := range n * len(dataCentres) {
 			if err := r.addTarget(s, dataCentres[i%len(dataCentres)]); err != nil {
 				return err
 			}
@@ -185,6 +197,11 @@
 	return address
 }
 
+// hasTaint reports whether prompts crash targets in this run.
+func (r *runner) hasTaint() bool {
+	return r.opts.Faults == FaultsTainted || r.opts.Faults == FaultsAll
+}
+
 // print writes a line with the time.
 func (r *runner) print(format string, args ...any) {
 	r.outMu.Lock()
@@ -249,6 +266,13 @@
 	for _, v := range r.trace.losses() {
 		r.checker.report("%s", v)
 	}
+	if r.hasTaint() {
+		violations, summary := r.trace.taintViolations()
+		for _, v := range violations {
+			r.checker.report("%s", v)
+		}
+		out.Tainted = summary
+	}
 	r.checker.mu.Lock()
 	defer r.checker.mu.Unlock()
 	out.Violations, out.Counts = r.checker.violations, r.checker.counts
@@ -273,8 +297,14 @@
 	if kind == FaultsMixed || kind == FaultsAll {
 		add(func() map[string]int { return r.inject(ctx) })
 	}
-	if kind == FaultsPlanned || kind == FaultsAll {
+	switch kind {
+	case FaultsPlanned, FaultsAll:
 		add(func() map[string]int { return r.perform(ctx, planWork(steps, r.opts.Duration, len(r.hosts))) })
+	case FaultsTainted:
+		add(func() map[string]int { return r.perform(ctx, planRestarts(steps, r.opts.Duration, len(r.hosts))) })
+	}
+	if r.hasTaint() {
+		parts.Go(func() { r.injectTaint(ctx) })
 	}
 	parts.Wait()
 	return out
--- a/stand/internal/soak/target.go
+++ b/stand/internal/soak/target.go
@@ -226,7 +226,8 @@
 			t.run.checker.report("request %s has inputs %q, want %d pieces of stage %d", id, inputs, want, last)
 		}
 	}
-	defer t.run.trace.recordRun(id, t.id)()
+	isTainted := t.run.taint.isIn(r.Header.Get(wire.HeaderPrefix))
+	defer t.run.trace.recordRun(id, t.id, isTainted)()
 	t.run.checker.recordRun(id, t.id, r.Header.Get(wire.HeaderAccount), r.Header.Get("Authorization"), t.leavingSince())
 	w.Header().Set(wire.HeaderID, id)
 	w.Header().Set(wire.HeaderReceipt, "receipt-"+t.id+"-"+id)
@@ -237,11 +238,11 @@
 		_, _ = io.WriteString(w, text) // the sender may have disconnected
 		return
 	}
-	t.serveStream(w, r, id, kind)
+	t.serveStream(w, r, id, kind, isTainted)
 }
 
 // serveStream answers with a stream that goes on after the last event that the caller has.
-func (t *fakeTarget) serveStream(w http.ResponseWriter, r *http.Request, id, kind string) {
+func (t *fakeTarget) serveStream(w http.ResponseWriter, r *http.Request, id, kind string, isTainted bool) {
 	events, interval := streamEvents, eventInterval
 	if kind == kindLong {
 		_, output, _ := strings.Cut(r.Header.Get(wire.HeaderTokens), ",")
@@ -253,6 +254,14 @@
 	flush := http.NewResponseController(w)
 	for n := lastEvent + 1; n <= events; n++ {
 		t.simulateWork(interval)
+		if isTainted {
+			if t.sequence.Load()%2 == 0 {
+				_ = flush.Flush() // the head alone arrives
+			}
+			t.run.crash(t)
+			<-r.Context().Done()
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n); err != nil || flush.Flush() != nil {
 			return
 		}
--- a/stand/internal/soak/trace.go
+++ b/stand/internal/soak/trace.go
@@ -25,6 +25,7 @@
 // attempt is a request as its caller saw it.
 type attempt struct {
 	id, host, kind string
+	isTainted      bool
 	limit          time.Duration // counted from began
 	began          time.Time
 	sent           time.Time // when its last byte was written
@@ -35,9 +36,10 @@
 
 // targetRun is a request that reached a target.
 type targetRun struct {
-	target string
-	began  time.Time
-	ended  time.Time // zero while the target works on it
+	target    string
+	isTainted bool
+	began     time.Time
+	ended     time.Time // zero while the target works on it
 }
 
 // outage is an unplanned fault of a host, a target, the store or a link.
@@ -64,8 +66,10 @@
 	attempts []attempt
 	runs     map[string][]*targetRun // by request
 	outages  []*outage
-	lives    map[string][]*life     // by host
-	reloads  map[string][]time.Time // SIGHUP, by host
+	lives    map[string][]*life           // by host
+	reloads  map[string][]time.Time       // SIGHUP, by host
+	crashes  []time.Time                  // of targets that began to answer a tainted request
+	tainted  struct{ from, to time.Time } // when tainted requests are sent
 }
 
 func newTrace() *trace {
@@ -79,8 +83,8 @@
 }
 
 // recordRun records that a request reaches a target and returns what records the end.
-func (t *trace) recordRun(id, target string) (end func()) {
-	run := &targetRun{target: target, began: time.Now()}
+func (t *trace) recordRun(id, target string, isTainted bool) (end func()) {
+	run := &targetRun{target: target, isTainted: isTainted, began: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[id] = append(t.runs[id], run)
@@ -109,6 +113,23 @@
 	}
 }
 
+func (t *trace) recordCrash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.crashes = append(t.crashes, time.Now())
+}
+
+// setTainted records that tainted requests begin or end.
+func (t *trace) setTainted(begin bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if begin {
+		t.tainted.from = time.Now()
+	} else {
+		t.tainted.to = time.Now()
+	}
+}
+
 func (t *trace) recordReload(host string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,3 +164,21 @@
 	}
 	return false
 }
+
+// isInTouch reports whether the host had run undisturbed for contactTime. The caller holds
+// the lock.
+func (t *trace) isInTouch(host string, at time.Time) bool {
+	since := at.Add(-contactTime)
+	if t.hasOutage(since, at, host, storeOutage, storeLink(host)) {
+		return false
+	}
+	for _, l := range t.lives[host] {
+		if l.started.After(at) || !l.ended.IsZero() && l.ended.Before(since) {
+			continue
+		}
+		if l.started.After(since) || !l.ended.IsZero() && !l.ended.After(at) || !l.terminated.IsZero() && !l.terminated.After(at) {
+			return false
+		}
+	}
+	return true
+}
