--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 FAULTS ?= all
 HOSTS ?= 6
 
-.PHONY: build demo soak platform-soak test test-cores histories lint fmt vet tidy clean capacity
+.PHONY: build demo soak platform-soak platform-soak-short test test-cores histories lint fmt vet tidy clean capacity
 
 build:
 	@mkdir -p bin
@@ -27,6 +27,10 @@
 platform-soak: build
 	@bin/chive-stand soak --faults $(FAULTS) --hosts $(HOSTS) --seed $(SEED) --duration $(DURATION) --dir out/platform-soak-$(FAULTS)-$(SEED)
 
+# A short run for CI.
+platform-soak-short: build
+	@bin/chive-stand soak --faults planned --seed 4 --duration 20s --dir out/platform-soak-short
+
 # The race detector is on: most packages here share state between goroutines. It runs on
 # one thread for each package: Go 1.26 gives the detector one context for all timers of a
 # synctest bubble, and a run crashed in runtime.(*timer).maybeRunChan (SIGSEGV) with several.
