Let a soak run refuse addresses that another run uses

Two runs of one seed at once share loopback addresses and request ids: hosts fail to bind, end and restart each 300 ms, and callers reach the hosts of the other run. A run now holds an address of its seed and fails if it is taken. The test fails without that.

--- a/stand/internal/soak/host.go
+++ b/stand/internal/soak/host.go
@@ -22,6 +22,7 @@
 	portPeers     = 18628
 	portDirectory = 18620
 	portGossip    = 18740
+	portClaim     = 18619 // held by the run itself
 )
 
 // host is one entry host: a process that is restarted whenever it exits.
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -109,6 +109,12 @@
 	if limit := maxHosts(); opts.Hosts < 1 || opts.Hosts > limit {
 		return Result{}, fmt.Errorf("number of hosts is %d, must be 1 to %d on this machine", opts.Hosts, limit)
 	}
+	// Two runs with the same addresses at once would disturb each other.
+	claim, err := net.Listen("tcp", fmt.Sprintf("%s:%d", address(opts.Seed, 1), portClaim))
+	if err != nil {
+		return Result{}, fmt.Errorf("claim the addresses of seed %d: %w", opts.Seed, err)
+	}
+	defer func() { _ = claim.Close() }()
 	newRand := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(opts.Seed, stream)) }
 	r := &runner{
 		opts: opts, rand: newRand(99), store: newFakeStore(), checker: newChecker(), trace: newTrace(), targets: map[string]*fakeTarget{},
@@ -131,6 +137,9 @@
 	return r.execute(ctx)
 }
 
+// address returns one of the loopback addresses of a seed.
+func address(seed uint64, n int) string { return fmt.Sprintf("127.%d.10.%d", 1+seed%250, n) }
+
 // setUp starts the targets and hosts and publishes the first configuration.
 func (r *runner) setUp(storeAddress string) error {
 	for _, s := range services {
@@ -156,7 +165,7 @@
 		}
 		dataCentre := dataCentres[i%len(dataCentres)]
 		h := &host{
-			name: fmt.Sprintf("host-%d", i), ip: fmt.Sprintf("127.%d.10.%d", 1+r.opts.Seed%250, 2+i), dataCentre: dataCentre, region: regions[dataCentre],
+			name: fmt.Sprintf("host-%d", i), ip: address(r.opts.Seed, 2+i), dataCentre: dataCentre, region: regions[dataCentre],
 			binary: r.opts.Binary, dir: r.opts.Dir, storeProxy: link, trace: r.trace, checker: r.checker,
 		}
 		if len(seeds) < 3 {
--- a/stand/internal/soak/soak_test.go
+++ b/stand/internal/soak/soak_test.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// Guards against two runs of a seed at once, whose hosts would answer each other's callers.
+func TestRunRefusesAddressesInUse(t *testing.T) {
+	const seed = 249
+	l, err := net.Listen("tcp", address(seed, 1)+":18619")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if _, err := Run(context.Background(), Options{Seed: seed, Hosts: 1, Dir: t.TempDir(), Out: io.Discard}); err == nil || !strings.Contains(err.Error(), "addresses of seed 249") {
+		t.Errorf("run with addresses in use: %v, want an error that names the seed", err)
+	}
+}
+
 // Guards against a checker that misses a violation.
 func TestCheckerFindsViolations(t *testing.T) {
 	tests := []struct {
