--- a/Makefile
+++ b/Makefile
@@ -27,9 +27,10 @@
 platform-soak: build
 	@bin/chive-stand soak --faults $(FAULTS) --hosts $(HOSTS) --seed $(SEED) --duration $(DURATION) --dir out/platform-soak-$(FAULTS)-$(SEED)
 
-# A short run for CI.
+# Short runs of two kinds, for CI.
 platform-soak-short: build
 	@bin/chive-stand soak --faults planned --seed 4 --duration 20s --dir out/platform-soak-short
+	@bin/chive-stand soak --faults tainted --seed 11 --duration 24s --dir out/platform-soak-short
 
 # The race detector is on: most packages here share state between goroutines. It runs on
 # one thread for each package: Go 1.26 gives the detector one context for all timers of a
