--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -308,45 +307,6 @@
 	return ""
 }
 
-// readBody reads the whole body within the size limit and the deadline. It writes the
-// response and returns false if it can't.
-func (c *call) readBody() bool {
-	limit := c.config.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if c.r.ContentLength > limit {
-		c.w.Header().Set("Connection", "close")
-		return c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
-	}
-	c.beginRead()
-	var err error
-	if n := c.r.ContentLength; n > 0 {
-		c.body = make([]byte, n)
-		_, err = io.ReadFull(c.r.Body, c.body)
-		if err == nil {
-			// Reads io.EOF, after which the server detects that the caller disconnects.
-			var one [1]byte
-			_, _ = c.r.Body.Read(one[:])
-		}
-	} else if n < 0 {
-		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-		if err == nil && int64(len(c.body)) > limit {
-			c.w.Header().Set("Connection", "close")
-			return c.reject(http.StatusRequestEntityTooLarge, "the body is too large")
-		}
-	}
-	c.endRead()
-	if err != nil && c.isAborted() {
-		return c.refuseLeaving()
-	}
-	if err != nil {
-		c.w.Header().Set("Connection", "close")
-		return c.reject(http.StatusBadRequest, "the body is incomplete")
-	}
-	return true
-}
-
 // run runs the stages and sends the request to a target. If stage results get lost, both
 // run again, at most maxStageRuns times in all.
 func (c *call) run() {
@@ -430,45 +390,3 @@
 	}
 	c.refuse(failed.Error(), failed.RetryAfter)
 }
-
-// isCallerGone reports whether the caller has closed its connection. When the host ends the
-// request, the context of the server may end with it and tells nothing.
-func (c *call) isCallerGone() bool {
-	if c.r.Context().Err() == nil || c.isAborted() {
-		return false
-	}
-	c.reason = "caller disconnected"
-	return true
-}
-
-// refuse responds with 503 and Retry-After, which promises that the request has not run
-// and never will. If a target may have run it, the response is 502 instead.
-func (c *call) refuse(reason string, after time.Duration) bool {
-	if c.mayHaveRun {
-		return c.fail(http.StatusBadGateway, reason)
-	}
-	if after <= 0 {
-		after = minRetryAfter + time.Duration(rand.Int64N(int64(retryAfterSpread)))
-	}
-	c.retryAfter = after
-	wire.SetRetryAfter(c.w.Header(), after)
-	return c.reject(http.StatusServiceUnavailable, reason)
-}
-
-// fail responds with an error that doesn't promise that the request has not run.
-func (c *call) fail(status int, reason string) bool { return c.reject(status, reason) }
-
-// reject writes an error response of this host, with the reason as its body. It always
-// returns false, so that callers can return it.
-func (c *call) reject(status int, reason string) bool {
-	if c.headWritten {
-		c.abort(reason) // it is too late for another status
-	}
-	c.status, c.reason = status, reason
-	wire.SetID(c.w.Header(), c.req.ID)
-	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	c.w.WriteHeader(status)
-	_, _ = io.WriteString(c.w, reason+"\n") // a caller that disconnected needs no response
-	c.headWritten = true
-	return false
-}
--- a/entry/internal/edge/leave.go
+++ b/entry/internal/edge/leave.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"chivepost/entry/internal/drain"
@@ -115,33 +114,3 @@
 
 // isAborted reports whether the host has ended the request.
 func (c *call) isAborted() bool { return errors.Is(context.Cause(c.ctx), errLeaving) }
-
-// bodyRead tells whether the body is being read. At other times the server reads from the
-// connection to detect that the caller disconnects, and must not be interrupted.
-type bodyRead struct {
-	mu         sync.Mutex
-	inProgress bool
-}
-
-// beginRead lets reads of the body fail at the deadline or when the host ends the request.
-func (c *call) beginRead() {
-	c.bodyRead.mu.Lock()
-	defer c.bodyRead.mu.Unlock()
-	c.bodyRead.inProgress = true
-	if c.isAborted() {
-		c.setReadDeadline(c.start)
-		return
-	}
-	c.setReadDeadline(c.deadline)
-}
-
-func (c *call) endRead() {
-	c.bodyRead.mu.Lock()
-	defer c.bodyRead.mu.Unlock()
-	c.bodyRead.inProgress = false
-	c.setReadDeadline(time.Time{})
-}
-
-func (c *call) setReadDeadline(t time.Time) {
-	_ = http.NewResponseController(c.w).SetReadDeadline(t) // not every connection supports deadlines
-}
--- a/entry/internal/edge/leave_test.go
+++ b/entry/internal/edge/leave_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// Incident "lost in restarts": a leaving host took requests whose time limit lay after its
+// Incident "lost in restarts": a leaving host took requests whose deadline lay after its
 // end and gave them up.
 func TestLeavingHostTakesOnlyWhatItCanFinish(t *testing.T) {
 	tests := []struct {
--- a/stand/internal/soak/kept.go
+++ b/stand/internal/soak/kept.go
@@ -28,14 +28,14 @@
 )
 
 const (
-	// minLongLimit and maxLongLimit bound the time limit of long streams.
+	// minLongLimit and maxLongLimit bound the deadlines of long streams.
 	minLongLimit = 15 * time.Second
 	maxLongLimit = 20 * time.Second
 	// maxLongEvents bounds the events of a long stream.
 	maxLongEvents = 45
 	// dialTimeout bounds the time until a connection is open.
 	dialTimeout = time.Second
-	// answerSlack is how long a caller waits beyond its time limit.
+	// answerSlack is how long a caller waits beyond its deadline.
 	answerSlack = time.Second
 )
 
--- a/stand/internal/soak/losses.go
+++ b/stand/internal/soak/losses.go
@@ -23,7 +23,7 @@
 	// maxCalmLosses is how many requests that reached a target may be cut in a run without a
 	// cause.
 	maxCalmLosses = 3
-	// limitSlack is how long before its time limit a request counts as having reached it.
+	// limitSlack is how long before its deadline a request counts as having reached it.
 	limitSlack = 100 * time.Millisecond
 )
 
--- a/stand/internal/soak/losses_test.go
+++ b/stand/internal/soak/losses_test.go
@@ -91,7 +91,7 @@
 			t.attempts = []attempt{cutAttempt(kindLong, 3, 8)}
 			t.runs["x"] = []*targetRun{{target: "llm", began: after(6), ended: after(6.7)}}
 		}, 0},
-		{"time limit", func(t *trace) {
+		{"deadline", func(t *trace) {
 			a := cutAttempt(kindStream, 4, 7)
 			a.limit = 3 * time.Second
 			t.attempts = []attempt{a}
--- a/stand/internal/soak/trace.go
+++ b/stand/internal/soak/trace.go
@@ -13,7 +13,7 @@
 	refused                 // an answer that says that the request has not run
 	failed                  // another answer that isn't a success
 	cut                     // the connection ended without a whole answer
-	timedOut                // no whole answer within the time limit
+	timedOut                // no whole answer within the deadline
 	unsent                  // the connection ended before the last byte was written
 	left                    // the load was stopped
 )
