--- a/entry/cmd/endless_test.go
+++ b/entry/cmd/endless_test.go
@@ -11,6 +11,7 @@
 
 	"chivepost/entry/internal/peers"
 	"chivepost/platform/boot"
+	"chivepost/platform/feed"
 	"chivepost/share/hosts"
 
 	"github.com/go-logr/logr"
@@ -64,7 +65,7 @@
 		Expect(sent.Load()).To(BeNumerically("<=", maxHeaderBytes+1<<20), "bytes sent, of which the kernel may buffer 1 MiB")
 	},
 	Entry("from the store", func(ctx context.Context, address string) error {
-		_, _, err := newStore(boot.Settings{StoreAddress: address}).Newest(ctx, "keyed.op")
+		_, _, err := feed.Hosts(newStore(boot.Settings{StoreAddress: address})).Newest(ctx)
 		return err
 	}),
 	Entry("from a peer", func(ctx context.Context, address string) error {
