Count crashes that end a reused connection against prompts

The end of a reused connection before any byte of the answer counted as that of an idle connection for half a second, and a target that crashes as it begins an answer does so sooner.

An idle connection that was closed shows it within a round trip of the send. The connection now keeps the time of its handshake, and twice that and 10 ms after the send its end counts as a broken answer. Whether the target counts as failed is unchanged.

Ruled out: the derivation of quarantines, which got no records to derive from. TestCrashOnReusedConnectionCounts failed before (0 records 60 ms after the request, want 1).

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -41,6 +41,7 @@
 	idleSince time.Time     // when it was released
 	idleLimit time.Duration // how long it may be idle; negative: it must not be reused
 	used      bool          // it has carried a complete request before
+	roundTrip time.Duration // of its handshake
 	closed    atomic.Bool
 }
 
@@ -78,11 +79,12 @@
 			return err
 		},
 	}
+	began := time.Now()
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{net: raw, head: headLimit{source: raw}}
+	c := &conn{net: raw, head: headLimit{source: raw}, roundTrip: time.Since(began)}
 	c.reader = bufio.NewReaderSize(&c.head, readBufferSize)
 	return c, nil
 }
@@ -194,8 +196,9 @@
 	Sent bool
 	// Stale reports that a reused connection ended before an answer was received, as it does
 	// if the target has closed an idle connection.
-	Stale bool
-	Err   error
+	Stale     bool
+	RoundTrip time.Duration // of the connection's handshake; 0 if nothing was sent
+	Err       error
 }
 
 func (e *SendError) Error() string {
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -267,7 +267,7 @@
 	used := c.used
 	if len(req.Body) < asyncBodySize {
 		if n, err := c.write(head, req.Body); err != nil {
-			return nil, &SendError{Sent: n > 0, Stale: used, Err: err}
+			return nil, &SendError{Sent: n > 0, Stale: used, RoundTrip: c.roundTrip, Err: err}
 		}
 	} else {
 		a.written, a.writeFailed = make(chan struct{}), new(atomic.Bool)
@@ -288,7 +288,7 @@
 			if c.head.left == 0 {
 				err = errHeadTooLong // the parser reports what is left of a line as malformed
 			}
-			return nil, &SendError{Sent: true, Stale: used && isConnectionEnd(err), Err: err}
+			return nil, &SendError{Sent: true, Stale: used && isConnectionEnd(err), RoundTrip: c.roundTrip, Err: err}
 		}
 		if id := ""; req.ID != "" {
 			if id = req.ResponseID(resp.Header); id != req.ID {
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -266,7 +266,7 @@
 		return result{verdict: verdictNotSent, reason: reason}
 	}
 	c.countSend()
-	if !send.Stale || took > minStaleWait {
+	if !send.Stale || took > staleRoundTrips*send.RoundTrip+staleSlack {
 		c.blameParts(ctx, t, send.Err)
 	}
 	if send.Stale {
--- a/entry/internal/edge/blame.go
+++ b/entry/internal/edge/blame.go
@@ -15,9 +15,10 @@
 	// maxBegun is the time from the first byte of an answer after which its prompt is no
 	// longer suspected if the target crashes.
 	maxBegun = time.Second
-	// minStaleWait is the time from which on the end of a reused connection isn't that of
-	// an idle one, which shows within a round trip.
-	minStaleWait = 500 * time.Millisecond
+	// staleRoundTrips and staleSlack bound the time within which a request shows that its
+	// connection had been closed while it was idle. Later, its end is that of the answer.
+	staleRoundTrips = 2
+	staleSlack      = 10 * time.Millisecond
 	// minQuarantineRetry and maxQuarantineRetry bound the Retry-After of a request with a
 	// quarantined part.
 	minQuarantineRetry = time.Second
--- a/entry/internal/edge/blame_test.go
+++ b/entry/internal/edge/blame_test.go
@@ -101,6 +101,45 @@
 	}
 }
 
+// Guards against crashes that count as the end of an idle connection, so that most of those
+// on busy connections are no evidence.
+func TestCrashOnReusedConnectionCounts(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration // from the request to the end of its connection
+		broken int
+	}{
+		{"closed while idle", 0, 0},
+		{"crash soon after the request", 60 * time.Millisecond, 1},
+		{"crash later", 600 * time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var isUsed atomic.Bool
+			h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+				if !isUsed.Swap(true) {
+					ok(w, r)
+					return
+				}
+				time.Sleep(test.after)
+				_ = w.Close()
+			})
+			f := &fakeBlame{}
+			h.handler.blame = f
+			for _, want := range []int{http.StatusOK, http.StatusBadGateway} {
+				if got := h.send(t, "/once/x", prompt("5a:1,dead:1,1:1")); got.status != want {
+					t.Fatalf("got %d, want %d", got.status, want)
+				}
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if len(f.broken) != test.broken {
+				t.Errorf("%d broken answers recorded, want %d", len(f.broken), test.broken)
+			}
+		})
+	}
+}
+
 // localGossip is the gossip of a host without others.
 type localGossip struct{}
 
