Trust parts that were answered just before a crash

A complete answer that ended within a second before a crash now clears its parts too, at all hosts. The span is short, unlike that after an answer that ended between crashes: a part may become deadly.

The new case of TestQuarantine failed before.

--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -57,6 +57,9 @@
 	window = 10 * time.Minute
 	// trustDuration is how long a part counts as sound after a complete answer.
 	trustDuration = 10 * time.Second
+	// priorTrust is how long a part counts as sound after a complete answer that ended
+	// before the first crash on it. It is shorter, because a part may have become deadly.
+	priorTrust = time.Second
 	// clearInterval is the time after which a further complete answer is shared.
 	clearInterval = 2 * time.Second
 	// maxCrashes, maxRecordsPerCrash and maxClears limit the evidence held.
@@ -90,7 +93,7 @@
 	id string
 }
 
-// clearance is a complete answer on a part that ended after a crash on it.
+// clearance is a complete answer on a part that ended after a crash on it or shortly before.
 type clearance struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
@@ -196,7 +199,7 @@
 	for _, id := range parts {
 		p := part{service, id}
 		s.completed[p] = now
-		if first, ok := s.suspects[p]; ok && first.Before(now) && now.Sub(s.cleared[p]) > clearInterval {
+		if first, ok := s.suspects[p]; ok && first.Before(now) {
 			changed = s.clear(p, now) || changed
 		}
 	}
@@ -263,7 +266,7 @@
 		if first, ok := s.suspects[p]; !ok || s.crashedAt[r.Crash].Before(first) {
 			s.suspects[p] = s.crashedAt[r.Crash]
 		}
-		if done := s.completedAt(p); done.After(s.crashedAt[r.Crash]) && !s.isTrusted(p, s.crashedAt[r.Crash]) {
+		if done := s.completedAt(p); s.crashedAt[r.Crash].Before(done.Add(priorTrust)) && !s.isTrusted(p, s.crashedAt[r.Crash]) {
 			s.clear(p, done)
 		}
 	}
@@ -273,7 +276,10 @@
 
 // clear records a complete answer on a part and reports whether it is news.
 func (s *state) clear(p part, at time.Time) bool {
-	if len(p.service) > maxNameBytes || len(p.id) > maxNameBytes || at.Sub(s.cleared[p]) <= clearInterval {
+	known := s.cleared[p]
+	first, isSuspect := s.suspects[p]
+	isFirst := isSuspect && !known.After(first) && at.After(first)
+	if len(p.service) > maxNameBytes || len(p.id) > maxNameBytes || !isFirst && at.Sub(known) <= clearInterval {
 		return false
 	}
 	s.cleared[p] = at
@@ -288,6 +294,9 @@
 // complete answer that ended later or not long before.
 func (s *state) isTrusted(p part, crash time.Time) bool {
 	at, ok := s.cleared[p]
+	if first, isSuspect := s.suspects[p]; isSuspect && !at.After(first) {
+		return ok && crash.Before(at.Add(priorTrust))
+	}
 	return ok && crash.Before(at.Add(trustDuration))
 }
 
@@ -396,13 +405,18 @@
 	for crash := range s.crashedAt {
 		s.unexplained[crash] = true
 	}
+	for _, r := range s.records {
+		at := s.crashedAt[r.Crash]
+		for _, id := range r.Parts {
+			if first, ok := s.suspects[part{r.Service, id}]; !ok || at.Before(first) {
+				s.suspects[part{r.Service, id}] = at
+			}
+		}
+	}
 	for _, r := range s.records {
 		at := s.crashedAt[r.Crash]
 		for i, id := range r.Parts {
 			p := part{r.Service, id}
-			if first, ok := s.suspects[p]; !ok || at.Before(first) {
-				s.suspects[p] = at
-			}
 			if s.isTrusted(p, at) {
 				continue
 			}
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -60,6 +60,13 @@
 				}
 			}
 		},
+		"all at once": func(sim *simulation) {
+			for at := 8 * time.Second; at < 36*time.Second; at += 12 * time.Second {
+				for _, t := range sim.targets {
+					sim.after(at+sim.between(0, 50*time.Millisecond), func() { sim.crash(t) })
+				}
+			}
+		},
 		"one after the other": func(sim *simulation) {
 			for at := 4 * time.Second; at < 36*time.Second; at += sim.between(300*time.Millisecond, 2*time.Second) {
 				sim.after(at, func() { sim.crash(sim.targets[sim.rng.IntN(len(sim.targets))]) })
@@ -207,6 +214,11 @@
 			d.recordComplete("s", deadly, d.now)
 			d.crashOn("s", deadly, deadly, deadly)
 		}, deadly, "deadly"},
+		{"complete answer less than a second before the first crash", func(d *deployment) {
+			d.recordComplete("s", deadly, d.now)
+			d.now = d.now.Add(-priorTrust / 2)
+			d.crashOn("s", deadly, deadly, deadly)
+		}, deadly, ""},
 		{"complete answer later", func(d *deployment) {
 			d.crashOn("s", deadly, deadly, deadly)
 			d.recordComplete("s", deadly, d.now)
