Quarantine a part that takes all targets down on two occasions

Requests with a part that crashes targets reached those that came back: when all targets crash within less than half a second there are only two occasions, three are needed, and no further crash can happen until the targets return.

Two occasions now suffice if at least five targets crashed, none of them without the part, and no host knows a complete answer on it. For this, hosts share complete answers from before the first crash whatever their age, and newer ones until one after the crash is known.

Ruled out: lost evidence (the hosts held the same records) and the limit of records per crash. The new test passes without the fix on its default seeds; the case 'many crashes on two occasions' of TestQuarantine failed before.

--- a/entry/internal/blame/fleet_test.go
+++ b/entry/internal/blame/fleet_test.go
@@ -199,14 +199,21 @@
 	})
 }
 
-// arrive lets a request arrive at a random host.
+// arrive lets a request arrive at a random host, which sends it on after its stages.
 func (sim *simulation) arrive(parts []string, isDeadly bool) {
-	up := slices.DeleteFunc(slices.Clone(sim.hosts), func(h *simHost) bool { return h.isDown })
-	r := &simRequest{host: up[sim.rng.IntN(len(up))], parts: parts, own: fmt.Sprint(sim.seq), isDeadly: isDeadly, beganAt: -1}
-	if sim.isRefused(r) {
-		return
+	if r := sim.newRequest(parts, isDeadly); !sim.isRefused(r) {
+		sim.after(sim.between(0, time.Second), func() { sim.sendToTarget(r) })
 	}
-	sim.after(sim.between(0, time.Second), func() { sim.sendToTarget(r) }) // its stages
+}
+
+// arriveUnstaged lets a request without stages arrive at a random host.
+func (sim *simulation) arriveUnstaged(parts []string, isDeadly bool) {
+	sim.sendToTarget(sim.newRequest(parts, isDeadly))
+}
+
+func (sim *simulation) newRequest(parts []string, isDeadly bool) *simRequest {
+	up := slices.DeleteFunc(slices.Clone(sim.hosts), func(h *simHost) bool { return h.isDown })
+	return &simRequest{host: up[sim.rng.IntN(len(up))], parts: parts, own: fmt.Sprint(sim.seq), isDeadly: isDeadly, beganAt: -1}
 }
 
 // isRefused checks a request and counts it if it is refused.
@@ -305,6 +312,17 @@
 	}
 }
 
+// prompt draws the parts of a prompt.
+func (sim *simulation) prompt(isDeadly bool) []string {
+	// Few subjects are asked for often and many seldom.
+	subject := int(200 * sim.rng.Float64() * sim.rng.Float64())
+	parts := []string{fmt.Sprintf("system%d", subject%sim.systems), fmt.Sprintf("subject%d", subject)}
+	if isDeadly {
+		return slices.Insert(parts, sim.index, "deadly")
+	}
+	return parts
+}
+
 // traffic lets requests arrive at a rate until the time end. A share of them has the
 // deadly part.
 func (sim *simulation) traffic(perSecond, deadlyShare float64, end time.Duration) {
@@ -315,14 +333,8 @@
 			return
 		}
 		own++
-		// Few subjects are asked for often and many seldom.
-		subject := int(200 * sim.rng.Float64() * sim.rng.Float64())
-		parts := []string{fmt.Sprintf("system%d", subject%sim.systems), fmt.Sprintf("subject%d", subject)}
-		if isDeadly := sim.rng.Float64() < deadlyShare; isDeadly {
-			sim.arrive(slices.Insert(parts, sim.index, "deadly"), true)
-		} else {
-			sim.arrive(parts, false)
-		}
+		isDeadly := sim.rng.Float64() < deadlyShare
+		sim.arrive(sim.prompt(isDeadly), isDeadly)
 		sim.after(time.Duration(sim.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	sim.after(0, next)
--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -20,6 +20,10 @@
 	// minOccasions is the number of occasions at which targets crash on a part before it
 	// is quarantined.
 	minOccasions = 3
+	// minOccasionsOfMany is that number if the part has at least maxOccasions crashes, none
+	// happened without it and no complete answer on it is known: it may take all targets
+	// down before a further occasion.
+	minOccasionsOfMany = 2
 	// occasionLength is the time within which crashes count as one occasion, because
 	// targets that share a rack or a power supply crash together.
 	occasionLength = 200 * time.Millisecond
@@ -93,7 +97,7 @@
 	id string
 }
 
-// clearance is a complete answer on a part that ended after a crash on it or shortly before.
+// clearance is a complete answer on a part with a crash. It may have ended before the crash.
 type clearance struct {
 	_       struct{} `cbor:",toarray"`
 	Service string
@@ -133,7 +137,7 @@
 	records     map[string]*record
 	byCrash     map[uint64][]*record
 	crashedAt   map[uint64]time.Time
-	cleared     map[part]time.Time // end of the latest complete answer, if there was a crash before
+	cleared     map[part]time.Time // end of the latest complete answer, if there was a crash
 	suspects    map[part]time.Time // parts with evidence, and the time of the first crash
 	unexplained map[uint64]bool    // crashes without a quarantined part
 	staleSince  time.Time          // of the first evidence that the quarantines don't reflect; zero: none
@@ -266,7 +270,7 @@
 		if first, ok := s.suspects[p]; !ok || s.crashedAt[r.Crash].Before(first) {
 			s.suspects[p] = s.crashedAt[r.Crash]
 		}
-		if done := s.completedAt(p); s.crashedAt[r.Crash].Before(done.Add(priorTrust)) && !s.isTrusted(p, s.crashedAt[r.Crash]) {
+		if done := s.completedAt(p); !done.IsZero() && !s.isTrusted(p, s.crashedAt[r.Crash]) {
 			s.clear(p, done)
 		}
 	}
@@ -276,10 +280,13 @@
 
 // clear records a complete answer on a part and reports whether it is news.
 func (s *state) clear(p part, at time.Time) bool {
-	known := s.cleared[p]
-	first, isSuspect := s.suspects[p]
-	isFirst := isSuspect && !known.After(first) && at.After(first)
-	if len(p.service) > maxNameBytes || len(p.id) > maxNameBytes || !isFirst && at.Sub(known) <= clearInterval {
+	known, interval := s.cleared[p], clearInterval
+	if first, ok := s.suspects[p]; ok && !known.After(first) {
+		if interval = priorTrust / 4; at.After(first) {
+			interval = 0
+		}
+	}
+	if len(p.service) > maxNameBytes || len(p.id) > maxNameBytes || at.Sub(known) <= interval {
 		return false
 	}
 	s.cleared[p] = at
@@ -532,8 +539,10 @@
 	if len(times) >= maxOccasions {
 		return true
 	}
-	if times = s.occasions(sus.part, sus.crashes, nil); len(times) < minOccasions {
-		return false
+	times = s.occasions(sus.part, sus.crashes, nil)
+	if len(times) < minOccasions {
+		_, wasAnswered := s.cleared[sus.part]
+		return !wasAnswered && len(times) >= minOccasionsOfMany && len(sus.crashes) >= maxOccasions && len(s.otherCrashes(sus, times)) == 0
 	}
 	needed := minOccasions + s.otherOccasions(sus, times)/occasionsPerExtra
 	onePrompt, oneAddress := s.spread(sus)
@@ -568,6 +577,11 @@
 // otherOccasions returns the number of occasions at which targets of the service crashed
 // without the part, from shortly before the first crash on it to the last.
 func (s *state) otherOccasions(sus *suspect, times []time.Time) int {
+	return len(separate(s.otherCrashes(sus, times)))
+}
+
+// otherCrashes returns the times of the crashes without the part that otherOccasions counts.
+func (s *state) otherCrashes(sus *suspect, times []time.Time) []time.Time {
 	var others []time.Time
 	for crash := range s.unexplained {
 		at := s.crashedAt[crash]
@@ -575,7 +589,7 @@
 			others = append(others, at)
 		}
 	}
-	return len(separate(others))
+	return others
 }
 
 func isMoreSpecific(a, b *suspect) bool {
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// Guards against a part that takes all targets down on so few occasions that it isn't
+// quarantined, at some hosts or at all, until those that return crash too.
+func TestDeadlyPartThatCrashesAllTargetsIsQuarantined(t *testing.T) {
+	for seed := range uint64(*seeds) {
+		sim, name := randomSimulation(seed)
+		rate := float64(len(sim.targets)) * (4 + 6*sim.rng.Float64())
+		const began = 8 * time.Second
+		sim.traffic(rate, 0, began)
+		sim.run(began)
+		for range 2 * len(sim.targets) {
+			sim.after(sim.between(0, 600*time.Millisecond), func() { sim.arriveUnstaged(sim.prompt(true), true) })
+		}
+		sim.traffic(rate, 0.05, 30*time.Second)
+		sim.run(30 * time.Second)
+		if got := sim.lateDeadly(contactTime); got > maxLate {
+			t.Errorf("%s, %.0f requests/s: %d requests with the deadly part reached targets late, want at most %d; %d crashes", name, rate, got, maxLate, len(sim.deadlyCrashes))
+		}
+		if sim.soundRefused > 0 {
+			t.Errorf("%s, %.0f requests/s: %d of %d sound requests refused, want 0", name, rate, sim.soundRefused, sim.soundSent)
+		}
+	}
+}
+
 // Guards against refusals of sound prompts because targets crash that have them: a rack
 // at a time, the same targets again and again, or one after the other.
 func TestCrashesOfTargetsQuarantineNothing(t *testing.T) {
@@ -201,6 +224,30 @@
 			}
 			d.now = d.now.Add(time.Second)
 		}, deadly, ""},
+		{"many crashes on two occasions", func(d *deployment) {
+			for i := range maxOccasions {
+				d.now = d.now.Add(occasionLength / 3)
+				d.crash("s", fmt.Sprint(i), 0, deadly, fmt.Sprint(i))
+			}
+			d.now = d.now.Add(time.Second)
+		}, deadly, "deadly"},
+		{"many crashes on two occasions after a complete answer", func(d *deployment) {
+			d.recordComplete("s", []string{"system", "x"}, d.now)
+			d.now = d.now.Add(5 * time.Second)
+			for i := range maxOccasions {
+				d.now = d.now.Add(occasionLength / 3)
+				d.crash("s", fmt.Sprint(i), 0, []string{"system", fmt.Sprint(i)}, fmt.Sprint(i))
+			}
+			d.now = d.now.Add(time.Second)
+		}, []string{"system", "x"}, ""},
+		{"many crashes on two occasions, one without the part", func(d *deployment) {
+			d.crash("s", "other", 0, []string{"a", "b"}, "other")
+			for i := range maxOccasions {
+				d.now = d.now.Add(occasionLength / 3)
+				d.crash("s", fmt.Sprint(i), 0, deadly, fmt.Sprint(i))
+			}
+			d.now = d.now.Add(time.Second)
+		}, deadly, ""},
 		{"before other hosts can have said more", func(d *deployment) {
 			d.crashOn("s", deadly, deadly, deadly)
 			d.now = d.now.Add(-settleTime / 2)
