Obey what targets announce in their answers, and tell copies of answers

Cause: nothing read Server-Leaving, nor Retry-After of a target. A target that leaves got requests until the store's entry said the same, without end while the store was away; one that asked for a pause got the next request after 150 ms. A target's own 408, 429 or 503 was passed on for requests that may run once, though only Not-Executed says that nothing ran.

Ruled out for announcements: telling the other hosts. Each learns with its first answer, which the target still serves; a message for each target to each host would grow with both.

Change: package notice keeps what a host was told, by ID and start of the target. Choice, stage calls and the dialer, just before it writes, ask it. Leaving targets get only what no other can take, for half of the drain time, then nothing. If all are closed the caller gets 503 with the time until the first one opens, spread. An attempt that goes to a target again uses a new connection.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -29,6 +29,7 @@
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/lines"
 	"chivepost/entry/internal/maker"
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/roster"
@@ -84,7 +85,7 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newEdgeHandler, newFleetServers,
-			newBalancer, newBlame,
+			newBalancer, newBlame, newNotices,
 			newFleetRefs, dialer.New,
 		),
 		fx.Invoke(func(*fleetServers) {}),
@@ -277,11 +278,13 @@
 	return t
 }
 
-func newBalancer(refs *fleetRefs, s boot.Settings) *pick.Balancer {
+func newNotices(s boot.Settings) *notice.Board { return notice.New(s.DrainPeriod) }
+
+func newBalancer(refs *fleetRefs, s boot.Settings, notices *notice.Board) *pick.Balancer {
 	return pick.New(pick.Options{
 		DataCentre: s.DataCentre, Region: s.Region, Regions: s.DataCentres,
 		RetryRatio: s.RetryRatio, RetryExtra: s.RetryExtra, RetryWindow: s.RetryWindow,
-	}, refs)
+	}, refs, notices)
 }
 
 type stageParts struct {
@@ -290,9 +293,9 @@
 	Runner *graph.Runner
 }
 
-func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, log logr.Logger) stageParts {
-	catalog := maker.NewCatalog(t, s.DataCentres)
-	home := batch.New(maker.New(d), catalog, log.WithName("batch"))
+func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, notices *notice.Board, log logr.Logger) stageParts {
+	catalog := maker.NewCatalog(t, notices, s.DataCentres)
+	home := batch.New(maker.New(d, notices), catalog, log.WithName("batch"))
 	graph.RegisterHandlers(bus, home)
 	runner := graph.New(s.HostName, s.Region, r, bus, home, catalog)
 	home.SetReporter(runner.SendReport)
@@ -303,8 +306,8 @@
 	return blame.New(r, log.WithName("blame"))
 }
 
-func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, log logr.Logger) *edge.Handler {
-	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, b, log.WithName("edge"))
+func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, log logr.Logger) *edge.Handler {
+	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, b, notices, log.WithName("edge"))
 	return refs.handler
 }
 
--- a/entry/internal/batch/fill.go
+++ b/entry/internal/batch/fill.go
@@ -120,7 +120,7 @@
 // packCall packs a call for a target, or returns nil if nothing fits.
 func (q *Queue) packCall(ts *targetState, now time.Time) *Call {
 	room := int64(usableSpaceShare*float64(q.spec.ResultSpaceBytes)) - ts.bytes
-	c := &Call{Target: ts.target.ID, Address: ts.target.Address, started: now}
+	c := &Call{Target: ts.target.ID, Address: ts.target.Address, Start: ts.target.StartMillis, started: now}
 	jobs := slices.Clone(q.jobs)
 	slices.SortStableFunc(jobs, func(a, b *queuedJob) int {
 		x, y := q.isOnTime(a, now), q.isOnTime(b, now)
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"math/rand/v2"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/notice"
 	"chivepost/share/fleet"
 )
 
@@ -31,6 +33,9 @@
 	reportInterval = 250 * time.Millisecond
 	// reportPeriod is how long a home sends reports after its last order.
 	reportPeriod = 2 * time.Second
+	// busyFreeDelay is how long results of a target that wants no requests are kept before
+	// they are freed once more. It costs no message while the target is busy.
+	busyFreeDelay = 500 * time.Millisecond
 	// freeTimeout is the timeout of the call that frees results at a target.
 	freeTimeout = time.Second
 	// abandonAfter is how long an order is kept if its host doesn't poll for it.
@@ -40,7 +45,7 @@
 // TargetClient makes calls to stage targets.
 type TargetClient interface {
 	Run(ctx context.Context, c *Call) ([]Outcome, Failure, error)
-	Free(ctx context.Context, target, address string, handles []string) error
+	Free(ctx context.Context, target Target, handles []string) error
 }
 
 // Catalog returns the batching parameters of a service and its available targets in
@@ -302,9 +307,9 @@
 	}
 	for _, sc := range h.schedulers {
 		for service, targets := range sc.TakeFreed(time.Now()) {
-			for target, handles := range targets {
-				if address, ok := sc.TargetAddress(service, target); ok {
-					h.wg.Go(func() { h.sendFree(target, address, handles) })
+			for id, handles := range targets {
+				if target, ok := sc.Target(service, id); ok {
+					h.wg.Go(func() { h.sendFree(sc, target, handles) })
 				}
 			}
 		}
@@ -312,12 +317,24 @@
 	}
 }
 
-// sendFree frees results at one target.
-func (h *Home) sendFree(target, address string, handles []string) {
+// sendFree frees results at one target, later if it wants no requests now.
+func (h *Home) sendFree(sc *Scheduler, target Target, handles []string) {
 	ctx, cancel := context.WithTimeout(h.ctx, freeTimeout)
 	defer cancel()
-	if err := h.client.Free(ctx, target, address, handles); err != nil {
-		h.logger.V(1).Info("failed to free results", "target", target, "results", len(handles), "err", err.Error())
+	err := h.client.Free(ctx, target, handles)
+	if err == nil {
+		return
+	}
+	h.logger.V(1).Info("failed to free results", "target", target.ID, "results", len(handles), "err", err.Error())
+	if errors.Is(err, notice.ErrBusy) {
+		time.AfterFunc(busyFreeDelay, func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.ctx.Err() == nil {
+				sc.FreeHandles(handles)
+				h.advance(sc, time.Now())
+			}
+		})
 	}
 }
 
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -136,6 +136,7 @@
 type Call struct {
 	Target   string
 	Address  string
+	Start    int64 // StartMillis of the target
 	Pieces   []Piece
 	Expected time.Duration // expected time, including calls queued before it
 	Timeout  time.Duration // the call is cancelled after this
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -88,6 +88,10 @@
 	Address    string
 	DataCentre string
 	Region     string
+	// StartMillis distinguishes the incarnations of the target.
+	StartMillis int64
+	// BusyUntil is until when the target wants no calls; zero: it takes them.
+	BusyUntil time.Time
 }
 
 // targetState is the state of a target: its calls, the results that it holds, and
@@ -207,6 +211,7 @@
 			q.targets[t.ID] = ts
 		}
 		ts.target, ts.present = t, true
+		ts.pausedUntil = later(ts.pausedUntil, t.BusyUntil)
 	}
 	for id, ts := range q.targets {
 		if !ts.present && len(ts.calls) == 0 {
@@ -332,13 +337,13 @@
 	return slices.Clone(j.handles)
 }
 
-// TargetAddress returns the address of a target.
-func (q *Queue) TargetAddress(id string) (string, bool) {
+// Target returns a target by its ID.
+func (q *Queue) Target(id string) (Target, bool) {
 	ts := q.targets[id]
 	if ts == nil {
-		return "", false
+		return Target{}, false
 	}
-	return ts.target.Address, true
+	return ts.target, true
 }
 
 // CompleteCall records the outcome of a call. outcomes has an entry for each piece
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -503,13 +503,13 @@
 	return out
 }
 
-// TargetAddress returns the address of a target of a service.
-func (sc *Scheduler) TargetAddress(service, target string) (string, bool) {
+// Target returns a target of a service by its ID.
+func (sc *Scheduler) Target(service, id string) (Target, bool) {
 	q := sc.queues[service]
 	if q == nil {
-		return "", false
+		return Target{}, false
 	}
-	return q.TargetAddress(target)
+	return q.Target(id)
 }
 
 // HasFreed reports whether TakeFreed has results to return.
--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -160,6 +160,10 @@
 	_ = a.conn.net.SetReadDeadline(time.Time{})
 }
 
+// CloseConn makes Close close the connection, because its next answer may belong to another
+// request.
+func (a *Answer) CloseConn() { a.reusable = false }
+
 // Close returns the connection to the pool if the answer was read to its end and the
 // connection is in a known state, and closes it otherwise. It may be called more than once.
 func (a *Answer) Close() {
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -65,6 +65,15 @@
 	KeepAlive func(http.Header) time.Duration
 	// MaxIdle bounds how long a reused connection may have been idle; 0: no further bound.
 	MaxIdle time.Duration
+	// NewConn keeps the request off connections that have carried others. A request with the
+	// ID of an earlier one needs it, because a copy of that one's answer can't be told apart.
+	NewConn bool
+	// Check, unless nil, is called immediately before the request is sent, which it prevents
+	// with an error.
+	Check func() error
+	// Heard, unless nil, is called with the head of the answer and of interim answers before
+	// it.
+	Heard func(status int, h http.Header)
 }
 
 // Pool holds the connections to all targets.
@@ -134,7 +143,7 @@
 
 // acquire returns an idle connection. It returns nil if there is none but the limit allows
 // another one, which it counts as open and the caller must dial.
-func (p *Pool) acquire(target string, limit int, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) acquire(target string, limit int, req *Request) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,12 +155,12 @@
 		e = &targetConns{}
 		p.targets[target] = e
 	}
-	for len(e.idle) > 0 {
+	for len(e.idle) > 0 && (!req.NewConn || e.open >= limit) {
 		c := e.idle[len(e.idle)-1]
 		e.idle[len(e.idle)-1] = nil
 		e.idle = e.idle[:len(e.idle)-1]
 		age := now.Sub(c.idleSince)
-		if age < c.idleLimit && (maxIdle == 0 || age < maxIdle) && c.isClean() {
+		if !req.NewConn && age < c.idleLimit && (req.MaxIdle == 0 || age < req.MaxIdle) && c.isClean() {
 			return c, nil
 		}
 		c.close()
@@ -228,7 +237,7 @@
 // head of the answer is read. The end of ctx closes the connection, also while the body of
 // the answer is read. Errors are of type *SendError.
 func (p *Pool) Do(ctx context.Context, target, address string, limit int, req Request) (*Answer, error) {
-	c, err := p.acquire(target, limit, req.MaxIdle)
+	c, err := p.acquire(target, limit, &req)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
@@ -242,9 +251,13 @@
 		}
 		connectionsOpened.Add(1)
 	}
-	if ctx.Err() != nil {
-		p.release(target, c, c.used, c.idleLimit)
-		return nil, &SendError{Err: ctx.Err()}
+	err = ctx.Err()
+	if err == nil && req.Check != nil {
+		err = req.Check()
+	}
+	if err != nil {
+		p.release(target, c, c.used, c.idleLimit-time.Since(c.idleSince))
+		return nil, &SendError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, c.close)
 	a, failure := p.exchange(c, target, req, stop)
@@ -283,7 +296,7 @@
 	}
 	c.head.limited, c.head.left = true, maxHeadBytes
 	for range maxStrayAnswers + 1 {
-		resp, err := readHead(c, req.Method) //nolint:bodyclose // the connection is released or closed as a whole
+		resp, err := readHead(c, &req) //nolint:bodyclose // the connection is released or closed as a whole
 		if err != nil {
 			if c.head.left == 0 {
 				err = errHeadTooLong // the parser reports what is left of a line as malformed
@@ -302,6 +315,7 @@
 				continue
 			}
 		}
+		req.heard(resp)
 		c.head.limited = false
 		a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 		a.reusable = !resp.Close && c.idleLimit >= 0
@@ -324,15 +338,23 @@
 }
 
 // readHead reads the head of an answer and skips interim (1xx) responses.
-func readHead(c *conn, method string) (*http.Response, error) {
+func readHead(c *conn, req *Request) (*http.Response, error) {
 	for {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
+		req.heard(resp)
+	}
+}
+
+// heard passes the head of an answer on.
+func (r *Request) heard(resp *http.Response) {
+	if r.Heard != nil {
+		r.Heard(resp.StatusCode, resp.Header)
 	}
 }
 
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -84,15 +86,16 @@
 		if c.results != nil {
 			query.DataCentre, query.PrefixTarget = c.results.DataCentre, c.results.PrefixTarget
 		}
-		chosen, why := c.h.balancer.Choose(query, now)
+		chosen, refusal := c.h.balancer.Choose(query, now)
 		if chosen != nil && c.sends > 0 && !c.h.balancer.TakeRetry(c.service.Name, now) {
 			chosen.Done(pick.Cancelled)
-			chosen, why = nil, "the retry budget is exhausted"
+			chosen, refusal = nil, pick.Refusal{Reason: "the retry budget is exhausted"}
 		}
 		if chosen == nil {
 			if reason == "" {
-				reason = why
+				reason = refusal.Reason
 			}
+			c.retryIn = refusal.RetryAfter
 			c.giveUp(failure, reason)
 			return nil
 		}
@@ -158,6 +161,9 @@
 		c.fail(http.StatusBadGateway, reason)
 	case isAborted:
 		c.refuseLeaving()
+	case c.retryIn > 0:
+		// Callers that were told the same time don't return in step.
+		c.refuse(reason, c.retryIn+time.Duration(rand.Int64N(int64(retryAfterSpread))))
 	default:
 		c.refuse(reason, 0)
 	}
@@ -201,7 +207,12 @@
 	sent.Apply(header)
 	req := dialer.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.req.ID,
-		ResponseID: wire.AnswerID, KeepAlive: wire.KeepAlive,
+		ResponseID: wire.AnswerID, KeepAlive: wire.KeepAlive, NewConn: c.sentTo[t.ID],
+		Check: func() error { return c.h.notices.Check(t.Notice(), time.Now()) },
+		Heard: func(status int, h http.Header) {
+			head := wire.DecodeAnswer(status, h)
+			c.h.notices.Record(t.Notice(), notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
+		},
 	}
 	if !c.route.MayRetry() {
 		req.MaxIdle = onceMaxIdle
@@ -212,6 +223,10 @@
 		defer firstByteTimer.Stop()
 	}
 	c.target, c.targetDataCentre, c.answerBegan = t.ID, t.DataCentre, time.Time{}
+	if c.sentTo == nil {
+		c.sentTo = map[string]bool{}
+	}
+	c.sentTo[t.ID] = true
 	a, err := c.h.dialer.Do(ctx, t.ID, t.Address, c.h.balancer.ConnectionShare(c.service.MaxConnections), req)
 	if err != nil {
 		return c.handleSendError(ctx, t, err, time.Since(now))
@@ -259,7 +274,7 @@
 	}
 	if !send.Sent {
 		o := pick.Unreachable
-		if errors.Is(send.Err, dialer.ErrConnectionLimit) {
+		if errors.Is(send.Err, dialer.ErrConnectionLimit) || errors.Is(send.Err, notice.ErrBusy) || errors.Is(send.Err, notice.ErrLeaving) {
 			o = pick.Refused
 		}
 		t.Done(o)
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -21,6 +21,7 @@
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/roster"
 	"chivepost/entry/internal/table"
@@ -70,6 +71,9 @@
 	return c
 }
 
+// testDrain is how long a target that leaves still takes requests.
+const testDrain = time.Second
+
 // targetScript responds to one request on a target's connection.
 type targetScript func(w net.Conn, r *http.Request)
 
@@ -112,10 +116,11 @@
 			ID: fmt.Sprintf("t%d", i), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
 		}})
 	}
-	balancer := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, h)
+	board := notice.New(testDrain)
+	balancer := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, h, board)
 	pool := dialer.New()
 	t.Cleanup(pool.Close)
-	h.handler = New(Options{DataCentre: "dc", Region: "r"}, h, stages, balancer, pool, &fakeBlame{}, logr.Discard())
+	h.handler = New(Options{DataCentre: "dc", Region: "r"}, h, stages, balancer, pool, &fakeBlame{}, board, logr.Discard())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -19,6 +19,7 @@
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
@@ -78,7 +79,7 @@
 
 // Balancer chooses targets.
 type Balancer interface {
-	Choose(q pick.Query, now time.Time) (*pick.Chosen, string)
+	Choose(q pick.Query, now time.Time) (*pick.Chosen, pick.Refusal)
 	RecordRequest(service string, now time.Time)
 	TakeRetry(service string, now time.Time) bool
 	UsualFirstByte(target string) time.Duration
@@ -90,6 +91,12 @@
 	Do(ctx context.Context, target, address string, limit int, req dialer.Request) (*dialer.Answer, error)
 }
 
+// Notices keeps what targets announce in their answers.
+type Notices interface {
+	Record(t notice.Target, n notice.Notice, now time.Time)
+	Check(t notice.Target, now time.Time) error
+}
+
 // Options describes the host that runs a Handler.
 type Options struct {
 	DataCentre string
@@ -106,6 +113,7 @@
 	balancer    Balancer
 	dialer      Dialer
 	blame       Blame
+	notices     Notices
 	logger      logr.Logger
 	afterStages routeTimes // from the end of the stages to the first byte of the answer
 	totals      routeTimes // from the start to the end of complete answers
@@ -116,8 +124,8 @@
 }
 
 // New returns a Handler that sends requests to the targets in tables.
-func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, b Blame, logger logr.Logger) *Handler {
-	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, blame: b, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
+func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, b Blame, notices Notices, logger logr.Logger) *Handler {
+	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, blame: b, notices: notices, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
 }
 
 // Active returns the number of requests in progress.
@@ -149,8 +157,9 @@
 	mayHaveRun  bool // a target may have run the request
 	isAnswered  bool // a target's answer was written completely
 	firstSend   time.Time
-	isTrial     bool      // shows whether a quarantined part still crashes targets
-	answerBegan time.Time // at the current target; zero: not yet
+	sentTo      map[string]bool // targets that may have got this attempt
+	isTrial     bool            // shows whether a quarantined part still crashes targets
+	answerBegan time.Time       // at the current target; zero: not yet
 
 	// The fields below are mostly for the log line and the counters.
 	status           int
@@ -163,6 +172,7 @@
 	stageRuns        int           // more than one if results were lost
 	stagesTook       time.Duration // from the start of the request
 	firstByte        time.Duration
+	retryIn          time.Duration // until a target takes requests again; 0: unknown
 	events           int
 	resumes          int
 	retryAfter       time.Duration
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -86,6 +86,10 @@
 		}
 		return result{verdict: verdictMayHaveRun, reason: "the target's answer ended early: " + err.Error()}
 	}
+	if !c.route.MayRetry() && promisesNotRun(a.Status) {
+		t.Done(pick.Failed)
+		return result{verdict: verdictMayHaveRun, reason: fmt.Sprintf("the target failed with status %d and may have run the request", a.Status)}
+	}
 	h := &heldAnswer{status: a.Status, header: wire.ReturnedHeaders(a.Header), body: body}
 	if a.Status >= http.StatusInternalServerError {
 		t.Done(pick.Failed)
@@ -100,6 +104,16 @@
 	return result{verdict: verdictDone}
 }
 
+// promisesNotRun reports whether callers take a status for the promise that the request has
+// not run and never will. A target's own answer with such a status doesn't promise that.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // writeHeldAnswer writes a complete answer to the caller.
 func (c *call) writeHeldAnswer(h *heldAnswer) {
 	c.phase.Store(int32(phaseAnswer))
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -10,9 +10,11 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -31,11 +33,24 @@
 	Do(ctx context.Context, target, address string, limit int, req dialer.Request) (*dialer.Answer, error)
 }
 
+// Notices keeps what targets announce in their answers.
+type Notices interface {
+	Record(t notice.Target, n notice.Notice, now time.Time)
+	Check(t notice.Target, now time.Time) error
+	Status(t notice.Target, now time.Time) notice.Status
+}
+
 // Client calls stage targets over HTTP. It implements batch.TargetClient.
-type Client struct{ dialer Dialer }
+type Client struct {
+	dialer  Dialer
+	notices Notices
+	recent  *recentAnswers
+}
 
-// New returns a client that sends over d.
-func New(d Dialer) *Client { return &Client{dialer: d} }
+// New returns a client that sends over d, as far as the announcements of targets allow.
+func New(d Dialer, notices Notices) *Client {
+	return &Client{dialer: d, notices: notices, recent: newRecentAnswers()}
+}
 
 var faultsByReason = map[string]batch.Fault{
 	wire.ReasonLate: batch.FaultLate, wire.ReasonGone: batch.FaultGone, wire.ReasonNoSpace: batch.FaultNoSpace, wire.ReasonError: batch.FaultError,
@@ -52,9 +67,19 @@
 	if err != nil {
 		return nil, batch.FailureBroken, err
 	}
-	status, header, answer, err := c.post(ctx, call.Target, call.Address, wire.PathStageRun, body)
+	target := batch.Target{ID: call.Target, Address: call.Address, StartMillis: call.Start}
+	var results []wire.Result
+	status, header, err := c.post(ctx, target, wire.PathStageRun, body, func(answer []byte) error {
+		var err error
+		if results, err = wire.DecodeResults(answer, len(pieces)); err != nil {
+			return err
+		}
+		return c.recent.add(target.ID, results)
+	})
 	switch {
-	case err != nil:
+	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving):
+		return nil, batch.FailureRefused, err
+	case status == 0:
 		return nil, failureOf(ctx, err), err
 	case status == http.StatusMisdirectedRequest:
 		return nil, batch.FailureUnreachable, errors.New("another target uses the address")
@@ -62,9 +87,7 @@
 		return nil, batch.FailureRefused, fmt.Errorf("the target refused with status %d", status)
 	case status != http.StatusOK:
 		return nil, batch.FailureBroken, fmt.Errorf("the target answered with status %d", status)
-	}
-	results, err := wire.DecodeResults(answer, len(pieces))
-	if err != nil {
+	case err != nil && !errors.Is(err, errNoResults):
 		return nil, batch.FailureBroken, err
 	}
 	out := make([]batch.Outcome, len(results))
@@ -93,41 +116,63 @@
 }
 
 // Free frees stage results at a target.
-func (c *Client) Free(ctx context.Context, target, address string, handles []string) error {
+func (c *Client) Free(ctx context.Context, target batch.Target, handles []string) error {
 	body, err := wire.EncodeFree(handles)
 	if err != nil {
 		return err
 	}
-	status, _, _, err := c.post(ctx, target, address, wire.PathStageFree, body)
+	status, _, err := c.post(ctx, target, wire.PathStageFree, body, func(answer []byte) error {
+		if wire.HasResults(answer) {
+			return errors.New("free results: the answer is that to another call")
+		}
+		return nil
+	})
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("free results: the target answered with status %d", status)
 	}
 	return err
 }
 
-// post sends a request to a target and reads the answer, but a body only if its status is
-// 200. Errors are of type *dialer.SendError.
-func (c *Client) post(ctx context.Context, target, address, path string, body []byte) (int, http.Header, []byte, error) {
-	a, err := c.dialer.Do(ctx, target, address, maxConnections, dialer.Request{
-		Method: http.MethodPost, URI: path, Host: address, Header: wire.StageHeader(target), Body: body,
+// post sends a request to a target and reads the answer. accept checks the body of an answer
+// with status 200. Stage calls have no ID in their answers, so the connection of an answer
+// that isn't accepted is closed: it may be a copy of an earlier one, and the right one may
+// follow. So is that of an answer with another status. The returned status is 0 if there is
+// no whole answer; the error is then of type *dialer.SendError.
+func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, accept func(answer []byte) error) (int, http.Header, error) {
+	announcer := noticeOf(target)
+	a, err := c.dialer.Do(ctx, target.ID, target.Address, maxConnections, dialer.Request{
+		Method: http.MethodPost, URI: path, Host: target.Address, Header: wire.StageHeader(target.ID), Body: body,
 		KeepAlive: wire.KeepAlive,
+		Check:     func() error { return c.notices.Check(announcer, time.Now()) },
+		Heard: func(status int, h http.Header) {
+			head := wire.DecodeAnswer(status, h)
+			c.notices.Record(announcer, notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
+		},
 	})
 	if err != nil {
-		return 0, nil, nil, err
+		return 0, nil, err
 	}
 	defer a.Close()
 	if a.Status != http.StatusOK {
-		a.Discard()
-		return a.Status, a.Header, nil, nil
+		a.CloseConn()
+		return a.Status, a.Header, nil
 	}
 	data, err := io.ReadAll(io.LimitReader(a, maxAnswer+1))
 	if err == nil && len(data) > maxAnswer {
 		err = fmt.Errorf("the answer is longer than %d bytes", maxAnswer)
 	}
 	if err != nil {
-		return 0, nil, nil, &dialer.SendError{Sent: true, Err: err}
+		return 0, nil, &dialer.SendError{Sent: true, Err: err}
 	}
-	return a.Status, a.Header, data, nil
+	if err := accept(data); err != nil {
+		a.CloseConn()
+		return a.Status, a.Header, err
+	}
+	return a.Status, a.Header, nil
+}
+
+func noticeOf(t batch.Target) notice.Target {
+	return notice.Target{ID: t.ID, StartMillis: t.StartMillis}
 }
 
 // Tables provides the current view of the deployment.
@@ -139,12 +184,13 @@
 // batch.Catalog.
 type Catalog struct {
 	tables  Tables
+	notices Notices
 	regions map[string]string // data centre to region
 }
 
 // NewCatalog returns a catalog. regions maps each data centre to its region.
-func NewCatalog(tables Tables, regions map[string]string) *Catalog {
-	return &Catalog{tables: tables, regions: regions}
+func NewCatalog(tables Tables, notices Notices, regions map[string]string) *Catalog {
+	return &Catalog{tables: tables, notices: notices, regions: regions}
 }
 
 // Stage returns the batching parameters of a stage service and its available targets in a
@@ -155,12 +201,27 @@
 	if v.Config == nil || v.Config.Services[service].Stage == nil {
 		return fleet.Batching{}, nil, false
 	}
-	var out []batch.Target
+	var out, leaving []batch.Target
+	now := time.Now()
 	for _, t := range v.Targets[service] {
-		if r := c.regions[t.DataCentre]; region == "" || r == region {
-			out = append(out, batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: r})
+		r := c.regions[t.DataCentre]
+		if region != "" && r != region {
+			continue
+		}
+		listed := batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: r, StartMillis: t.StartMillis}
+		switch s := c.notices.Status(noticeOf(listed), now); {
+		case s.Closed && s.Until.IsZero():
+		case s.Leaving:
+			listed.BusyUntil = s.Until
+			leaving = append(leaving, listed)
+		default:
+			listed.BusyUntil = s.Until
+			out = append(out, listed)
 		}
 	}
+	if len(out) == 0 {
+		out = leaving // they serve on for a while
+	}
 	return *v.Config.Services[service].Stage, out, true
 }
 
--- /dev/null
+++ b/entry/internal/notice/notice.go
@@ -0,0 +1,135 @@
+// Package notice keeps what targets announce of themselves in their answers: that they leave,
+// or that they want no requests for a while. Each host keeps what it was told itself, so the
+// board holds without the store and costs no messages.
+package notice
+
+import (
+	"errors"
+	"expvar"
+	"sync"
+	"time"
+)
+
+var (
+	leavingSeen = expvar.NewInt("target_leaving_announced_count")
+	busySeen    = expvar.NewInt("target_busy_announced_count")
+	held        = expvar.NewInt("target_sends_held_count")
+)
+
+const (
+	// lastResortShare is the part of the drain time in which a leaving target still gets the
+	// requests that no other target can take. The rest covers dialling and the way there.
+	lastResortShare = 0.5
+	// maxTargets bounds the targets kept: several times those of the largest deployment that
+	// is planned. Those that announced something first are dropped first.
+	maxTargets = 8192
+)
+
+// Reasons why a request must not be sent to a target.
+var (
+	ErrLeaving = errors.New("the target is leaving")
+	ErrBusy    = errors.New("the target is busy")
+)
+
+// Target identifies one incarnation of a target. What one incarnation announced doesn't bind
+// the next one, even under the same ID.
+type Target struct {
+	ID          string
+	StartMillis int64
+}
+
+// Notice is what one answer announces.
+type Notice struct {
+	Leaving bool
+	Pause   time.Duration // the target wants no requests for so long; 0: not announced
+}
+
+// Status is what holds for a target at one moment.
+type Status struct {
+	Leaving bool      // it gets only requests that no other target can take
+	Closed  bool      // it gets no requests
+	Until   time.Time // when a closed target opens again; zero: never
+}
+
+// state is what a target has announced.
+type state struct {
+	leavingSince time.Time // zero: not leaving
+	busyUntil    time.Time
+}
+
+// Board keeps the announcements of targets. It is safe for concurrent use.
+type Board struct {
+	lastResort time.Duration // after a target's first announcement that it leaves
+
+	mu      sync.RWMutex
+	targets map[Target]state
+	order   []Target // by their first announcement
+}
+
+// None is a board of targets that announce nothing.
+type None struct{}
+
+// Status returns the zero status.
+func (None) Status(Target, time.Time) Status { return Status{} }
+
+// New returns an empty board. drain is how long a target that leaves still takes requests.
+func New(drain time.Duration) *Board {
+	return &Board{lastResort: time.Duration(lastResortShare * float64(drain)), targets: map[Target]state{}}
+}
+
+// Record adds what an answer of a target announced.
+func (b *Board) Record(t Target, n Notice, now time.Time) {
+	if !n.Leaving && n.Pause <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, isKnown := b.targets[t]
+	if !isKnown {
+		b.order = append(b.order, t)
+		if len(b.order) > maxTargets {
+			delete(b.targets, b.order[0])
+			b.order = b.order[1:]
+		}
+	}
+	if n.Leaving && s.leavingSince.IsZero() {
+		s.leavingSince = now
+		leavingSeen.Add(1)
+	}
+	if until := now.Add(n.Pause); n.Pause > 0 && until.After(s.busyUntil) {
+		s.busyUntil = until
+		busySeen.Add(1)
+	}
+	b.targets[t] = s
+}
+
+// Status returns what holds for a target.
+func (b *Board) Status(t Target, now time.Time) Status {
+	b.mu.RLock()
+	s, isKnown := b.targets[t]
+	b.mu.RUnlock()
+	switch {
+	case !isKnown:
+		return Status{}
+	case !s.leavingSince.IsZero() && now.Sub(s.leavingSince) >= b.lastResort:
+		return Status{Leaving: true, Closed: true}
+	case now.Before(s.busyUntil):
+		return Status{Leaving: !s.leavingSince.IsZero(), Closed: true, Until: s.busyUntil}
+	}
+	return Status{Leaving: !s.leavingSince.IsZero()}
+}
+
+// Check returns nil if a request may be sent to a target now, or the reason why not. It is
+// called immediately before the send, since a target may announce something after it was
+// chosen.
+func (b *Board) Check(t Target, now time.Time) error {
+	s := b.Status(t, now)
+	if !s.Closed {
+		return nil
+	}
+	held.Add(1)
+	if s.Until.IsZero() {
+		return ErrLeaving
+	}
+	return ErrBusy
+}
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/table"
 )
 
@@ -27,6 +28,11 @@
 	Rank(key string) int
 }
 
+// Notices provides what targets have announced to this host.
+type Notices interface {
+	Status(t notice.Target, now time.Time) notice.Status
+}
+
 // Options configures a Balancer.
 type Options struct {
 	DataCentre  string
@@ -40,8 +46,9 @@
 // Balancer chooses targets and tracks the health of each one and the retry budget of each
 // service.
 type Balancer struct {
-	opts  Options
-	hosts Hosts
+	opts    Options
+	hosts   Hosts
+	notices Notices
 
 	mu      sync.Mutex
 	targets map[string]*health
@@ -50,8 +57,8 @@
 }
 
 // New returns a Balancer without observations.
-func New(opts Options, hosts Hosts) *Balancer {
-	return &Balancer{opts: opts, hosts: hosts, targets: map[string]*health{}, budgets: map[string]*RetryBudget{}}
+func New(opts Options, hosts Hosts, notices Notices) *Balancer {
+	return &Balancer{opts: opts, hosts: hosts, notices: notices, targets: map[string]*health{}, budgets: map[string]*RetryBudget{}}
 }
 
 // Query describes a request that needs a target.
@@ -76,6 +83,21 @@
 	done      bool
 }
 
+// Notice returns the incarnation of the target that its announcements bind.
+func (c *Chosen) Notice() notice.Target { return noticeOf(c.Target) }
+
+func noticeOf(t *table.Target) notice.Target {
+	return notice.Target{ID: t.ID, StartMillis: t.StartMillis}
+}
+
+// Refusal says why no target may get a request now.
+type Refusal struct {
+	Reason string
+	// RetryAfter is when the first target opens again if all have asked for a pause; 0:
+	// unknown.
+	RetryAfter time.Duration
+}
+
 // FirstByte records the time to the first byte. Only the first call counts.
 func (c *Chosen) FirstByte() {
 	if c.firstByte == 0 {
@@ -114,9 +136,9 @@
 	affinityHash uint64 // the highest one is preferred (rendezvous hashing)
 }
 
-// Choose returns a target for a request, or nil and the reason if no target may get it
+// Choose returns a target for a request, or nil and the refusal if no target may get it
 // now.
-func (b *Balancer) Choose(q Query, now time.Time) (c *Chosen, why string) {
+func (b *Balancer) Choose(q Query, now time.Time) (*Chosen, Refusal) {
 	hosts := b.hosts.Count()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -125,11 +147,17 @@
 	if q.DataCentre != "" {
 		near, nearRegion = q.DataCentre, b.opts.Regions[q.DataCentre]
 	}
-	var available, unavailable []candidate
-	why = "no target is available"
+	var available, leaving, unavailable []candidate
+	why := "no target is available"
+	var closed closures
 	for _, t := range q.Targets {
 		region := b.opts.Regions[t.DataCentre]
-		if q.Tried[t.ID] || len(q.Regions) > 0 && !slices.Contains(q.Regions, region) {
+		if len(q.Regions) > 0 && !slices.Contains(q.Regions, region) {
+			continue
+		}
+		status := b.notices.Status(noticeOf(t), now)
+		closed.add(status)
+		if status.Closed || q.Tried[t.ID] {
 			continue
 		}
 		h := b.health(t.ID)
@@ -147,16 +175,22 @@
 		if q.Affinity != "" {
 			k.affinityHash = xxhash.Sum64String(q.Affinity + "\x00" + t.ID)
 		}
-		if h.isUnavailable(now) {
+		switch {
+		case h.isUnavailable(now):
 			unavailable = append(unavailable, k)
-			continue
+		case status.Leaving:
+			leaving = append(leaving, k)
+		default:
+			available = append(available, k)
 		}
-		available = append(available, k)
+	}
+	if len(available) == 0 {
+		available = leaving // they serve on for a while
 	}
 	if len(available) == 0 {
 		// If all are unavailable, the one whose ejection ends first is used.
 		if len(unavailable) == 0 {
-			return nil, why
+			return nil, closed.refusal(why, now)
 		}
 		available = []candidate{slices.MinFunc(unavailable, func(x, y candidate) int { return x.health.ejectedUntil.Compare(y.health.ejectedUntil) })}
 	}
@@ -170,7 +204,35 @@
 	if best.target.IsCold(now) {
 		h.coldSends = append(h.coldSends, now)
 	}
-	return &Chosen{Target: best.target, balancer: b, sentAt: now}, ""
+	return &Chosen{Target: best.target, balancer: b, sentAt: now}, Refusal{}
+}
+
+// closures tells whether all targets that a request may use are closed, and until when.
+type closures struct {
+	open, closed int
+	until        time.Time // when the first one opens; zero: none does
+}
+
+func (c *closures) add(s notice.Status) {
+	if !s.Closed {
+		c.open++
+		return
+	}
+	if c.closed++; !s.Until.IsZero() && (c.until.IsZero() || s.Until.Before(c.until)) {
+		c.until = s.Until
+	}
+}
+
+// refusal returns the refusal of a request that no target may get, for the given reason if
+// some target isn't closed.
+func (c *closures) refusal(why string, now time.Time) Refusal {
+	switch {
+	case c.open > 0 || c.closed == 0:
+		return Refusal{Reason: why}
+	case c.until.IsZero():
+		return Refusal{Reason: "all targets are leaving"}
+	}
+	return Refusal{Reason: "all targets are busy", RetryAfter: c.until.Sub(now)}
 }
 
 // selectBest returns the target with the cached prefix unless it is overloaded. Otherwise
--- a/entry/internal/pick/pick_test.go
+++ b/entry/internal/pick/pick_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/table"
 	"chivepost/share/fleet"
 )
@@ -26,7 +27,7 @@
 	return New(Options{
 		DataCentre: "a", Region: "r1", Regions: map[string]string{"a": "r1", "b": "r1", "c": "r2"},
 		RetryRatio: 0.2, RetryExtra: 58, RetryWindow: 10 * time.Second,
-	}, fixedHosts{count, rank})
+	}, fixedHosts{count, rank}, notice.None{})
 }
 
 func choose(t *testing.T, b *Balancer, q Query) string {
@@ -64,7 +65,7 @@
 		t.Errorf("region r2: %q, want c2", got)
 	}
 	if c, why := b.Choose(Query{Targets: targets("a"), Regions: []string{"r2"}}, time.Now()); c != nil {
-		t.Errorf("got %s outside the allowed region, want none (%s)", c.ID, why)
+		t.Errorf("got %s outside the allowed region, want none (%s)", c.ID, why.Reason)
 	}
 }
 
