--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -26,6 +26,12 @@
 	// coldTolerance is the difference up to which the cold times of two entries count as
 	// equal. The delays with which entries reach a host differ by less.
 	coldTolerance = 300 * time.Millisecond
+	// A target's entry that seems older than the known one displaces it if contenderEntries of
+	// them, each newer than the one before, come over contenderPeriod, while nothing confirms
+	// the known one: that came from another writer. The store carries out writes at most 6 s
+	// late, so late ones of an earlier process end before.
+	contenderEntries = 4
+	contenderPeriod  = 6500 * time.Millisecond
 	// maxDepartures bounds the departed targets that deltas for peers can list.
 	maxDepartures = 4096
 )
@@ -58,6 +64,8 @@
 	operatorOffset int64
 	targets        map[string]*Target
 	lastEntries    map[string]fleet.Target // last entry of each departed target
+	contenders     map[string]contender    // entries that seem older than the known ones, by target
+	displacing     map[string]bool         // targets whose entry displaced one that seemed newer
 	expiring       map[string]time.Time    // when an expired target is dropped
 	targetsReadAt  time.Time               // last read of the targets
 	targetsOffset  int64
@@ -69,6 +77,13 @@
 	departuresFrom int64 // revision after which departures is complete
 }
 
+// contender is the last of a series of entries that seem older than the known one.
+type contender struct {
+	entry fleet.Target
+	since time.Time
+	count int
+}
+
 // departure is a departed target and the revision of its departure.
 type departure struct {
 	entry    fleet.Target
@@ -79,7 +94,7 @@
 func NewState() *State {
 	return &State{
 		out: map[string]bool{}, restored: map[string]time.Time{}, targets: map[string]*Target{},
-		lastEntries: map[string]fleet.Target{}, expiring: map[string]time.Time{}, operatorOffset: -1, targetsOffset: -1,
+		lastEntries: map[string]fleet.Target{}, contenders: map[string]contender{}, displacing: map[string]bool{}, expiring: map[string]time.Time{}, operatorOffset: -1, targetsOffset: -1,
 		instance: rand.Int64(),
 	}
 }
@@ -179,12 +194,16 @@
 // putTarget stores an entry unless it is older than the known one. The store may carry out
 // a write seconds late.
 func (s *State) putTarget(e fleet.Target, now time.Time) {
-	if old, ok := s.targets[e.ID]; ok && isOlder(e, old.Target) {
+	if old, ok := s.targets[e.ID]; ok && isOlder(e, old.Target) && !s.displaces(e, now) {
+		if e.Draining && e.StartMillis == old.StartMillis {
+			s.setDraining(old) // a process that leaves never returns to service
+		}
 		return
 	}
-	if old, ok := s.lastEntries[e.ID]; ok && (isOlder(e, old) || e.StartMillis == old.StartMillis && e.Sequence == old.Sequence) {
+	if old, ok := s.lastEntries[e.ID]; ok && (isOlder(e, old) || e.StartMillis == old.StartMillis && e.Sequence == old.Sequence) && !s.displaces(e, now) {
 		return
 	}
+	delete(s.contenders, e.ID)
 	t := &Target{Target: e}
 	if e.ColdRemaining > 0 {
 		t.ColdUntil = now.Add(e.ColdRemaining)
@@ -200,6 +219,40 @@
 	delete(s.lastEntries, e.ID)
 }
 
+// displaces records an entry that seems older than the known one, and reports whether it
+// takes that one's place.
+func (s *State) displaces(e fleet.Target, now time.Time) bool {
+	c, ok := s.contenders[e.ID]
+	if !ok || c.entry.StartMillis != e.StartMillis || c.entry.Sequence >= e.Sequence {
+		c = contender{since: now}
+	}
+	c.entry, c.count = e, c.count+1
+	s.contenders[e.ID] = c
+	if c.count < contenderEntries || now.Sub(c.since) < contenderPeriod {
+		return false
+	}
+	s.displacing[e.ID] = true
+	return true
+}
+
+// displaceFor forgets what a peer's entry displaced there, so that it does so here too.
+func (s *State) displaceFor(id string) {
+	s.displacing[id] = true
+	delete(s.lastEntries, id)
+	delete(s.targets, id)
+}
+
+// setDraining replaces a target by a copy that is draining, because views share the old one.
+func (s *State) setDraining(old *Target) {
+	if old.Draining {
+		return
+	}
+	s.revision++
+	t := *old
+	t.Draining, t.revision = true, s.revision
+	s.targets[t.ID] = &t
+}
+
 // isSameEntry reports whether two entries differ in nothing but their sequence and, within
 // coldTolerance, their cold time.
 func isSameEntry(a, b *Target, now time.Time) bool {
@@ -244,6 +297,7 @@
 		s.lastEntries[id] = t.Target
 		delete(s.targets, id)
 		delete(s.expiring, id)
+		delete(s.displacing, id)
 	}
 }
 
@@ -301,8 +355,9 @@
 	TargetsOffset int64          `cbor:"targets_next"`
 	Age           time.Duration  `cbor:"age"` // since the store was last read
 	Mark          Mark           `cbor:"mark"`
-	IsDelta       bool           `cbor:"is_delta,omitempty"` // holds only targets changed since the requested mark
-	Departed      []fleet.Target `cbor:"left,omitempty"`     // last entries of targets departed since then
+	IsDelta       bool           `cbor:"is_delta,omitempty"`   // holds only targets changed since the requested mark
+	Departed      []fleet.Target `cbor:"left,omitempty"`       // last entries of targets departed since then
+	Displacing    []string       `cbor:"displacing,omitempty"` // of Targets, those that displaced entries that seem newer
 }
 
 // Mark identifies a revision of the targets in one State.
@@ -336,6 +391,9 @@
 		e := t.Target
 		e.ColdRemaining = max(t.ColdUntil.Sub(now), 0)
 		out.Targets = append(out.Targets, e)
+		if s.displacing[e.ID] {
+			out.Displacing = append(out.Displacing, e.ID)
+		}
 	}
 	if out.IsDelta {
 		for _, d := range s.departures {
@@ -395,6 +453,11 @@
 		for _, last := range p.Departed {
 			s.recordDeparture(last, now)
 		}
+		for i := range p.Targets {
+			if e := p.Targets[i]; slices.Contains(p.Displacing, e.ID) && !s.displacing[e.ID] {
+				s.displaceFor(e.ID)
+			}
+		}
 		s.ApplyTargets(changes, p.TargetsOffset, !p.IsDelta, now)
 		changed = true
 	}
