Let a panic end one task only, and check orders of other hosts

Cause: an unexpected error in a handler of a message, of a datagram or in a background task ended the whole process. An order of another host was taken as it came: a negative count of pieces, one with 2^30 pieces, which a caller's header could ask for, and a stage after one that doesn't exist ended each home that was asked to run it.

Ruled out: the decoders, which have bounds on nesting, and the server of callers, which kept the process alive.

A request that panics is answered with 500, which promises nothing. Orders are checked before they are queued. Loops of the product's own interface that decide what runs at most once (claims, slots, configuration) are not guarded: a host must not go on with such state in doubt.

--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/guard"
 	"chivepost/entry/internal/notice"
 	"chivepost/share/fleet"
 )
@@ -88,12 +89,11 @@
 		client: client, catalog: catalog, logger: logger, ctx: ctx, cancel: cancel,
 		schedulers: map[string]*Scheduler{}, orders: map[string]*pendingOrder{},
 	}
-	h.wg.Go(func() { h.tick() })
+	h.wg.Go(func() { guard.Keep(ctx, logger, "stages", h.tick) })
 	return h
 }
 
-// tick drops abandoned orders, advances the schedulers and sends reports until the
-// home is closed.
+// tick advances the home until it is closed.
 func (h *Home) tick() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -103,24 +103,33 @@
 			return
 		case <-tick.C:
 		}
-		h.mu.Lock()
-		now := time.Now()
-		for id, p := range h.orders {
-			if now.Sub(p.polledAt) > abandonAfter {
-				p.scheduler.Drop(id)
-				delete(h.orders, id)
-			}
-		}
-		for region, sc := range h.schedulers {
-			h.refreshServices(sc, region, sc.Services())
-			h.advance(sc, now)
-		}
-		if now.Sub(h.reportedAt) >= reportInterval {
-			h.reportedAt = now
-			h.sendReports(now)
+		h.advanceAll(time.Now())
+	}
+}
+
+// advanceAll drops abandoned orders, advances the schedulers and sends reports.
+func (h *Home) advanceAll(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, p := range h.orders {
+		if now.Sub(p.polledAt) > abandonAfter {
+			p.scheduler.Drop(id)
+			delete(h.orders, id)
 		}
-		h.mu.Unlock()
 	}
+	for region, sc := range h.schedulers {
+		h.refreshServices(sc, region, sc.Services())
+		h.advance(sc, now)
+	}
+	if now.Sub(h.reportedAt) >= reportInterval {
+		h.reportedAt = now
+		h.sendReports(now)
+	}
+}
+
+// start runs f in a goroutine of its own. A panic ends f only.
+func (h *Home) start(task string, f func()) {
+	h.wg.Go(func() { _ = guard.Run(h.logger, task, f) }) // Run logs the error
 }
 
 // sendReports sends the sessions and backlogs of this home to the homes of other
@@ -136,7 +145,7 @@
 			continue
 		}
 		report := RegionReport{Region: region, Sessions: sessions, Backlogs: sc.Backlogs(now)}
-		h.wg.Go(func() { h.report(h.ctx, report) })
+		h.start("report", func() { h.report(h.ctx, report) })
 	}
 }
 
@@ -155,12 +164,12 @@
 		for _, c := range calls {
 			callsMade.Add(1)
 			piecesSent.Add(int64(len(c.Pieces)))
-			h.wg.Go(func() { h.runCall(sc, service, c) })
+			h.start("stage call", func() { h.runCall(sc, service, c) })
 		}
 	}
 	if sc.HasFreed() && !h.freeScheduled {
 		h.freeScheduled = true
-		time.AfterFunc(freeDelay, h.sendFreed)
+		time.AfterFunc(freeDelay, func() { _ = guard.Run(h.logger, "free", h.sendFreed) }) // Run logs the error
 	}
 }
 
@@ -309,7 +318,7 @@
 		for service, targets := range sc.TakeFreed(time.Now()) {
 			for id, handles := range targets {
 				if target, ok := sc.Target(service, id); ok {
-					h.wg.Go(func() { h.sendFree(sc, target, handles) })
+					h.start("free", func() { h.sendFree(sc, target, handles) })
 				}
 			}
 		}
@@ -328,16 +337,21 @@
 	h.logger.V(1).Info("failed to free results", "target", target.ID, "results", len(handles), "err", err.Error())
 	if errors.Is(err, notice.ErrBusy) {
 		time.AfterFunc(busyFreeDelay, func() {
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			if h.ctx.Err() == nil {
-				sc.FreeHandles(handles)
-				h.advance(sc, time.Now())
-			}
+			_ = guard.Run(h.logger, "free", func() { h.freeAgain(sc, handles) }) // Run logs the error
 		})
 	}
 }
 
+// freeAgain frees results that couldn't be freed.
+func (h *Home) freeAgain(sc *Scheduler, handles []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ctx.Err() == nil {
+		sc.FreeHandles(handles)
+		h.advance(sc, time.Now())
+	}
+}
+
 // Waiting returns the number of orders that aren't released yet.
 func (h *Home) Waiting() int {
 	h.mu.Lock()
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -53,6 +53,33 @@
 	PrefixTokens int             `cbor:"shared,omitempty"`  // tokens of that prefix
 }
 
+// maxStages and maxPieces bound an order: many times the stages of a pipeline, and many full
+// calls.
+const (
+	maxStages = 64
+	maxPieces = 10_000
+)
+
+// isValid reports whether an order can be run: its numbers are in their ranges and its stages
+// follow stages that exist.
+func (o *Order) isValid() bool {
+	sum := 0
+	for _, n := range o.Pieces {
+		if n < 0 || n > maxPieces {
+			return false
+		}
+		sum += n
+	}
+	for i, s := range o.Stages {
+		for _, a := range s.After {
+			if a < 0 || a >= len(o.Stages) || a == i {
+				return false
+			}
+		}
+	}
+	return sum <= maxPieces && len(o.Stages) <= maxStages && len(o.Pieces) <= maxStages
+}
+
 // SessionTarget is the target that a request of a session went to.
 type SessionTarget struct {
 	Session    string `cbor:"session"`
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -147,7 +147,7 @@
 		in.DataCentre = u.DataCentre
 	}
 	o := &order{Order: in, added: now, due: now.Add(in.DueIn), until: now.Add(in.TimeLeft), finish: finish}
-	if !o.prepare(sc.queues) {
+	if !in.isValid() || !o.prepare(sc.queues) {
 		o.end(Result{Reason: ReasonFailed})
 		return
 	}
--- a/entry/internal/blame/controller.go
+++ b/entry/internal/blame/controller.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/guard"
 	"chivepost/entry/internal/roster"
 )
 
@@ -68,7 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{gossip: gossip, logger: logger, cancel: cancel, news: make(chan struct{}, 1), state: newState(), logged: map[part]quarantine{}}
 	gossip.Handle(roster.DatagramBlame, c.receive)
-	c.wait.Go(func() { c.run(ctx) })
+	c.wait.Go(func() { guard.Keep(ctx, logger, "crash evidence", func() { c.run(ctx) }) })
 	return c
 }
 
@@ -97,25 +98,12 @@
 // sendRound sends the news, and in some rounds a request for all evidence or evidence
 // that isn't news. Round 0 is outside the rounds.
 func (c *Controller) sendRound(round int) {
-	now := time.Now()
-	c.mu.Lock()
-	if round > 0 {
-		c.state.expire(now)
-		c.logChanges("", now)
-	}
-	msg := c.state.nextRound(now)
-	var old message
-	if round > 0 && round%syncRounds == 0 {
-		old = c.state.all(recordsPerDatagram, now)
-	}
-	asks := round > 0 && round <= startRounds
-	c.mu.Unlock()
+	msg, old := c.nextRound(round, time.Now())
 	for _, m := range msg.split() {
 		if data := c.encode(m); data != nil {
 			c.gossip.SendToSome(roster.DatagramBlame, data, fanout)
 		}
 	}
-	old.WantsAll = asks
 	if !old.isEmpty() {
 		if data := c.encode(old); data != nil {
 			c.gossip.SendToSome(roster.DatagramBlame, data, 1)
@@ -123,6 +111,23 @@
 	}
 }
 
+// nextRound returns the news of a round, and the request for evidence or the evidence that
+// isn't news.
+func (c *Controller) nextRound(round int, now time.Time) (news, old message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if round > 0 {
+		c.state.expire(now)
+		c.logChanges("", now)
+	}
+	news = c.state.nextRound(now)
+	if round > 0 && round%syncRounds == 0 {
+		old = c.state.all(recordsPerDatagram, now)
+	}
+	old.WantsAll = round > 0 && round <= startRounds
+	return news, old
+}
+
 // split splits a message into datagrams.
 func (m message) split() []message {
 	var out []message
@@ -155,20 +160,24 @@
 		badCount.Add(1)
 		return
 	}
+	for _, m := range c.merge(msg, from).split() {
+		if data := c.encode(m); data != nil {
+			c.gossip.SendTo(roster.DatagramBlame, data, from)
+		}
+	}
+}
+
+// merge merges a message of another host and returns the reply.
+func (c *Controller) merge(msg message, from string) (reply message) {
 	now := time.Now()
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.state.merge(msg, now)
 	c.announce(from, now)
-	var reply message
 	if msg.WantsAll {
 		reply = c.state.all(maxReply, now)
 	}
-	c.mu.Unlock()
-	for _, m := range reply.split() {
-		if data := c.encode(m); data != nil {
-			c.gossip.SendTo(roster.DatagramBlame, data, from)
-		}
-	}
+	return reply
 }
 
 // announce logs changes and has news sent. c.mu must be held.
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -19,6 +19,7 @@
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
+	"chivepost/entry/internal/guard"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/table"
@@ -203,15 +204,23 @@
 	}
 }
 
-// finish frees the stage results, and logs and counts the request. It passes a panic
-// on, such as that of abort. Without a response, it closes the connection, since the server
-// would respond with an empty success.
+// finish frees the stage results, and logs and counts the request. It passes the panic of
+// abort on, and reports any other one, which ends only this request. Without a response, it
+// closes the connection, since the server would respond with an empty success.
 func (c *call) finish() {
+	p := recover()
+	if p != nil && p != http.ErrAbortHandler { //nolint:errorlint // the server compares it in the same way
+		_ = guard.Report(c.h.logger.WithValues("id", c.id), "request", p)
+		if p = nil; c.headWritten {
+			p, c.reason = http.ErrAbortHandler, internalErrorReason
+		} else {
+			c.fail(http.StatusInternalServerError, internalErrorReason)
+		}
+	}
 	if c.results != nil {
 		c.freeResults()
 	}
 	c.record()
-	p := recover()
 	if p == nil && !c.headWritten {
 		p = http.ErrAbortHandler
 	}
@@ -220,6 +229,8 @@
 	}
 }
 
+const internalErrorReason = "internal error"
+
 // freeResults frees the stage results. If a target has streamed events, it also reports
 // which target now has the session's prefix cached.
 func (c *call) freeResults() {
--- a/entry/internal/peers/peers_suite_test.go
+++ b/entry/internal/peers/peers_suite_test.go
@@ -265,3 +265,17 @@
 		Eventually(got.Load, "4s").Should(Equal(int64(100)))
 	})
 })
+
+// Guards against a malformed message that ends the whole process of the host that gets it.
+var _ = It("survives a handler that panics", func() {
+	server := listen(peers.Options{Host: "b"}, logr.Discard())
+	server.Handle("odd", func(context.Context, string, uint64, []byte) (any, error) { panic("odd message") })
+	server.Handle("echo", echo)
+	client := listen(peers.Options{Host: "a", Incarnation: 1}, logr.Discard())
+	var remote *peers.RemoteError
+	Expect(client.Call(shortContext(), server.host("b"), "odd", text{}, nil)).To(BeAssignableToTypeOf(remote))
+	Expect(client.Send(shortContext(), server.host("b"), "odd", text{})).To(Succeed())
+	var reply text
+	Expect(client.Call(shortContext(), server.host("b"), "echo", text{Text: "hi"}, &reply)).To(Succeed())
+	Expect(reply.Text).To(Equal("hi from a1"))
+})
--- a/entry/internal/peers/transport.go
+++ b/entry/internal/peers/transport.go
@@ -19,6 +19,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"chivepost/entry/internal/guard"
 	"chivepost/share/hosts"
 )
 
@@ -278,7 +279,9 @@
 	var reply any
 	err := fmt.Errorf("unknown kind %q", e.Kind)
 	if h != nil {
-		reply, err = h(ctx, e.From, e.Incarnation, e.Body)
+		if p := guard.Run(t.logger, "message "+e.Kind, func() { reply, err = h(ctx, e.From, e.Incarnation, e.Body) }); p != nil {
+			err = p
+		}
 	}
 	if ctx.Err() != nil {
 		return // the connection has ended, which fails the call at the caller
--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -14,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/guard"
 	"chivepost/platform/feed"
 )
 
@@ -104,9 +105,9 @@
 		opts: opts, logger: logger, register: register, socket: socket, cancel: cancel,
 		offset: offset, load: load, started: time.Now(), state: newState(opts.Self), loggedAlive: map[string]bool{},
 	}
-	c.wait.Go(func() { c.receive(ctx) })
-	c.wait.Go(func() { c.gossip(ctx) })
-	c.wait.Go(func() { c.syncStore(ctx, list) })
+	c.wait.Go(func() { guard.Keep(ctx, logger, "gossip received", func() { c.receive(ctx) }) })
+	c.wait.Go(func() { guard.Keep(ctx, logger, "gossip sent", func() { c.gossip(ctx) }) })
+	c.wait.Go(func() { guard.Keep(ctx, logger, "host list", func() { c.syncStore(ctx, list) }) })
 	return c, nil
 }
 
@@ -175,25 +176,32 @@
 		case <-time.After(gossipInterval):
 		}
 		now := time.Now()
-		c.mu.Lock()
-		if gap := now.Sub(last) - gossipInterval; gap > minProcessPause {
-			c.state.addPause(gap)
-			c.logger.Info("process was paused", "gap", gap.String())
-		}
-		c.state.heartbeat.Offset = c.offset()
-		c.state.heartbeat.Load = uint16(min(max(c.load(), 0), maxLoad))
-		to := c.state.recipients(gossipFanout, round%silentHostRounds == 0, now)
-		msg := c.state.nextMessage(now)
-		if len(c.state.members) == 0 || round%silentHostRounds == 0 && len(to) <= 1 {
-			to = append(to, c.opts.Seeds...)
-		}
-		c.logChanges(now)
-		c.mu.Unlock()
+		msg, to := c.nextRound(round, now, now.Sub(last)-gossipInterval)
 		last = now
 		c.send(msg, to)
 	}
 }
 
+// nextRound returns the message of a round and its recipients. gap is how much later than due
+// the round is.
+func (c *Controller) nextRound(round int, now time.Time, gap time.Duration) (message, []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if gap > minProcessPause {
+		c.state.addPause(gap)
+		c.logger.Info("process was paused", "gap", gap.String())
+	}
+	c.state.heartbeat.Offset = c.offset()
+	c.state.heartbeat.Load = uint16(min(max(c.load(), 0), maxLoad))
+	to := c.state.recipients(gossipFanout, round%silentHostRounds == 0, now)
+	msg := c.state.nextMessage(now)
+	if len(c.state.members) == 0 || round%silentHostRounds == 0 && len(to) <= 1 {
+		to = append(to, c.opts.Seeds...)
+	}
+	c.logChanges(now)
+	return msg, to
+}
+
 // logChanges logs the hosts whose heartbeats have started or stopped, or that are
 // leaving. c.mu must be held.
 func (c *Controller) logChanges(now time.Time) {
@@ -235,6 +243,7 @@
 	}
 }
 
+// receive handles datagrams until ctx ends.
 func (c *Controller) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
@@ -245,33 +254,43 @@
 			}
 			continue
 		}
-		if n > 0 {
-			if handle := c.handlers[buf[0]].Load(); handle != nil {
-				(*handle)(buf[1:n], from.String())
-				continue
-			}
-		}
-		var msg message
-		if err := cbor.Unmarshal(buf[:n], &msg); err != nil {
-			gossipBad.Add(1)
-			continue
-		}
-		now := time.Now()
-		c.mu.Lock()
-		unknown := c.state.merge(msg, now)
-		var hosts []Host
-		if msg.WantsHosts {
-			hosts = c.state.hosts(now)
-		}
-		self := c.state.self
-		c.mu.Unlock()
-		if unknown {
-			c.send(message{Self: self, WantsHosts: true}, []string{from.String()})
-		}
-		for chunk := range slices.Chunk(hosts, hostsPerDatagram) {
-			c.send(message{Self: self, Hosts: chunk}, []string{from.String()})
+		_ = guard.Run(c.logger, "datagram", func() { c.handle(buf[:n], from.String()) }) // Run logs the error
+	}
+}
+
+// handle handles one datagram.
+func (c *Controller) handle(data []byte, from string) {
+	if len(data) > 0 {
+		if handle := c.handlers[data[0]].Load(); handle != nil {
+			(*handle)(data[1:], from)
+			return
 		}
 	}
+	var msg message
+	if err := cbor.Unmarshal(data, &msg); err != nil {
+		gossipBad.Add(1)
+		return
+	}
+	self, hosts, unknown := c.merge(msg)
+	if unknown {
+		c.send(message{Self: self, WantsHosts: true}, []string{from})
+	}
+	for chunk := range slices.Chunk(hosts, hostsPerDatagram) {
+		c.send(message{Self: self, Hosts: chunk}, []string{from})
+	}
+}
+
+// merge takes over what a message says. It returns this host, the hosts that the sender wants
+// and whether the message names unknown ones.
+func (c *Controller) merge(msg message) (self Host, hosts []Host, unknown bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	unknown = c.state.merge(msg, now)
+	if msg.WantsHosts {
+		hosts = c.state.hosts(now)
+	}
+	return c.state.self, hosts, unknown
 }
 
 // Alive returns the other hosts that send heartbeats and aren't leaving, by name.
--- a/entry/internal/roster/datagram_test.go
+++ b/entry/internal/roster/datagram_test.go
@@ -79,3 +79,31 @@
 		t.Error("the handler got no empty datagram")
 	}
 }
+
+// Guards against a datagram that ends the whole process.
+func TestDatagramHandlerThatPanicsEndsOneDatagram(t *testing.T) {
+	a := host(1, "r")
+	a.GossipAddress = "127.0.0.1:0"
+	receiver := newController(t, a)
+	got := make(chan string, 4)
+	receiver.Handle(DatagramBlame, func(data []byte, _ string) {
+		if string(data) == "odd" {
+			panic("odd datagram")
+		}
+		got <- string(data)
+	})
+	b := host(2, "r")
+	b.GossipAddress = "127.0.0.1:0"
+	sender := newController(t, b)
+	for _, data := range []string{"odd", "x"} {
+		sender.SendTo(DatagramBlame, []byte(data), receiver.socket.LocalAddr().String())
+	}
+	select {
+	case data := <-got:
+		if data != "x" {
+			t.Errorf("got %q, want x", data)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the handler got no datagram after the odd one")
+	}
+}
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/guard"
 	"chivepost/platform/feed"
 )
 
@@ -101,18 +102,19 @@
 	now := time.Now()
 	c.operatorFailedSince, c.targetsFailedSince = now, now
 	c.view.Store(c.state.View())
-	c.wait.Go(func() {
+	keep := func(task string, f func()) { c.wait.Go(func() { guard.Keep(ctx, logger, task, f) }) }
+	keep("operators' records", func() {
 		follow(ctx, operator, 0, operatorReadWait, c.waitWhileSynced, c.OperatorOffset, func(changes []feed.OperatorChange, next int64, isFull bool) int64 {
 			return c.applyOperator(changes, next, isFull)
 		}, func(err error) { c.recordFailure(&c.operatorFailedSince, "operators' records", err) })
 	})
-	c.wait.Go(func() {
+	keep("targets", func() {
 		follow(ctx, targets, targetsInterval, 0, c.waitWhileSynced, c.targetsOffset, func(changes []feed.TargetChange, next int64, isFull bool) int64 {
 			return c.applyTargets(changes, next, isFull)
 		}, func(err error) { c.recordFailure(&c.targetsFailedSince, "targets", err) })
 	})
-	c.wait.Go(func() { c.maintain(ctx) })
-	c.wait.Go(func() { c.syncWithPeer(ctx) })
+	keep("table", func() { c.maintain(ctx) })
+	keep("sync", func() { c.syncWithPeer(ctx) })
 	return c
 }
 
@@ -358,13 +360,7 @@
 		case <-tick.C:
 		}
 		now := time.Now()
-		c.mu.Lock()
-		if c.state.Expire(now) {
-			c.view.Store(c.state.View())
-		}
-		offset, version := c.state.OperatorOffset(), c.version()
-		lost := isLost(c.operatorFailedSince, now) || isLost(c.targetsFailedSince, now)
-		c.mu.Unlock()
+		offset, version, lost := c.expire(now)
 		if !lost && c.peers.NewestOffset() <= offset {
 			continue
 		}
@@ -372,16 +368,33 @@
 		if !ok {
 			continue
 		}
-		c.mu.Lock()
-		if !isLost(c.targetsFailedSince, now) {
-			snapshot.TargetsOffset = -1 // the store has newer targets
-		}
-		c.mark = Mark{}
-		if c.state.Merge(snapshot, time.Now()) {
-			peerMerges.Add(1)
-			c.publish("peer")
-		}
-		c.mu.Unlock()
+		c.mergeFetched(snapshot, now)
+	}
+}
+
+// expire drops expired targets. It returns what is known of the operators' records, and
+// whether the store can't be read.
+func (c *Controller) expire(now time.Time) (offset, version int64, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Expire(now) {
+		c.view.Store(c.state.View())
+	}
+	return c.state.OperatorOffset(), c.version(), isLost(c.operatorFailedSince, now) || isLost(c.targetsFailedSince, now)
+}
+
+// mergeFetched merges the table of a peer that has read further. now is when the store's
+// availability was checked.
+func (c *Controller) mergeFetched(snapshot Snapshot, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !isLost(c.targetsFailedSince, now) {
+		snapshot.TargetsOffset = -1 // the store has newer targets
+	}
+	c.mark = Mark{}
+	if c.state.Merge(snapshot, time.Now()) {
+		peerMerges.Add(1)
+		c.publish("peer")
 	}
 }
 
