Don't cut a slow stream that no other target can go on with

Cause: a resumable stream was cut after two seconds without an event, so that another target goes on with it, also if the attempts of the route were used up or no other target was left. The caller, who waits longer than that, lost a sound stream for nothing.

Test first: cut after 2.0 s of a pause of 2.4 s, both on the last attempt and with a single target. Ruled out: stalled streams that drip. Comments, blank lines and events without an end, a byte each 50 ms, were resumed after two seconds before, and end at the caller's deadline if nothing else can go on; the tests for that passed before the change.

Change: silence is watched only while another attempt and an untried target are left.

After: the tests pass, also under the race detector. The product's own interface cuts no stream for silence: calls end at their timeout (share/target, 'cuts off responses without end').

--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -5,11 +5,13 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
+	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
 )
@@ -53,6 +55,7 @@
 // caller is gone, and errResultsGone if the stages must run again.
 func (c *call) tryTargets(ctx context.Context) error {
 	tried := map[string]bool{}
+	c.tried = tried
 	undelivered, reason := 0, ""
 	var failure *heldAnswer
 	for {
@@ -136,6 +139,12 @@
 	}
 }
 
+// hasUntriedTarget reports whether some target might go on with a stream that stalls. Without
+// one, a slow stream is the best that the caller can get.
+func (c *call) hasUntriedTarget() bool {
+	return slices.ContainsFunc(c.h.tables.View().Targets[c.service.Name], func(t *table.Target) bool { return !c.tried[t.ID] })
+}
+
 // targetSlots returns how many requests a target of the service runs at once, or 0 if
 // no configuration is known.
 func (c *call) targetSlots(config *fleet.Config) int {
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -158,6 +158,7 @@
 	mayHaveRun  bool // a target may have run the request
 	isAnswered  bool // a target's answer was written completely
 	firstSend   time.Time
+	tried       map[string]bool // targets chosen since the stages ran
 	sentTo      map[string]bool // targets that may have got this attempt
 	isTrial     bool            // shows whether a quarantined part still crashes targets
 	answerBegan time.Time       // at the current target; zero: not yet
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -249,7 +249,7 @@
 func (c *call) relayStream(ctx context.Context, cancel context.CancelCauseFunc, t *pick.Chosen, a *dialer.Answer, firstByteTimer *time.Timer) result {
 	reader := bufio.NewReaderSize(a, eventBuffer)
 	var silenceTimer *time.Timer
-	if c.route.Resumable {
+	if c.route.Resumable && c.sends < c.route.MaxAttempts && c.hasUntriedTarget() {
 		silenceTimer = time.AfterFunc(time.Hour, func() { cancel(errTargetSilent) })
 		defer silenceTimer.Stop()
 	}
