Give targets of the product's own interface the pauses that they ask for

Cause: a 503 with Retry-After from a target was read as 'not run' only; the next call went to it at once, from slots that were granted already and from new ones.

Already met, now with tests: a target that says in any answer, also in a refusal or a failure, that it leaves gets no further call from that host.

Change: the holder of slots has none free at such a target, and refuses the check just before a send, until the time is over or the target has started again; calls that wait are told of the end. The reading of Retry-After is shared with the platform's.

--- a/entry/internal/slots/hold_spec_test.go
+++ b/entry/internal/slots/hold_spec_test.go
@@ -87,8 +87,60 @@
 			b.Done(target.Result{Err: slots.ErrRevoked}, 0)
 		})
 	})
+
+	// Guards against calls to a target after an answer, also a refusal, has said that it
+	// leaves, while neither the host list nor its home says so.
+	DescribeTable("is refused once another answer has shown the target leaving", func(res target.Result) {
+		inFleetWithTwo(func(n *node, a, b *slots.Hold) {
+			a.Done(res, callTime)
+			Expect(b.Check()).To(MatchError(slots.ErrTargetLeaving))
+			b.Done(target.Result{Err: slots.ErrTargetLeaving}, 0)
+			_, ok := n.slots.Take("t0")
+			Expect(ok).To(BeFalse(), "another slot was taken")
+		})
+	},
+		Entry("with a result", target.Result{State: target.StateLeaving, Execution: target.Executed}),
+		Entry("with a refusal", target.Result{State: target.StateLeaving, Err: &target.CallError{Reason: target.ReasonNotRun}}),
+		Entry("with a failure", target.Result{State: target.StateLeaving, Execution: target.MayHaveExecuted, Err: &target.CallError{Reason: target.ReasonStatus}}),
+	)
+
+	// Guards against calls to a target within the time for which it wants none: those that
+	// were granted a slot before, and later ones.
+	It("is refused for as long as the target wants no calls", func() {
+		inFleetWithTwo(func(n *node, a, b *slots.Hold) {
+			a.Done(target.Result{Pause: 3 * time.Second, Err: &target.CallError{Reason: target.ReasonNotRun}}, callTime)
+			Expect(b.Check()).To(MatchError(slots.ErrTargetBusy))
+			b.Done(target.Result{Err: slots.ErrTargetBusy}, 0)
+			for range 29 {
+				_, ok := n.slots.Take("t0")
+				Expect(ok).To(BeFalse(), "a slot was taken within the pause")
+				Expect(n.slots.View("pool0")[0].Free).To(BeZero())
+				time.Sleep(100 * time.Millisecond)
+			}
+			changed := n.slots.Changed()
+			time.Sleep(200 * time.Millisecond)
+			Expect(changed).To(BeClosed(), "calls that wait aren't told of the end of the pause")
+			h := takeSlot(n)
+			Expect(h.Check()).To(Succeed())
+			h.Done(target.Result{Execution: target.Executed}, callTime)
+		})
+	})
 })
 
+// inFleetWithTwo runs f with a node that holds two slots of target 0.
+func inFleetWithTwo(f func(n *node, a, b *slots.Hold)) {
+	inFleet(3, 1, []int{8}, 4*time.Second, func(fl *fleet) {
+		n := fl.nodes["n0"]
+		n.slots.SetWaiting("pool0", 2)
+		time.Sleep(100 * time.Millisecond)
+		a, ok := n.slots.Take("t0")
+		Expect(ok).To(BeTrue())
+		b, ok := n.slots.Take("t0")
+		Expect(ok).To(BeTrue())
+		f(n, a, b)
+	})
+}
+
 // Guards against idle slots that are kept when only the load report shows the
 // target cold.
 var _ = It("loses idle slots when the load report says cold", func() {
--- a/entry/internal/slots/holder.go
+++ b/entry/internal/slots/holder.go
@@ -18,6 +18,7 @@
 	ErrRevoked       = errors.New("the slot was revoked")
 	ErrDataCentreOut = errors.New("the data centre has been taken out")
 	ErrTargetLeaving = errors.New("the target is leaving")
+	ErrTargetBusy    = errors.New("the target wants no calls for a while")
 )
 
 // heldTarget is the holder's state of a target.
@@ -31,6 +32,7 @@
 	revocations uint64 // count; a slot taken before the last revocation is void
 	state       target.State
 	boot        string
+	busyUntil   time.Time // the target wants no calls before
 
 	// Reported to the home with the next request.
 	newState          target.State
@@ -49,8 +51,13 @@
 	return t.slots
 }
 
-// free returns the usable slots that no call uses.
-func (t *heldTarget) free(now time.Time) int { return max(0, t.usable(now)-t.inUse) }
+// free returns the usable slots that no call uses, none while the target wants no calls.
+func (t *heldTarget) free(now time.Time) int {
+	if now.Before(t.busyUntil) {
+		return 0
+	}
+	return max(0, t.usable(now)-t.inUse)
+}
 
 // dropSlots gives up all slots of the target and voids those taken by calls that
 // haven't been sent yet.
@@ -160,6 +167,8 @@
 		return ErrRevoked
 	case !time.Now().Before(t.leaseEnd):
 		return ErrExpired
+	case time.Now().Before(t.busyUntil):
+		return ErrTargetBusy
 	default:
 		return nil
 	}
@@ -187,6 +196,7 @@
 		t.failed++
 	}
 	isNew := t.observe(res.State, res.Boot)
+	h.pause(t, res.Pause)
 	g := h.groupOf(t)
 	if g != nil && g.singleUse && t.slots > t.inUse {
 		// Other holders wait for the slot, so it is returned after one call.
@@ -200,11 +210,27 @@
 	return isNew
 }
 
+// pause keeps calls from a target for as long as it wants none. The caller holds the lock.
+func (h *holder) pause(t *heldTarget, d time.Duration) {
+	until := time.Now().Add(d)
+	if d <= 0 || !until.After(t.busyUntil) {
+		return
+	}
+	t.busyUntil = until
+	time.AfterFunc(d, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.version++
+		h.notify()
+	})
+}
+
 // observe records the state and boot ID of an answer. It reports whether they are
 // new, so that the home must be informed at once.
 func (t *heldTarget) observe(state target.State, boot string) bool {
 	isNew := false
 	if boot != "" && boot != t.boot {
+		t.busyUntil = time.Time{} // another incarnation has asked for the pause
 		if t.boot != "" {
 			t.dropSlots()
 		}
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -118,6 +118,9 @@
 		State:     State(resp.Header.Get(HeaderState)),
 		Boot:      resp.Header.Get(HeaderBoot),
 	}
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		res.Pause = units.RetryAfter(resp.Header.Get(HeaderRetryAfter), resp.Header.Get("Date"))
+	}
 	if callErr := c.readResponse(ctx, resp, call, onToken, &res); callErr != nil {
 		res.Err = callErr
 		if callErr.Reason == ReasonNotRun {
--- a/share/target/target.go
+++ b/share/target/target.go
@@ -19,6 +19,9 @@
 	HeaderState     = "X-Target-State"
 	HeaderBoot      = "X-Target-Boot"
 	HeaderNotRun    = "X-Not-Run"
+	// HeaderRetryAfter gives, with status 503, the seconds for which the target wants no calls
+	// of this host.
+	HeaderRetryAfter = "Retry-After"
 	// HeaderDataCentre names the data centre of the calling host.
 	HeaderDataCentre = "X-Data-Centre"
 	// HeaderIdempotencyID identifies the work across attempts, for services that count
@@ -75,6 +78,7 @@
 	CachedTokens int
 	State        State
 	Boot         string
+	Pause        time.Duration // for which the target wants no calls of this host; 0: none
 	Execution    Execution
 	Err          error
 }
