Let two hosts of a small region read the store, and only readers follow the list of hosts

Cause: in regions of fewer than seven hosts each one read the store for itself, and each host of any region read the whole list of hosts every 15 s. At 295 hosts the list alone is read 20 times a second.

Ruled out: longer waits for operators' records (a silent connection is noticed within the four seconds after which rules bind again only with the present three), and longer pauses between reads of targets (half of the drain time of the small deployments).

Test first: 4 of 4 and 6 of 6 hosts of a region read the store, want 2.

Change: from four hosts on two of a region read, three from twelve on, as before in large ones. The list is read by each host when it starts, then only by hosts that read the store.

--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -119,7 +119,7 @@
 		c.logger.Error(err, "failed to encode host record")
 		return
 	}
-	registered := false
+	registered, hasList := false, false
 	for ctx.Err() == nil {
 		pause := listInterval
 		if !registered {
@@ -131,13 +131,18 @@
 				c.logger.Error(err, "failed to register host", "retry_in", pause.String())
 			}
 		}
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		changes, _, err := list.Newest(call)
-		cancel()
-		if err != nil {
-			pause = listRetryInterval
-		} else {
-			c.applyList(changes)
+		// Later, those that read the store for others keep up with the list. A host that
+		// gossips with them learns of new hosts from them.
+		if !hasList || c.readsStore() {
+			call, cancel := context.WithTimeout(ctx, storeTimeout)
+			changes, _, err := list.Newest(call)
+			cancel()
+			if err != nil {
+				pause = listRetryInterval
+			} else {
+				c.applyList(changes)
+				hasList = true
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -146,6 +151,12 @@
 	}
 }
 
+func (c *Controller) readsStore() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.readsStore(time.Now())
+}
+
 // applyList applies the list of hosts read from the store.
 func (c *Controller) applyList(changes []feed.HostChange) {
 	now := time.Now()
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -313,11 +313,14 @@
 
 const (
 	// readersPerRegion is the number of hosts in a region that read the platform's store
-	// for the others. One of them may fail and another be slow.
-	readersPerRegion = 3
+	// for the others. One of them may fail and another be slow. In a region with fewer than
+	// hostsForAllReaders hosts there is one less: the few others read for themselves if both
+	// fail.
+	readersPerRegion   = 3
+	hostsForAllReaders = 12
 	// minHostsForReaders is the number of hosts in a region from which on only some of
 	// them read the store.
-	minHostsForReaders = 7
+	minHostsForReaders = 4
 )
 
 // readers returns the hosts that read the store for this one, except those that are
@@ -335,7 +338,11 @@
 	slices.SortFunc(sameRegion, func(a, b Host) int {
 		return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), strings.Compare(a.Name, b.Name))
 	})
-	sameRegion = sameRegion[:readersPerRegion]
+	n := readersPerRegion
+	if len(sameRegion) < hostsForAllReaders {
+		n--
+	}
+	sameRegion = sameRegion[:n]
 	if slices.ContainsFunc(sameRegion, func(h Host) bool { return h.Name == s.self.Name }) {
 		return nil
 	}
@@ -345,6 +352,9 @@
 	})
 }
 
+// readsStore reports whether this host reads the store itself.
+func (s *state) readsStore(now time.Time) bool { return len(s.readers(now)) == 0 }
+
 // rank returns the number of other hosts with a higher score for the key. Dead hosts
 // don't count; hosts that never sent a heartbeat do.
 func (s *state) rank(key string, now time.Time) int {
