Log what targets announce and count refusals for busy ones

Cause: a refusal because all targets are busy was counted as target_refused or no_target, and no line said when a host took a target for leaving or busy. No change of decisions; the tests of notice, maker, edge and cmd pass.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -278,7 +278,9 @@
 	return t
 }
 
-func newNotices(s boot.Settings) *notice.Board { return notice.New(s.DrainPeriod) }
+func newNotices(s boot.Settings, log logr.Logger) *notice.Board {
+	return notice.New(s.DrainPeriod, log.WithName("notice"))
+}
 
 func newBalancer(refs *fleetRefs, s boot.Settings, notices *notice.Board) *pick.Balancer {
 	return pick.New(pick.Options{
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -116,7 +116,7 @@
 			ID: fmt.Sprintf("t%d", i), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
 		}})
 	}
-	board := notice.New(testDrain)
+	board := notice.New(testDrain, logr.Discard())
 	balancer := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, h, board)
 	pool := dialer.New()
 	t.Cleanup(pool.Close)
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -102,6 +102,8 @@
 		return "no_configuration"
 	case c.quarantinedPart != "":
 		return "quarantined_part"
+	case c.retryIn > 0:
+		return "targets_busy"
 	case c.sends > 0:
 		return "target_refused"
 	case c.stagesTook > 0 && c.results == nil:
--- a/entry/internal/maker/copies_test.go
+++ b/entry/internal/maker/copies_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
@@ -93,7 +95,7 @@
 			})
 			pool := dialer.New()
 			defer pool.Close()
-			client := New(pool, notice.New(time.Second))
+			client := New(pool, notice.New(time.Second, logr.Discard()))
 			for n := range 6 {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 				if len(test.free) > 0 && test.free[0] == n {
@@ -128,7 +130,7 @@
 			target.Address = startCopier(t, func(n int) string { got <- n; return test.answer })
 			pool := dialer.New()
 			defer pool.Close()
-			client := New(pool, notice.New(100*time.Millisecond))
+			client := New(pool, notice.New(100*time.Millisecond, logr.Discard()))
 			run := func() batch.Failure {
 				_, failure, _ := client.Run(context.Background(), &batch.Call{Target: target.ID, Address: target.Address, Pieces: make([]batch.Piece, 1)})
 				return failure
--- a/entry/internal/maker/maker_test.go
+++ b/entry/internal/maker/maker_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
@@ -71,7 +73,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			start := time.Now()
-			outcomes, failure, err := New(pool, notice.New(time.Second)).Run(ctx, &batch.Call{
+			outcomes, failure, err := New(pool, notice.New(time.Second, logr.Discard())).Run(ctx, &batch.Call{
 				Target: "t", Address: startTarget(t, test.start, test.unit, test.pause), Pieces: make([]batch.Piece, 1),
 			})
 			if failure != test.want || err == nil {
--- a/entry/internal/notice/notice.go
+++ b/entry/internal/notice/notice.go
@@ -8,6 +8,8 @@
 	"expvar"
 	"sync"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 var (
@@ -60,6 +62,7 @@
 // Board keeps the announcements of targets. It is safe for concurrent use.
 type Board struct {
 	lastResort time.Duration // after a target's first announcement that it leaves
+	logger     logr.Logger
 
 	mu      sync.RWMutex
 	targets map[Target]state
@@ -73,8 +76,8 @@
 func (None) Status(Target, time.Time) Status { return Status{} }
 
 // New returns an empty board. drain is how long a target that leaves still takes requests.
-func New(drain time.Duration) *Board {
-	return &Board{lastResort: time.Duration(lastResortShare * float64(drain)), targets: map[Target]state{}}
+func New(drain time.Duration, logger logr.Logger) *Board {
+	return &Board{lastResort: time.Duration(lastResortShare * float64(drain)), logger: logger, targets: map[Target]state{}}
 }
 
 // Record adds what an answer of a target announced.
@@ -95,10 +98,12 @@
 	if n.Leaving && s.leavingSince.IsZero() {
 		s.leavingSince = now
 		leavingSeen.Add(1)
+		b.logger.Info("target leaving", "target", t.ID, "last_resort", b.lastResort.String())
 	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(s.busyUntil) {
 		s.busyUntil = until
 		busySeen.Add(1)
+		b.logger.Info("target busy", "target", t.ID, "pause", n.Pause.String())
 	}
 	b.targets[t] = s
 }
--- a/entry/internal/notice/notice_test.go
+++ b/entry/internal/notice/notice_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 const drain = 4 * time.Second
@@ -41,7 +43,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := New(drain)
+			b := New(drain, logr.Discard())
 			for _, h := range test.heard {
 				b.Record(engine, h.notice, at(h.at))
 			}
@@ -54,7 +56,7 @@
 
 // A target that starts again under its ID isn't bound by what it announced before.
 func TestNextIncarnationIsOpen(t *testing.T) {
-	b := New(drain)
+	b := New(drain, logr.Discard())
 	b.Record(engine, Notice{Leaving: true, Pause: time.Hour}, begin)
 	if err := b.Check(engine, at(drain)); !errors.Is(err, ErrLeaving) {
 		t.Errorf("got %v, want %v", err, ErrLeaving)
@@ -66,7 +68,7 @@
 
 // The memory of a host doesn't grow with the targets that come and go.
 func TestBoardIsBounded(t *testing.T) {
-	b := New(drain)
+	b := New(drain, logr.Discard())
 	for i := range 2 * maxTargets {
 		b.Record(Target{ID: fmt.Sprint(i)}, Notice{Leaving: true}, at(time.Duration(i)*time.Microsecond))
 	}
