Let hosts with a reader spare a store that is away

Cause: a host whose peer reads the store for it went back to reading for itself when that peer's reading got too old, and then tried three times a second on both feeds for as long as the store was away.

Ruled out: not reading at all. The peer alone may be cut off, so the first read is at once, as before.

Change: after a failed read a host that has a reader waits 1.5 s instead of 0.3 s; the reader, which still tries each 0.3 s, notices the store's return for all that follow it.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -239,6 +239,12 @@
 	return out, true
 }
 
+// HasReader reports whether a peer is there to read the store for this host.
+func (p peerTables) HasReader() bool {
+	_, ok := p.roster.StoreReader()
+	return ok
+}
+
 // Sync returns the table of the peer that reads the store for this host.
 func (p peerTables) Sync(ctx context.Context, req table.SnapshotRequest) (table.Snapshot, bool) {
 	h, ok := p.roster.StoreReader()
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -30,8 +30,10 @@
 	// targetsInterval is the time between two reads of the targets. It is less than half of
 	// the time within which a departed target must get no more requests.
 	targetsInterval = time.Second
-	// retryPause is the pause after a failed read.
-	retryPause = 300 * time.Millisecond
+	// retryPause is the pause after a failed read. followerRetryPause replaces it at a host
+	// with a peer that reads the store for it: that peer notices the store's return.
+	retryPause         = 300 * time.Millisecond
+	followerRetryPause = 1500 * time.Millisecond
 	// peerFetchDelay is how long reads must have failed before peers are asked.
 	peerFetchDelay = 500 * time.Millisecond
 	// syncWait is how long the peer that reads the store holds a sync request while it has no
@@ -73,6 +75,8 @@
 	// responds when it has operators' records beyond the offset, or after syncWait. ok is
 	// false if this host reads the store itself or if that peer doesn't answer.
 	Sync(ctx context.Context, req SnapshotRequest) (s Snapshot, ok bool)
+	// HasReader reports whether a peer is there to read the store for this host.
+	HasReader() bool
 }
 
 // Controller keeps the table up to date from the store or from peers.
@@ -106,12 +110,14 @@
 	keep("operators' records", func() {
 		follow(ctx, operator, 0, operatorReadWait, c.waitWhileSynced, c.OperatorOffset, func(changes []feed.OperatorChange, next int64, isFull bool) int64 {
 			return c.applyOperator(changes, next, isFull)
-		}, func(err error) { c.recordFailure(&c.operatorFailedSince, "operators' records", err) })
+		}, func(err error) time.Duration {
+			return c.recordFailure(&c.operatorFailedSince, "operators' records", err)
+		})
 	})
 	keep("targets", func() {
 		follow(ctx, targets, targetsInterval, 0, c.waitWhileSynced, c.targetsOffset, func(changes []feed.TargetChange, next int64, isFull bool) int64 {
 			return c.applyTargets(changes, next, isFull)
-		}, func(err error) { c.recordFailure(&c.targetsFailedSince, "targets", err) })
+		}, func(err error) time.Duration { return c.recordFailure(&c.targetsFailedSince, "targets", err) })
 	})
 	keep("table", func() { c.maintain(ctx) })
 	keep("sync", func() { c.syncWithPeer(ctx) })
@@ -121,9 +127,9 @@
 // follow reads a feed until ctx ends: first the newest change of each key, then all that
 // follow. waitWhileSynced returns when this host must read the store itself, and reports
 // whether it waited; offset then returns where to go on. apply takes the changes and
-// returns the offset to read next.
+// returns the offset to read next. onFailure returns the pause before the next read.
 func follow[C any](ctx context.Context, r Reader[C], interval, wait time.Duration, waitWhileSynced func(context.Context) bool, offset func() int64,
-	apply func(changes []C, next int64, isFull bool) int64, onFailure func(error),
+	apply func(changes []C, next int64, isFull bool) int64, onFailure func(error) time.Duration,
 ) {
 	next, isFull := int64(0), true
 	for ctx.Err() == nil {
@@ -150,8 +156,7 @@
 			isFull, pause = true, 0
 		default:
 			storeFailures.Add(1)
-			onFailure(err)
-			pause = retryPause
+			pause = onFailure(err)
 		}
 		if pause > 0 {
 			select {
@@ -162,8 +167,9 @@
 	}
 }
 
-// recordFailure records since when reads fail, and logs the first failure.
-func (c *Controller) recordFailure(since *time.Time, what string, err error) {
+// recordFailure records since when reads fail, logs the first failure and returns the pause
+// before the next read.
+func (c *Controller) recordFailure(since *time.Time, what string, err error) time.Duration {
 	c.mu.Lock()
 	first := since.IsZero()
 	if first {
@@ -173,6 +179,10 @@
 	if first {
 		c.logger.Error(err, "store lost", "what", what)
 	}
+	if c.peers.HasReader() {
+		return followerRetryPause
+	}
+	return retryPause
 }
 
 // recordSuccess logs the end of a series of failed reads. The caller holds c.mu.
--- a/entry/internal/table/controller_test.go
+++ b/entry/internal/table/controller_test.go
@@ -54,6 +54,7 @@
 type syncingPeer struct{ lostAt time.Time }
 
 func (syncingPeer) Fetch(context.Context, int64, int64) (Snapshot, bool) { return Snapshot{}, false }
+func (syncingPeer) HasReader() bool                                      { return true }
 func (syncingPeer) NewestOffset() int64                                  { return 0 }
 
 func (p syncingPeer) Sync(context.Context, SnapshotRequest) (Snapshot, bool) {
