Refuse orders at once if all targets of a stage want no calls for longer than they have

Cause: an order whose stage targets were all closed for seconds was admitted with a wait of 0.6 s, and waited until its deadline. A pause also stayed when the target started again under its ID.

Change: the wait of an order counts the time until the first target opens, and so does the time after which its caller may return.

--- a/entry/internal/batch/admit.go
+++ b/entry/internal/batch/admit.go
@@ -86,7 +86,19 @@
 	if now.Add(wait + o.criticalPath).Before(o.until) {
 		return 0, true
 	}
-	return sc.jitter(wait), false
+	return sc.retryAfter(o, wait, now), false
+}
+
+// retryAfter returns the time after which the caller of a refused order may retry: about the
+// time that the order would wait, and not before targets that have asked for a pause open.
+func (sc *Scheduler) retryAfter(o *order, wait time.Duration, now time.Time) time.Duration {
+	out := sc.jitter(wait)
+	for service := range o.load {
+		if open := sc.queues[service].opensIn(now); open > out {
+			out = open + sc.jitter(minRetry)
+		}
+	}
+	return out
 }
 
 // queueWait returns how long an order waits for the committed pieces and those
@@ -96,7 +108,7 @@
 	for service := range o.load {
 		rate := sc.queues[service].rate(now)
 		if rate == 0 {
-			wait = max(wait, noTargetRetry)
+			wait = max(wait, noTargetRetry, sc.queues[service].opensIn(now))
 			continue
 		}
 		overtaking := o.Priority
@@ -128,7 +140,7 @@
 			continue
 		}
 		if !ok {
-			removed = append(removed, removal{o, Result{Reason: ReasonBusy, RetryAfter: sc.jitter(wait)}})
+			removed = append(removed, removal{o, Result{Reason: ReasonBusy, RetryAfter: sc.retryAfter(o, wait, now)}})
 			continue
 		}
 		o.addLoad(ahead)
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -210,6 +210,9 @@
 			ts = &targetState{results: map[string]heldResult{}, slowdown: 1, roundTrip: -1}
 			q.targets[t.ID] = ts
 		}
+		if ts.target.StartMillis != t.StartMillis {
+			ts.pausedUntil = time.Time{} // that was another process
+		}
 		ts.target, ts.present = t, true
 		ts.pausedUntil = later(ts.pausedUntil, t.BusyUntil)
 	}
--- a/entry/internal/batch/timing.go
+++ b/entry/internal/batch/timing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -83,6 +84,21 @@
 	return sum
 }
 
+// opensIn returns how long it takes until the first target takes calls again, if all have
+// asked for a pause, or else 0.
+func (q *Queue) opensIn(now time.Time) time.Duration {
+	first := time.Duration(math.MaxInt64)
+	for _, ts := range q.sortedTargets {
+		if ts.present {
+			first = min(first, max(ts.target.BusyUntil.Sub(now), 0))
+		}
+	}
+	if first == math.MaxInt64 {
+		return 0
+	}
+	return first
+}
+
 // capacity returns the number of pieces that the available targets complete in the
 // time of a full call.
 func (q *Queue) capacity(now time.Time) float64 {
--- a/entry/internal/pick/pick_test.go
+++ b/entry/internal/pick/pick_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -210,3 +211,52 @@
 		}
 	}
 }
+
+// announced is a board on which targets have announced something.
+type announced map[string]notice.Status
+
+func (a announced) Status(t notice.Target, _ time.Time) notice.Status { return a[t.ID] }
+
+// Load pattern: busy and leaving targets. The load goes to the others, evenly; a leaving target
+// is the last resort, and a refusal names the time of the first one that opens.
+func TestPatternBusyAndLeavingTargets(t *testing.T) {
+	now := time.Now()
+	closed := func(d time.Duration) notice.Status { return notice.Status{Closed: true, Until: now.Add(d)} }
+	leaving, gone := notice.Status{Leaving: true}, notice.Status{Leaving: true, Closed: true}
+	tests := []struct {
+		name   string
+		board  announced
+		want   map[string]int // requests of 30 by target
+		reason string
+		after  time.Duration
+	}{
+		{"one busy", announced{"a0": closed(time.Second)}, map[string]int{"a1": 15, "a2": 15}, "", 0},
+		{"one leaving", announced{"a1": leaving}, map[string]int{"a0": 15, "a2": 15}, "", 0},
+		{"one gone", announced{"a2": gone}, map[string]int{"a0": 15, "a1": 15}, "", 0},
+		{"two busy, one leaving", announced{"a0": closed(time.Second), "a1": closed(time.Second), "a2": leaving}, map[string]int{"a2": 30}, "", 0},
+		{"all leaving", announced{"a0": leaving, "a1": leaving, "a2": leaving}, map[string]int{"a0": 10, "a1": 10, "a2": 10}, "", 0},
+		{"all busy", announced{"a0": closed(9 * time.Second), "a1": closed(2 * time.Second), "a2": closed(5 * time.Second)}, nil, "all targets are busy", 2 * time.Second},
+		{"busy or gone", announced{"a0": gone, "a1": closed(2 * time.Second), "a2": gone}, nil, "all targets are busy", 2 * time.Second},
+		{"all gone", announced{"a0": gone, "a1": gone, "a2": gone}, nil, "all targets are leaving", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBalancer(1, 0)
+			b.notices = test.board
+			got := map[string]int{}
+			for range 30 {
+				c, refusal := b.Choose(Query{Targets: targets("a", "a", "a")}, now)
+				if c == nil {
+					if refusal.Reason != test.reason || refusal.RetryAfter != test.after {
+						t.Fatalf("got %+v, want %q after %v", refusal, test.reason, test.after)
+					}
+					continue
+				}
+				got[c.ID]++
+			}
+			if len(got) != len(test.want) || !maps.Equal(got, test.want) {
+				t.Errorf("requests %v, want %v", got, test.want)
+			}
+		})
+	}
+}
