Read pauses in a package of their own

Change: the reading of Retry-After moves to share/pause, without such tests, and the method that names the announcing target is called Announcer.

--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -217,10 +217,10 @@
 	req := dialer.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.req.ID,
 		ResponseID: wire.AnswerID, KeepAlive: wire.KeepAlive, NewConn: c.sentTo[t.ID],
-		Check: func() error { return c.h.notices.Check(t.Notice(), time.Now()) },
+		Check: func() error { return c.h.notices.Check(t.Announcer(), time.Now()) },
 		Heard: func(status int, h http.Header) {
 			head := wire.DecodeAnswer(status, h)
-			c.h.notices.Record(t.Notice(), notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
+			c.h.notices.Record(t.Announcer(), notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
 		},
 	}
 	if !c.route.MayRetry() {
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -83,8 +83,8 @@
 	done      bool
 }
 
-// Notice returns the incarnation of the target that its announcements bind.
-func (c *Chosen) Notice() notice.Target { return noticeOf(c.Target) }
+// Announcer returns the incarnation of the target that its announcements bind.
+func (c *Chosen) Announcer() notice.Target { return noticeOf(c.Target) }
 
 func noticeOf(t *table.Target) notice.Target {
 	return notice.Target{ID: t.ID, StartMillis: t.StartMillis}
--- a/share/units/retry.go
+++ b/share/pause/pause.go
@@ -1,4 +1,5 @@
-package units
+// Package pause reads for how long a server wants no requests.
+package pause
 
 import (
 	"errors"
@@ -8,18 +9,17 @@
 	"time"
 )
 
-// MaxRetryAfter replaces longer times in a Retry-After, of which a sum with a point in time
-// might overflow.
-const MaxRetryAfter = 24 * time.Hour
+// Max replaces longer times, of which a sum with a point in time might overflow.
+const Max = 24 * time.Hour
 
-// RetryAfter returns the time that the value of a Retry-After header gives: seconds, which may
+// Parse returns the time that the value of a Retry-After header gives: seconds, which may
 // have a fraction, or a date, which counts from the Date header of the same answer because
 // clocks differ. It returns 0 for anything else and for times that have passed.
-func RetryAfter(value, date string) time.Duration {
+func Parse(value, date string) time.Duration {
 	value = strings.TrimSpace(value)
 	if at, err := http.ParseTime(value); err == nil {
 		if from, err := http.ParseTime(date); err == nil {
-			return min(max(at.Sub(from), 0), MaxRetryAfter)
+			return min(max(at.Sub(from), 0), Max)
 		}
 		return 0
 	}
@@ -30,8 +30,8 @@
 	switch {
 	case err != nil && !errors.Is(err, strconv.ErrRange), !(s > 0):
 		return 0
-	case s >= MaxRetryAfter.Seconds():
-		return MaxRetryAfter
+	case s >= Max.Seconds():
+		return Max
 	}
 	return time.Duration(s * float64(time.Second))
 }
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -16,6 +16,7 @@
 
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
+	"chivepost/share/pause"
 	"chivepost/share/units"
 )
 
@@ -119,7 +120,7 @@
 		Boot:      resp.Header.Get(HeaderBoot),
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
-		res.Pause = units.RetryAfter(resp.Header.Get(HeaderRetryAfter), resp.Header.Get("Date"))
+		res.Pause = pause.Parse(resp.Header.Get(HeaderRetryAfter), resp.Header.Get("Date"))
 	}
 	if callErr := c.readResponse(ctx, resp, call, onToken, &res); callErr != nil {
 		res.Err = callErr
