Hold the connection of a refused stage call instead of closing it

Ruled out: trusting refusals again. A copy of one, taken as the answer to a call that runs, leaves that call's answer to the next request on the connection (TestCopyOfAnAnswer..., 'of a refusal').

Change: the connection of a refusal is held for as long as the call might take if it ran after all. By then its answer has arrived while no request waits for one, which closes the connection.

After: the tests of copies pass, and a new one of held connections; also under the race detector.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -40,6 +40,7 @@
 	reader    *bufio.Reader
 	idleSince time.Time     // when it was released
 	idleLimit time.Duration // how long it may be idle; negative: it must not be reused
+	heldUntil time.Time     // it isn't reused before
 	used      bool          // it has carried a complete request before
 	roundTrip time.Duration // of its handshake
 	closed    atomic.Bool
@@ -164,6 +165,11 @@
 // request.
 func (a *Answer) CloseConn() { a.reusable = false }
 
+// HoldConn keeps the connection from being reused for a while, so that an answer which is
+// still under way arrives while no request waits for one. It is then seen, and the connection
+// closed.
+func (a *Answer) HoldConn(d time.Duration) { a.conn.heldUntil = time.Now().Add(d) }
+
 // Close returns the connection to the pool if the answer was read to its end and the
 // connection is in a known state, and closes it otherwise. It may be called more than once.
 func (a *Answer) Close() {
--- a/entry/internal/dialer/dialer_test.go
+++ b/entry/internal/dialer/dialer_test.go
@@ -296,3 +296,41 @@
 		t.Errorf("%d connections open, want 0", n)
 	}
 }
+
+// A connection whose answer may be a copy is held, so that the right answer arrives while no
+// request waits for it. Refusals are too frequent to close each one's connection.
+func TestHeldConnectionIsNotReusedUntilLater(t *testing.T) {
+	address, conns := startCountingTarget(t, func(c net.Conn, req *http.Request, _ string) {
+		writeAnswer(c, req.Header.Get("Id"), "ok")
+	})
+	p := New()
+	defer p.Close()
+	exchange := func(hold time.Duration) {
+		t.Helper()
+		a, err := p.Do(context.Background(), "t", address, 2, newRequest("1", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(a)
+		if hold > 0 {
+			a.HoldConn(hold)
+		}
+		a.Close()
+	}
+	exchange(150 * time.Millisecond) // the first connection is held
+	exchange(0)
+	exchange(0)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections while one is held, want 2", got)
+	}
+	time.Sleep(200 * time.Millisecond)
+	exchange(time.Minute)
+	exchange(time.Minute)
+	if got := conns.Load(); got != 2 {
+		t.Errorf("%d connections after the hold, want the same 2", got)
+	}
+	exchange(0) // both are held and the limit is reached
+	if got, open := conns.Load(), p.OpenConnections("t"); got != 3 || open > 2 {
+		t.Errorf("%d connections in all, %d open, want 3 and at most 2", got, open)
+	}
+}
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -155,17 +156,24 @@
 		e = &targetConns{}
 		p.targets[target] = e
 	}
-	for len(e.idle) > 0 && (!req.NewConn || e.open >= limit) {
-		c := e.idle[len(e.idle)-1]
-		e.idle[len(e.idle)-1] = nil
-		e.idle = e.idle[:len(e.idle)-1]
+	for i := len(e.idle) - 1; i >= 0 && !req.NewConn; i-- {
+		c := e.idle[i]
+		if now.Before(c.heldUntil) {
+			continue
+		}
+		e.idle = slices.Delete(e.idle, i, i+1)
 		age := now.Sub(c.idleSince)
-		if !req.NewConn && age < c.idleLimit && (req.MaxIdle == 0 || age < req.MaxIdle) && c.isClean() {
+		if age < c.idleLimit && (req.MaxIdle == 0 || age < req.MaxIdle) && c.isClean() {
 			return c, nil
 		}
 		c.close()
 		e.open--
 	}
+	for e.open >= limit && len(e.idle) > 0 { // none of them can be used now
+		e.idle[0].close()
+		e.idle = slices.Delete(e.idle, 0, 1)
+		e.open--
+	}
 	if e.open >= limit {
 		return nil, ErrConnectionLimit
 	}
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -24,6 +24,8 @@
 	// maxConnections bounds the connections of a home to one stage target. There is room for
 	// a running call, a waiting call and one that frees results.
 	maxConnections = 8
+	// maxCall is more than a stage call usually takes.
+	maxCall = 3 * time.Second
 	// maxAnswer bounds the bytes that are read of an answer, which has a line for each piece.
 	maxAnswer = 1 << 20
 )
@@ -136,8 +138,9 @@
 // post sends a request to a target and reads the answer. accept checks the body of an answer
 // with status 200. Stage calls have no ID in their answers, so the connection of an answer
 // that isn't accepted is closed: it may be a copy of an earlier one, and the right one may
-// follow. So is that of an answer with another status. The returned status is 0 if there is
-// no whole answer; the error is then of type *dialer.SendError.
+// follow. So is that of a failure. Refusals are frequent, so that of a refusal is only held
+// for as long as the call might take if it runs after all. The returned status is 0 if there
+// is no whole answer; the error is then of type *dialer.SendError.
 func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, accept func(answer []byte) error) (int, http.Header, error) {
 	announcer := noticeOf(target)
 	a, err := c.dialer.Do(ctx, target.ID, target.Address, maxConnections, dialer.Request{
@@ -154,7 +157,12 @@
 	}
 	defer a.Close()
 	if a.Status != http.StatusOK {
-		a.CloseConn()
+		if wire.DecodeAnswer(a.Status, a.Header).NotRun {
+			a.Discard()
+			a.HoldConn(timeLeft(ctx))
+		} else {
+			a.CloseConn()
+		}
 		return a.Status, a.Header, nil
 	}
 	data, err := io.ReadAll(io.LimitReader(a, maxAnswer+1))
@@ -171,6 +179,14 @@
 	return a.Status, a.Header, nil
 }
 
+// timeLeft returns the time until the deadline of ctx, or maxCall without one.
+func timeLeft(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return maxCall
+}
+
 func noticeOf(t batch.Target) notice.Target {
 	return notice.Target{ID: t.ID, StartMillis: t.StartMillis}
 }
