Close a listener once when a server shuts down

Cause: Shutdown closed the listeners and then, once all connections were gone, called http.Server.Shutdown, which closes those again whose Accept has not returned yet. The second close failed with 'use of closed network connection', and a shutdown in which every connection was closed in order returned that error: 'stopped' was logged with it. Ruled out: lost answers (the count of answers was not reached; the error is of the listener), and the error of a connection. Change: the listener's second close does nothing.

--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -26,7 +26,7 @@
 	setUp     sync.Once
 
 	mu        sync.Mutex
-	listeners []net.Listener
+	listeners []*listener
 	conns     map[*conn]struct{}
 	empty     chan struct{} // closed when a closing server has no connection left
 }
@@ -81,11 +81,12 @@
 // Serve accepts connections from l. It returns http.ErrServerClosed after Shutdown or
 // Close.
 func (s *Server) Serve(l net.Listener) error {
+	tracked := &listener{Listener: l, server: s}
 	s.mu.Lock()
-	s.listeners = append(s.listeners, l)
+	s.listeners = append(s.listeners, tracked)
 	s.mu.Unlock()
 	s.setUp.Do(s.trackConns)
-	err := s.Server.Serve(&listener{Listener: l, server: s})
+	err := s.Server.Serve(tracked)
 	if s.isClosing.Load() {
 		return http.ErrServerClosed
 	}
@@ -113,7 +114,7 @@
 	defer s.mu.Unlock()
 	isFirst := s.isClosing.CompareAndSwap(false, true)
 	for _, l := range s.listeners {
-		_ = l.Close() // it may be closed already
+		_ = l.Close() // connections are waited for all the same
 	}
 	s.listeners = nil
 	if isFirst && len(s.conns) == 0 {
@@ -149,9 +150,18 @@
 	}
 }
 
+// listener can be closed more than once: http.Server closes the listeners again whose Accept
+// has not returned yet, and a second error is not one of the shutdown.
 type listener struct {
 	net.Listener
 	server *Server
+	closed sync.Once
+}
+
+func (l *listener) Close() error {
+	var err error
+	l.closed.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
 func (l *listener) Accept() (net.Conn, error) {
--- a/entry/internal/drain/server_test.go
+++ b/entry/internal/drain/server_test.go
@@ -50,6 +50,20 @@
 	return n, err
 }
 
+// lateListener reports that it was closed only when it is released.
+type lateListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.release
+	}
+	return c, err
+}
+
 type testServer struct {
 	*drain.Server
 	gate    *gatedListener
@@ -142,6 +156,31 @@
 		}
 	})
 
+	// Guards against a shutdown that reports an error because the accept loop had not ended
+	// yet: http.Server.Shutdown closes the listener a second time then.
+	It("succeeds before the accept loop has ended", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		late := &lateListener{Listener: l, release: make(chan struct{})}
+		s := drain.NewServer(&http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(echo)})
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(late) }()
+		Eventually(func() error {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				return err
+			}
+			defer func() { _ = c.Close() }()
+			_, err = roundTrip(c, bufio.NewReader(c), "x")
+			return err
+		}).Should(Succeed())
+		done := shutdown(&testServer{Server: s})
+		Consistently(done).WithTimeout(200 * time.Millisecond).ShouldNot(Receive(HaveOccurred()))
+		close(late.release)
+		Expect(<-done).To(Succeed())
+		Expect(<-served).To(MatchError(http.ErrServerClosed))
+	})
+
 	// Guards against new connections that are closed while their first request is on its way.
 	It("answers the first request of a connection that was just accepted", func() {
 		s := startServer(echo)
