Don't count crashes on a part that seem to have a cause in common with others

Crashes without the part at the same moment were counted as further occasions only, which a limit of five made good again. Change: a crash on a part counts only if fewer than two targets of the service crashed without the part within 300 ms, or fewer than a quarter of those with it. Ten occasions suffice whatever crashed beside them, so that two deadly parts at once are found. 'among crashes without the part' failed before.

--- a/entry/internal/blame/derive.go
+++ b/entry/internal/blame/derive.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -162,7 +163,42 @@
 }
 
 // isSufficient reports whether the unexplained crashes on a part suffice to quarantine it.
+// Those that seem to have a cause in common with crashes without the part don't count, unless
+// there are very many.
 func (s *state) isSufficient(sus *suspect) bool {
+	if !s.suffices(sus) {
+		return false
+	}
+	if len(s.times(sus.crashes, nil)) >= occasionsDespiteOthers {
+		return true
+	}
+	own := &suspect{part: sus.part, depth: sus.depth, crashes: s.ownCrashes(sus)}
+	return len(own.crashes) == len(sus.crashes) || s.suffices(own)
+}
+
+// ownCrashes returns the crashes on a part around which few targets crashed without it.
+func (s *state) ownCrashes(sus *suspect) map[uint64]bool {
+	own := maps.Clone(sus.crashes)
+	for crash := range sus.crashes {
+		with, without := 0, 0
+		for other := range s.unexplained {
+			switch {
+			case s.crashedAt[other].Sub(s.crashedAt[crash]).Abs() > commonCauseTime || s.byCrash[other][0].Service != sus.part.service:
+			case sus.crashes[other]:
+				with++
+			default:
+				without++
+			}
+		}
+		if without >= minWithout && without*maxWithPerWithout > with {
+			delete(own, crash)
+		}
+	}
+	return own
+}
+
+// suffices reports whether the crashes on a part suffice if all of them count.
+func (s *state) suffices(sus *suspect) bool {
 	if len(sus.crashes) < minOccasions {
 		return false
 	}
--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -28,8 +28,15 @@
 	occasionsPerExtra = 2
 	// otherWindow is the time before the first crash on a part from which on they count.
 	otherWindow = time.Minute
-	// maxOccasions is the number that always suffices.
+	// maxOccasions is the number that suffices whatever crashed at other times.
 	maxOccasions = 5
+	// Crashes within commonCauseTime of a crash on a part suggest a cause in common if at least
+	// minWithout of them are without the part, and more than one for maxWithPerWithout with it.
+	commonCauseTime   = 300 * time.Millisecond
+	minWithout        = 2
+	maxWithPerWithout = 4
+	// occasionsDespiteOthers is the number that suffices also then.
+	occasionsDespiteOthers = 2 * maxOccasions
 	// settleTime is the time until a part that the evidence points to is quarantined, in
 	// which more evidence of other hosts arrives.
 	settleTime = 500 * time.Millisecond
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -90,6 +90,13 @@
 				}
 			}
 		},
+		"one by one within a second": func(sim *simulation) {
+			for at := 8 * time.Second; at < 36*time.Second; at += 12 * time.Second {
+				for _, t := range sim.targets {
+					sim.after(at+sim.between(0, time.Second), func() { sim.crash(t) })
+				}
+			}
+		},
 		"one after the other": func(sim *simulation) {
 			for at := 4 * time.Second; at < 36*time.Second; at += sim.between(300*time.Millisecond, 2*time.Second) {
 				sim.after(at, func() { sim.crash(sim.targets[sim.rng.IntN(len(sim.targets))]) })
@@ -248,6 +255,33 @@
 			}
 			d.now = d.now.Add(time.Second)
 		}, deadly, ""},
+		{"among crashes without the part", func(d *deployment) {
+			for i := range 16 { // four targets each 300 ms, one of them with the part
+				parts := []string{fmt.Sprint("first", i%4), fmt.Sprint("other", i)}
+				if i%4 == 0 {
+					parts = []string{"first", "part"}
+				}
+				d.now = d.now.Add(75 * time.Millisecond)
+				d.crash("s", fmt.Sprint(i), 0, parts, fmt.Sprint(i))
+			}
+			d.now = d.now.Add(settleTime)
+		}, []string{"first", "part"}, ""},
+		{"many crashes among those of another deadly part", func(d *deployment) {
+			for i := range 2 * occasionsDespiteOthers {
+				d.now = d.now.Add(occasionLength / 2)
+				d.crash("s", fmt.Sprint(i), 0, []string{fmt.Sprint("first", i%2), fmt.Sprint("deadly", i%2)}, fmt.Sprint(i))
+			}
+			d.now = d.now.Add(settleTime)
+		}, []string{"first0", "deadly0"}, "deadly0"},
+		{"crashes with some without the part between", func(d *deployment) {
+			for i := range 3 {
+				d.now = d.now.Add(commonCauseTime + time.Millisecond)
+				d.crash("s", fmt.Sprint("other", i), 0, []string{"a", fmt.Sprint(i)}, fmt.Sprint(i))
+				d.now = d.now.Add(commonCauseTime + time.Millisecond)
+				d.crash("s", fmt.Sprint(i), 0, deadly, fmt.Sprint(i))
+			}
+			d.crashOn("s", deadly)
+		}, deadly, "deadly"},
 		{"before other hosts can have said more", func(d *deployment) {
 			d.crashOn("s", deadly, deadly, deadly)
 			d.now = d.now.Add(-settleTime / 2)
