Send less gossip between large regions

Cause: each datagram had the heartbeats of all hosts, and each host of a large region sent one to another region in each round of 400 ms. A host that stopped sent one to every other host: 2 MB at once. Change: about 16 hosts of a large region send a datagram to another region, or to a silent host, in a round; it leaves out the heartbeats of a large region that gets it. Hosts of a large region send three datagrams within it. The message of a host that stops has its own heartbeat only.

--- a/entry/internal/roster/controller.go
+++ b/entry/internal/roster/controller.go
@@ -187,15 +187,16 @@
 		case <-time.After(gossipInterval):
 		}
 		now := time.Now()
-		msg, to := c.nextRound(round, now, now.Sub(last)-gossipInterval)
+		datagrams := c.nextRound(round, now, now.Sub(last)-gossipInterval)
 		last = now
-		c.send(msg, to)
+		for _, d := range datagrams {
+			c.send(d.message, d.to)
+		}
 	}
 }
 
-// nextRound returns the message of a round and its recipients. gap is how much later than due
-// the round is.
-func (c *Controller) nextRound(round int, now time.Time, gap time.Duration) (message, []string) {
+// nextRound returns the datagrams of a round. gap is how much later than due the round is.
+func (c *Controller) nextRound(round int, now time.Time, gap time.Duration) []datagram {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if gap > minProcessPause {
@@ -204,13 +205,17 @@
 	}
 	c.state.heartbeat.Offset = c.offset()
 	c.state.heartbeat.Load = uint16(min(max(c.load(), 0), maxLoad))
-	to := c.state.recipients(gossipFanout, round%silentHostRounds == 0, now)
-	msg := c.state.nextMessage(now)
-	if len(c.state.members) == 0 || round%silentHostRounds == 0 && len(to) <= 1 {
-		to = append(to, c.opts.Seeds...)
+	isSilentRound := round%silentHostRounds == 0
+	datagrams := c.state.nextRound(gossipFanout, isSilentRound, now)
+	recipients := 0
+	for _, d := range datagrams {
+		recipients += len(d.to)
+	}
+	if len(c.state.members) == 0 || isSilentRound && recipients <= 1 {
+		datagrams = append(datagrams, datagram{c.state.messageTo(c.state.self.Region, now), c.opts.Seeds})
 	}
 	c.logChanges(now)
-	return msg, to
+	return datagrams
 }
 
 // logChanges logs the hosts whose heartbeats have started or stopped, or that are
@@ -380,11 +385,9 @@
 
 // AnnounceLeave announces to all hosts that this one is leaving.
 func (c *Controller) AnnounceLeave() {
-	now := time.Now()
 	c.mu.Lock()
-	c.state.heartbeat.IsLeaving = true
-	msg := c.state.nextMessage(now)
-	to := c.state.recipients(len(c.state.members), false, now)
+	msg := c.state.leaveMessage()
+	to := c.state.recipients(len(c.state.members), time.Now())
 	c.mu.Unlock()
 	c.send(msg, to)
 }
--- a/entry/internal/roster/datagram.go
+++ b/entry/internal/roster/datagram.go
@@ -17,7 +17,7 @@
 // to how many. In a large region all but one of them are of this region.
 func (c *Controller) SendToSome(kind byte, data []byte, n int) int {
 	c.mu.Lock()
-	to := c.state.recipients(n, false, time.Now())
+	to := c.state.recipients(n, time.Now())
 	c.mu.Unlock()
 	c.SendTo(kind, data, to...)
 	return len(to)
--- a/entry/internal/roster/datagram_test.go
+++ b/entry/internal/roster/datagram_test.go
@@ -29,7 +29,7 @@
 // A host of an earlier version reads each datagram as a message. It must ignore other
 // kinds, and still understand the heartbeats.
 func TestEarlierHostsIgnoreOtherKindsOfDatagrams(t *testing.T) {
-	payload, err := cbor.Marshal(newState(host(0, "r")).nextMessage(start))
+	payload, err := cbor.Marshal(newState(host(0, "r")).messageTo("r", start))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/internal/roster/state.go
+++ b/entry/internal/roster/state.go
@@ -23,10 +23,12 @@
 	avoidDuration = 2 * time.Second
 	// maxRelayDelay is the longest time that other hosts take to relay a heartbeat.
 	maxRelayDelay = 1200 * time.Millisecond
-	// largeRegionHosts is the number of other hosts in a region from which on each of them
-	// sends only one datagram of a round to another region. So many hosts send one that
-	// all heartbeats still arrive in time.
+	// largeRegionHosts is the number of other hosts in a region from which on few of them
+	// send to other regions in a round.
 	largeRegionHosts = 8
+	// outwardSenders is how many hosts of a large region send one in a round, on average. The
+	// hosts of the other regions pass on what they get, so all heartbeats still arrive in time.
+	outwardSenders = 16
 	// maxLoad is the highest load that a host reports.
 	maxLoad = 1 << 15
 )
@@ -163,53 +165,119 @@
 	return unknown
 }
 
-// nextMessage counts this host's heartbeat up and returns the datagram of the next
-// round.
-func (s *state) nextMessage(now time.Time) message {
+// datagram is a message with the gossip addresses that get it.
+type datagram struct {
+	message message
+	to      []string
+}
+
+// nextRound counts this host's heartbeat up and returns the datagrams of the next round: to n
+// random hosts that send heartbeats, and to a silent one if requested. In a large region they
+// are of this region, and few hosts send a further one to another, because traffic between
+// regions is billed and a datagram has nearly all heartbeats. The same few try silent hosts.
+func (s *state) nextRound(n int, silent bool, now time.Time) []datagram {
 	s.heartbeat.Count++
+	sameRegion, otherRegions, silentHosts := s.reachable(now)
+	isLarge := len(sameRegion) >= largeRegionHosts && n < len(sameRegion)
+	sendsOutward := !isLarge || rand.IntN(len(sameRegion)+1) < outwardSenders
+	var chosen []*member
+	if isLarge {
+		chosen = sameRegion[:n]
+		if sendsOutward {
+			chosen = slices.Concat(chosen, otherRegions[:min(1, len(otherRegions))])
+		}
+	} else {
+		chosen = slices.Concat(sameRegion, otherRegions)
+		shuffle(chosen)
+		chosen = chosen[:min(n, len(chosen))]
+	}
+	if (silent && sendsOutward || len(chosen) == 0) && len(silentHosts) > 0 {
+		chosen = append(chosen, silentHosts[rand.IntN(len(silentHosts))])
+	}
+	byRegion := map[string][]string{}
+	for _, m := range chosen {
+		byRegion[m.host.Region] = append(byRegion[m.host.Region], m.host.GossipAddress)
+	}
+	out := make([]datagram, 0, len(byRegion))
+	for region, to := range byRegion {
+		out = append(out, datagram{s.messageTo(region, now), to})
+	}
+	return out
+}
+
+// messageTo returns the message for hosts of a region. Those of another large region know the
+// heartbeats of their own from each other.
+func (s *state) messageTo(region string, now time.Time) message {
 	msg := message{Self: s.self, Heartbeats: []heartbeat{s.heartbeat}}
+	var theirs []heartbeat
 	for _, m := range s.members {
-		if m.hasRecentHeartbeat(now) {
+		switch {
+		case !m.hasRecentHeartbeat(now):
+		case m.host.Region == region && region != s.self.Region:
+			theirs = append(theirs, m.heartbeat)
+		default:
 			msg.Heartbeats = append(msg.Heartbeats, m.heartbeat)
 		}
 	}
+	if len(theirs) <= largeRegionHosts {
+		msg.Heartbeats = append(msg.Heartbeats, theirs...)
+	}
 	return msg
 }
 
-// recipients returns the gossip addresses of up to n random hosts that send heartbeats,
-// and that of a silent host if requested. In a large region all but one of the hosts
-// are of this region, because traffic between regions is billed.
-func (s *state) recipients(n int, silent bool, now time.Time) []string {
-	var sameRegion, otherRegions, silentHosts []string
+// leaveMessage counts this host's heartbeat up and returns the message that says that it
+// leaves.
+func (s *state) leaveMessage() message {
+	s.heartbeat.IsLeaving = true
+	s.heartbeat.Count++
+	return message{Self: s.self, Heartbeats: []heartbeat{s.heartbeat}}
+}
+
+// reachable returns the other hosts, in random order: those that send heartbeats, by region,
+// and silent ones that are registered.
+func (s *state) reachable(now time.Time) (sameRegion, otherRegions, silent []*member) {
 	for _, m := range s.members {
 		switch {
 		case !m.hasRecentHeartbeat(now) && !m.isDeregistered:
-			silentHosts = append(silentHosts, m.host.GossipAddress)
+			silent = append(silent, m)
 		case !m.hasRecentHeartbeat(now):
 		case m.host.Region == s.self.Region:
-			sameRegion = append(sameRegion, m.host.GossipAddress)
+			sameRegion = append(sameRegion, m)
 		default:
-			otherRegions = append(otherRegions, m.host.GossipAddress)
+			otherRegions = append(otherRegions, m)
 		}
 	}
 	shuffle(sameRegion)
 	shuffle(otherRegions)
-	var out []string
+	return sameRegion, otherRegions, silent
+}
+
+// recipients returns the gossip addresses of up to n random hosts that send heartbeats. In a
+// large region all but one of them are of this region.
+func (s *state) recipients(n int, now time.Time) []string {
+	sameRegion, otherRegions, silent := s.reachable(now)
+	chosen := slices.Concat(sameRegion, otherRegions)
 	if len(sameRegion) >= largeRegionHosts && n < len(sameRegion) {
-		out = sameRegion[:n-1]
-		out = append(out, otherRegions[:min(1, len(otherRegions))]...)
+		chosen = slices.Concat(sameRegion[:n-1], otherRegions[:min(1, len(otherRegions))])
 	} else {
-		out = slices.Concat(sameRegion, otherRegions)
-		shuffle(out)
-		out = out[:min(n, len(out))]
+		shuffle(chosen)
+		chosen = chosen[:min(n, len(chosen))]
 	}
-	if (silent || len(out) == 0) && len(silentHosts) > 0 {
-		out = append(out, silentHosts[rand.IntN(len(silentHosts))])
+	if len(chosen) == 0 && len(silent) > 0 {
+		chosen = silent[:1]
+	}
+	return addresses(chosen)
+}
+
+func addresses(members []*member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.host.GossipAddress)
 	}
 	return out
 }
 
-func shuffle(list []string) {
+func shuffle(list []*member) {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
--- a/entry/internal/roster/state_test.go
+++ b/entry/internal/roster/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,9 @@
 	down   map[string]bool
 	cut    func(from, to string) bool
 	now    time.Time
+
+	outwardBytes              int // of datagrams to other regions
+	selfBytes, heartbeatBytes int // of a message; zero: not yet known
 }
 
 func newFleet(n int) *fleet {
@@ -45,19 +49,42 @@
 			if f.down[from] {
 				continue
 			}
-			msg := s.nextMessage(f.now)
-			for _, to := range s.recipients(gossipFanout, round%silentHostRounds == 0, f.now) {
-				if o := f.states[to]; o != nil && !f.down[to] && !f.cut(from, to) {
-					if unknown := o.merge(msg, f.now); unknown && !f.cut(to, from) {
-						s.merge(message{Self: o.self, WantsHosts: true}, f.now)
-						o.merge(message{Self: s.self, Hosts: s.hosts(f.now)}, f.now)
-					}
+			for _, d := range s.nextRound(gossipFanout, round%silentHostRounds == 0, f.now) {
+				for _, to := range d.to {
+					f.deliver(from, to, d.message)
 				}
 			}
 		}
 	}
 }
 
+func (f *fleet) deliver(from, to string, msg message) {
+	s, o := f.states[from], f.states[to]
+	if o == nil {
+		return
+	}
+	if s.self.Region != o.self.Region {
+		f.outwardBytes += f.size(msg)
+	}
+	if f.down[to] || f.cut(from, to) {
+		return
+	}
+	if unknown := o.merge(msg, f.now); unknown && !f.cut(to, from) {
+		s.merge(message{Self: o.self, WantsHosts: true}, f.now)
+		o.merge(message{Self: s.self, Hosts: s.hosts(f.now)}, f.now)
+	}
+}
+
+// size returns about the bytes of a message.
+func (f *fleet) size(msg message) int {
+	if f.heartbeatBytes == 0 {
+		one, _ := cbor.Marshal(message{Self: msg.Self, Heartbeats: msg.Heartbeats[:1]})
+		two, _ := cbor.Marshal(message{Self: msg.Self, Heartbeats: slices.Concat(msg.Heartbeats[:1], msg.Heartbeats[:1])})
+		f.selfBytes, f.heartbeatBytes = 2*len(one)-len(two), len(two)-len(one)
+	}
+	return f.selfBytes + len(msg.Heartbeats)*f.heartbeatBytes
+}
+
 func (f *fleet) alivePeers(at string) int { return len(f.states[at].alivePeers(f.now)) }
 
 func TestHostsDiscoverEachOther(t *testing.T) {
@@ -101,6 +128,92 @@
 	}
 }
 
+// With 295 hosts in three regions each datagram had all heartbeats and each host sent one to
+// another region in each round, which was nearly all that went between regions on a quiet day.
+// Hosts may spend 2 KB a second on control.
+func TestGossipBetweenLargeRegionsIsBounded(t *testing.T) {
+	const hosts, rounds, lostHost = 295, 15, "10.0.0.4:1"
+	f := newFleet(hosts)
+	f.run(10 * time.Second)
+	f.outwardBytes = 0
+	sent := 0
+	f.cut = func(string, string) bool {
+		sent++
+		return sent%10 == 0 // Lose every tenth datagram.
+	}
+	for range rounds {
+		f.run(gossipInterval)
+		for at, s := range f.states {
+			for _, m := range s.members {
+				if silent := f.now.Sub(m.lastHeartbeat); silent >= deadAfter {
+					t.Fatalf("%s has received no heartbeat of %s for %s", at, m.host.Name, silent)
+				}
+			}
+		}
+	}
+	perSecond := float64(f.outwardBytes) / hosts / (rounds * gossipInterval.Seconds())
+	if perSecond > 2048 {
+		t.Errorf("a host sends %.0f bytes a second to other regions, want at most 2048", perSecond)
+	}
+	// A host that dies must be out of the directory within seven seconds, in all regions, and
+	// attempts to reach it must not cost more than all the rest.
+	f.down[lostHost] = true
+	f.run(7 * time.Second)
+	for at := range f.states {
+		if got := f.alivePeers(at); at != lostHost && got != hosts-2 {
+			t.Fatalf("%s has %d alive peers 7 s after one died, want %d", at, got, hosts-2)
+		}
+	}
+	f.outwardBytes = 0
+	for range rounds {
+		f.run(gossipInterval)
+	}
+	if perSecond := float64(f.outwardBytes) / hosts / (rounds * gossipInterval.Seconds()); perSecond > 2048 {
+		t.Errorf("with a dead host a host sends %.0f bytes a second to other regions, want at most 2048", perSecond)
+	}
+}
+
+// A host that stops tells each other host. With all heartbeats in each of these datagrams they
+// filled its link for a second.
+func TestMessageOfALeavingHostIsSmall(t *testing.T) {
+	f := newFleet(73)
+	f.run(6 * time.Second)
+	s := f.states["10.0.0.3:1"]
+	msg, to := s.leaveMessage(), s.recipients(len(s.members), f.now)
+	if len(to) != 72 || len(msg.Heartbeats) != 1 {
+		t.Errorf("%d heartbeats to %d hosts, want 1 to 72", len(msg.Heartbeats), len(to))
+	}
+	for _, address := range to {
+		f.deliver(s.self.GossipAddress, address, msg)
+	}
+	for at := range f.states {
+		if got := f.alivePeers(at); at != s.self.GossipAddress && got != 71 {
+			t.Errorf("%s has %d alive peers, want 71", at, got)
+		}
+	}
+}
+
+// Regions that were parted find each other again although few hosts send to others.
+func TestPartedLargeRegionsReconnect(t *testing.T) {
+	const hosts = 90
+	f := newFleet(hosts)
+	f.run(6 * time.Second)
+	f.cut = func(from, to string) bool { return f.states[from].self.Region != f.states[to].self.Region }
+	f.run(20 * time.Second)
+	for at := range f.states {
+		if got := f.alivePeers(at); got != hosts/3-1 {
+			t.Fatalf("with regions parted %s has %d alive peers, want %d", at, got, hosts/3-1)
+		}
+	}
+	f.cut = func(string, string) bool { return false }
+	f.run(6 * time.Second)
+	for at := range f.states {
+		if got := f.alivePeers(at); got != hosts-1 {
+			t.Errorf("after the partition %s has %d alive peers, want %d", at, got, hosts-1)
+		}
+	}
+}
+
 // The directory has seven seconds to drop a dead host; the roster may use half of them.
 func TestDeadHostIsRemovedInTime(t *testing.T) {
 	f := newFleet(9)
@@ -201,7 +314,7 @@
 
 func FuzzMessage(f *testing.F) {
 	s := newState(host(0, "r"))
-	good, _ := cbor.Marshal(s.nextMessage(start))
+	good, _ := cbor.Marshal(s.messageTo("r", start))
 	f.Add(good)
 	f.Add([]byte{0x84, 0x01})
 	f.Fuzz(func(_ *testing.T, data []byte) {
