Let hosts that start wait for a peer that reads the store

Cause: a host that starts read operators' records and targets three or four times more before it had found the peers that read the store for its region, and the first answer of such a peer came a second after the question. Ruled out: leaving out the first read (a host needs a configuration before it is ready). Change: after its first read a host waits up to two seconds from its start for such a peer, whose answer to the first request comes at once. A request of an earlier version is held as before. Measured: TestHostThatStartsWaitsForAReader failed before (targets read again after 1 s), passes now; a host without such a peer goes on after 2 s.

--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -43,6 +43,9 @@
 	// peer's own read may be; beyond that the host reads the store itself. Together with
 	// the time of a read they stay well within the bound for departed targets.
 	syncValidity = 1600 * time.Millisecond
+	// startWait is how long a host that has started, and has read the store once, waits for a
+	// peer that reads the store for it. Hosts find each other within this time.
+	startWait = 2 * time.Second
 	// fullSyncInterval is how often a host asks that peer for the whole table instead of a
 	// delta, because the tables of two hosts may differ after outages of the store.
 	fullSyncInterval = time.Minute
@@ -87,6 +90,8 @@
 	wait   sync.WaitGroup
 	view   atomic.Pointer[View]
 
+	startedAt time.Time
+
 	mu                  sync.Mutex
 	state               *State
 	operatorReadAt      time.Time     // when operators' records were last read
@@ -104,7 +109,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState(), changed: make(chan struct{})}
 	now := time.Now()
-	c.operatorFailedSince, c.targetsFailedSince = now, now
+	c.startedAt, c.operatorFailedSince, c.targetsFailedSince = now, now, now
 	c.view.Store(c.state.View())
 	keep := func(task string, f func()) { c.wait.Go(func() { guard.Keep(ctx, logger, task, f) }) }
 	keep("operators' records", func() {
@@ -193,13 +198,13 @@
 	}
 }
 
-// waitWhileSynced waits while a peer reads the store for this host and reports whether it
-// waited.
+// waitWhileSynced waits while a peer reads the store for this host, or may be found that does,
+// and reports whether it waited.
 func (c *Controller) waitWhileSynced(ctx context.Context) bool {
 	waited := false
 	for ctx.Err() == nil {
 		c.mu.Lock()
-		isSynced := time.Since(c.syncedAt) < syncValidity
+		isSynced := time.Since(c.syncedAt) < syncValidity || time.Since(c.startedAt) < startWait
 		c.mu.Unlock()
 		if !isSynced {
 			return waited
@@ -221,7 +226,7 @@
 		if time.Since(c.fullSyncAt) > fullSyncInterval {
 			c.mark = Mark{}
 		}
-		req := SnapshotRequest{Offset: c.state.OperatorOffset(), Version: c.version(), Mark: c.mark}
+		req := SnapshotRequest{Offset: c.state.OperatorOffset(), Version: c.version(), Mark: c.mark, IsFirst: c.syncedAt.IsZero()}
 		ready := req.Offset >= 0 && c.state.TargetsOffset() >= 0
 		c.mu.Unlock()
 		if ready {
@@ -267,13 +272,14 @@
 	}
 }
 
-// AwaitSnapshot returns the table for a peer for which this host reads the store, when it
-// has operators' records beyond the peer's offset or after syncWait.
+// AwaitSnapshot returns the table for a peer for which this host reads the store: at once if the
+// peer doesn't follow this host yet, else when this host has operators' records beyond the
+// peer's offset or after syncWait.
 func (c *Controller) AwaitSnapshot(ctx context.Context, req SnapshotRequest) Snapshot {
 	c.mu.Lock()
 	changed, known := c.changed, c.state.OperatorOffset()
 	c.mu.Unlock()
-	if known <= req.Offset {
+	if known <= req.Offset && !req.IsFirst {
 		timer := time.NewTimer(syncWait)
 		defer timer.Stop()
 		select {
--- a/entry/internal/table/controller_test.go
+++ b/entry/internal/table/controller_test.go
@@ -81,3 +81,54 @@
 		}
 	})
 }
+
+// startingPeer is found a second after the start and answers the first request at once.
+type startingPeer struct {
+	foundAt time.Time
+	exists  bool
+}
+
+func (startingPeer) Fetch(context.Context, int64, int64) (Snapshot, bool) { return Snapshot{}, false }
+func (startingPeer) NewestOffset() int64                                  { return 0 }
+func (p startingPeer) HasReader() bool                                    { return p.exists && time.Now().After(p.foundAt) }
+
+func (p startingPeer) Sync(_ context.Context, req SnapshotRequest) (Snapshot, bool) {
+	if !p.HasReader() {
+		return Snapshot{}, false
+	}
+	if !req.IsFirst {
+		time.Sleep(syncWait)
+	}
+	return Snapshot{OpOffset: 1, TargetsOffset: 2, Mark: Mark{Revision: 1}}, true
+}
+
+// Load pattern: start of all hosts. Each host once read the store three or four times more
+// before it had found the peers that read it for all, which is most calls of a start with
+// hundreds of hosts. A host without such a peer must go on in time for its bounds.
+func TestHostThatStartsWaitsForAReader(t *testing.T) {
+	for name, exists := range map[string]bool{"with a reader": true, "alone": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				start := time.Now()
+				operator, targets := &storeFeed[feed.OperatorChange]{}, &storeFeed[feed.TargetChange]{}
+				c := New(operator, targets, startingPeer{foundAt: start.Add(time.Second), exists: exists}, logr.Discard())
+				defer c.Close()
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				for feedName, reads := range map[string]func(time.Time) (time.Time, bool){"operators' records": operator.firstAfter, "targets": targets.firstAfter} {
+					if at, ok := reads(start.Add(-1)); !ok || at != start {
+						t.Errorf("%s: first read at %s, %v, want at the start", feedName, at.Sub(start), ok)
+					}
+					at, ok := reads(start)
+					if exists && ok {
+						t.Errorf("%s: the store is read again after %s, want the peer's table", feedName, at.Sub(start))
+					}
+					// Departed targets must be out within 2.5 s, and a new host must have caught up within 4 s.
+					if !exists && (!ok || at.Sub(start) > 2300*time.Millisecond) {
+						t.Errorf("%s: read again after %s, %v, want within 2.3 s", feedName, at.Sub(start), ok)
+					}
+				}
+			})
+		})
+	}
+}
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -371,6 +371,8 @@
 	Offset  int64 `cbor:"offset"`  // of the operators' records
 	Version int64 `cbor:"version"` // of the configuration
 	Mark    Mark  `cbor:"mark"`    // of the last snapshot that it got from this host
+	// IsFirst says that the host doesn't follow the peer yet, which answers at once.
+	IsFirst bool `cbor:"first,omitempty"`
 }
 
 // Snapshot returns the state for a peer. The configuration is left out if the peer has it,
