--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -236,14 +236,16 @@
 		if length < 0 {
 			break
 		}
-		if buffered[n] == ':' {
-			isOpen = true
-		} else if len(bytes.TrimRight(buffered[n:n+length], "\r")) > 0 {
+		line := bytes.TrimRight(buffered[n:n+length], "\r")
+		if len(line) > 0 && line[0] != ':' {
 			break
-		} else if isOpen {
-			isOpen, whole = false, n+length+1
 		}
 		n += length + 1
+		if len(line) > 0 {
+			isOpen = true
+		} else if isOpen {
+			isOpen, whole = false, n
+		}
 	}
 	if whole > 0 {
 		n, isOpen = whole, false
