Tell a home that is replaced, and keep what it has made

Two homes log in the seconds 21 to 24 and 28 to 31, and requests whose stages ran twice are 2 to 8 in two seconds before and 12 to 70 from then on. The first home went on with orders that nobody polled for until 2.5 s had passed, and then freed results which the second had taken over. Change: a host that goes on with the next home tells the one before; that ends the order and keeps its results, also if it ends the order because nobody polls. They expire by themselves if the host was lost. Pieces that are being made are freed, since nobody knows of them. Left: a home that hears nothing acts beside the next one for up to 2.5 s.

--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -21,6 +21,7 @@
 	callsFailed   = expvar.NewInt("stage_calls_failed_count")
 	ordersRefused = expvar.NewInt("stage_orders_refused_count")
 	ordersMoved   = expvar.NewInt("stage_orders_moved_count")
+	ordersGiven   = expvar.NewInt("stage_orders_released_count")
 )
 
 const (
@@ -113,8 +114,8 @@
 	defer h.mu.Unlock()
 	for id, p := range h.orders {
 		if now.Sub(p.polledAt) > abandonAfter {
-			p.scheduler.Drop(id)
-			delete(h.orders, id)
+			// Its host may have gone on with another home while this one was silent.
+			h.releaseOrder(id, p)
 		}
 	}
 	for region, sc := range h.schedulers {
@@ -290,6 +291,24 @@
 	}
 }
 
+// Release ends an order with which another home goes on, since this one seemed not to answer.
+// What it has made is that home's.
+func (h *Home) Release(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.orders[id]; p != nil {
+		h.releaseOrder(id, p)
+		h.advance(p.scheduler, time.Now())
+	}
+}
+
+// releaseOrder ends an order with which another home may go on. The caller holds h.mu.
+func (h *Home) releaseOrder(id string, p *pendingOrder) {
+	ordersGiven.Add(1)
+	delete(h.orders, id)
+	p.scheduler.Release(id)
+}
+
 // HandleReport passes a report from the home of another region to the schedulers.
 func (h *Home) HandleReport(report RegionReport) {
 	h.mu.Lock()
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -233,6 +233,15 @@
 	}
 }
 
+// Release removes a job with which another home goes on. The results that it has are that
+// home's.
+func (q *Queue) Release(id string) {
+	if j := q.byID[id]; j != nil {
+		j.handles = nil
+		q.finish(j, Result{Reason: ReasonDropped})
+	}
+}
+
 // finish removes a job and reports its result. Results of a job without success
 // become orphans.
 func (q *Queue) finish(j *queuedJob, r Result) {
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -462,6 +462,24 @@
 	return o != nil
 }
 
+// Release ends an order with which another home goes on. Its results stay for that home, which
+// reads and frees them; those of pieces that are being made now are freed when they are done.
+func (sc *Scheduler) Release(id string) {
+	o := sc.byID[id]
+	if o == nil {
+		return
+	}
+	o.end(Result{Reason: ReasonDropped})
+	for i := range o.state {
+		st := &o.state[i]
+		st.handles = nil
+		if st.jobID != "" && !st.done {
+			sc.queues[o.Stages[i].Service].Release(st.jobID)
+		}
+	}
+	sc.drop(o, Result{Reason: ReasonDropped})
+}
+
 // FreeHandles frees results of orders that a previous home ran.
 func (sc *Scheduler) FreeHandles(handles []string) {
 	for service, q := range sc.queues {
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -20,10 +20,11 @@
 
 // Kinds of messages between hosts.
 const (
-	KindRun    = "stages_run"
-	KindWait   = "stages_wait"
-	KindDrop   = "stages_drop"
-	KindReport = "stages_news"
+	KindRun     = "stages_run"
+	KindWait    = "stages_wait"
+	KindDrop    = "stages_drop"
+	KindRelease = "stages_release"
+	KindReport  = "stages_news"
 )
 
 const (
@@ -134,6 +135,8 @@
 			return nil, ctx.Err()
 		case err != nil:
 			r.homes.Avoid(home.Name)
+			// A home that is slow, not lost, must not go on with the order beside the next one.
+			r.send(home, KindRelease, orderRef{ID: order.ID})
 			if order.Moved {
 				order.Region = r.region // a moved order isn't handed over again
 			}
@@ -243,10 +246,16 @@
 		r.local.Drop(ref.ID, ref.Session, ref.Handles)
 		return
 	}
+	r.send(home, KindDrop, ref)
+}
+
+// send sends a message about an order without waiting. If it is lost, the home ends the order
+// because nobody polls for it.
+func (r *Runner) send(home roster.Host, kind string, ref orderRef) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), networkSlack)
 		defer cancel()
-		_ = r.bus.Send(ctx, PeerHost(home), KindDrop, ref) // the home forgets orders that nobody polls for
+		_ = r.bus.Send(ctx, PeerHost(home), kind, ref)
 	}()
 }
 
@@ -300,6 +309,14 @@
 		home.HandleReport(report)
 		return nil, nil
 	})
+	bus.Handle(KindRelease, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
+		var in orderRef
+		if err := peers.Decode(body, &in); err != nil {
+			return nil, err
+		}
+		home.Release(in.ID)
+		return nil, nil
+	})
 	bus.Handle(KindDrop, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
 		var in orderRef
 		if err := peers.Decode(body, &in); err != nil {
