Pass over what holds no token of a stream at once, in the own front too

Ruled out: the target, whose other cases send as much, and the time to connect. Change: the scanner passes over all lines before the next data field at once, and a stream may send 8,192 chunks between two tokens, besides the 1 MiB.

--- a/share/target/stream.go
+++ b/share/target/stream.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -12,42 +14,73 @@
 // maxLineBytes limits a line of a stream, which holds one chunk.
 const maxLineBytes = 1 << 20
 
-// maxIdleBytes limits what a stream may send between two tokens.
-const maxIdleBytes = 1 << 20
+// maxIdleBytes and maxIdleChunks limit what a stream may send between two tokens.
+const (
+	maxIdleBytes  = 1 << 20
+	maxIdleChunks = 1 << 13
+)
 
 // readStream reads a streamed completion up to DoneMark. The stream is complete if a
 // finish reason and the number of received tokens precede the mark.
 func (c *Client) readStream(ctx context.Context, body io.Reader, onToken func(int, string), res *Result) *CallError {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	idleBytes, idleChunks, lastCount := 0, 0, 0
+	scanner.Split(func(text []byte, atEOF bool) (int, []byte, error) {
+		advance, data := nextData(text, atEOF)
+		if idleBytes += advance; idleBytes > maxIdleBytes {
+			return 0, nil, errIdle
+		}
+		return advance, data, nil
+	})
 	s := stream{maxOutput: c.opts.MaxOutput, onToken: onToken}
-	idleBytes, lastCount := 0, 0
 	for scanner.Scan() {
-		idleBytes += len(scanner.Bytes()) + 1
-		if s.tokenCount > lastCount {
-			idleBytes, lastCount = 0, s.tokenCount
-		}
-		if idleBytes > maxIdleBytes {
-			return &CallError{Reason: ReasonFormat, Detail: fmt.Sprintf("stream has no token in %d bytes", idleBytes)}
-		}
-		data, ok := strings.CutPrefix(scanner.Text(), "data:")
-		if !ok {
-			continue // The protocol uses only data fields.
-		}
-		data = strings.TrimSpace(data)
+		data := string(bytes.TrimSpace(scanner.Bytes()))
 		if data == DoneMark {
 			return s.finish(res)
 		}
 		if err := s.addChunk(data); err != nil {
 			return err
 		}
+		if idleChunks++; s.tokenCount > lastCount {
+			idleBytes, idleChunks, lastCount = 0, 0, s.tokenCount
+		}
+		if idleChunks > maxIdleChunks {
+			return &CallError{Reason: ReasonFormat, Detail: fmt.Sprintf("stream has no token in %d chunks", idleChunks)}
+		}
 	}
-	if err := scanner.Err(); err != nil {
+	switch err := scanner.Err(); {
+	case errors.Is(err, errIdle):
+		return &CallError{Reason: ReasonFormat, Detail: fmt.Sprintf("stream has no token in %d bytes", idleBytes)}
+	case err != nil:
 		return readError(ctx, err)
 	}
 	return &CallError{Reason: ReasonIncomplete, Detail: "stream ended before [DONE]"}
 }
 
+var errIdle = errors.New("stream has no token for too long")
+
+// nextData returns the value of the first data field in text, and the bytes to advance by.
+// Lines before it are passed over at once: the protocol uses only data fields, and one at a
+// time, blank lines without end would take most of the time of a call.
+func nextData(text []byte, atEOF bool) (advance int, data []byte) {
+	for {
+		length := bytes.IndexByte(text[advance:], '\n')
+		next := advance + length + 1
+		if length < 0 {
+			if !atEOF || advance == len(text) {
+				return advance, nil
+			}
+			length, next = len(text)-advance, len(text)
+		}
+		line := text[advance : advance+length]
+		advance = next
+		if value, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			return advance, value
+		}
+	}
+}
+
 // stream assembles a completion from its chunks.
 type stream struct {
 	id         string
