--- a/entry/internal/roster/state_test.go
+++ b/entry/internal/roster/state_test.go
@@ -129,7 +129,7 @@
 }
 
 // With 295 hosts in three regions each datagram had all heartbeats and each host sent one to
-// another region in each round, which was nearly all that went between regions on a quiet day.
+// another region in each round, which was most of what went between regions on a quiet day.
 // Hosts may spend 2 KB a second on control.
 func TestGossipBetweenLargeRegionsIsBounded(t *testing.T) {
 	const hosts, rounds, lostHost = 295, 15, "10.0.0.4:1"
@@ -173,8 +173,7 @@
 	}
 }
 
-// A host that stops tells each other host. With all heartbeats in each of these datagrams they
-// filled its link for a second.
+// A host that stops tells each other host. Each of these datagrams once had all heartbeats.
 func TestMessageOfALeavingHostIsSmall(t *testing.T) {
 	f := newFleet(73)
 	f.run(6 * time.Second)
