Count crashes a little less than 200 ms apart as two for hosts that are told

Ages travel in whole milliseconds, so the estimate of a crash's time is up to 1 ms and the delay of the datagram late. A host that starts gets the last crash alone, as news, and the others in a reply; if the error of the last is the smaller, two crashes 200 ms apart look like 199.x ms and count as one occasion. The part isn't quarantined there. Change: estimates may be off by 5 ms against each other (ageError); crashes at least 195 ms apart are two occasions, at all hosts.

--- a/entry/internal/blame/derive.go
+++ b/entry/internal/blame/derive.go
@@ -302,13 +302,13 @@
 	return separate(times)
 }
 
-// separate sorts times and returns those that are at least occasionLength after the one
-// returned before.
+// separate sorts times and returns those that are, up to ageError, at least occasionLength
+// after the one returned before.
 func separate(times []time.Time) []time.Time {
 	slices.SortFunc(times, time.Time.Compare)
 	var out []time.Time
 	for _, t := range times {
-		if len(out) == 0 || t.Sub(out[len(out)-1]) >= occasionLength {
+		if len(out) == 0 || t.Sub(out[len(out)-1]) >= occasionLength-ageError {
 			out = append(out, t)
 		}
 	}
--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -19,6 +19,10 @@
 	// occasionLength is the time within which crashes count as one occasion, because
 	// targets that share a rack or a power supply crash together.
 	occasionLength = 200 * time.Millisecond
+	// ageError is how far the estimates of the times of two crashes may be off against each
+	// other at a host that was told of them: ages are in whole milliseconds, and the datagrams
+	// have different delays.
+	ageError = 5 * time.Millisecond
 	// samePromptExtra is added if all crashes are those of one prompt, which may be a single
 	// request that was sent again, and sameAddressExtra if all are those of targets at one
 	// address, which may crash for reasons of its own.
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -431,6 +431,31 @@
 	}
 }
 
+// Guards against crashes that count as one occasion at hosts that were told of them by
+// different datagrams, whose ages are in whole milliseconds and arrive after different delays.
+func TestOccasionsStayApartAtHostsThatAreTold(t *testing.T) {
+	parts := []string{"system", "deadly"}
+	a := newDeployment()
+	for i := range minOccasions {
+		target := fmt.Sprint("t", i)
+		a.now = start.Add(time.Duration(i) * occasionLength)
+		a.crash("s", target, 0, parts, target)
+	}
+	last := a.records[a.byCrash[crashID(fmt.Sprint("t", minOccasions-1), 0)][0].id]
+	for phase := time.Duration(0); phase < time.Millisecond; phase += 50 * time.Microsecond {
+		for delay := time.Duration(0); delay <= 3*time.Millisecond; delay += time.Millisecond {
+			told, now := newState(), a.now.Add(roundInterval)
+			told.merge(message{Records: []record{a.aged(last, now)}}, now)
+			now = now.Add(roundInterval + phase)
+			told.merge(a.all(maxReply, now), now.Add(delay))
+			told.derive(now.Add(settleTime))
+			if _, ok := told.quarantines[part{"s", "deadly"}]; !ok {
+				t.Errorf("%d crashes %s apart, the last told of first, the others %s after a whole millisecond with a delay of %s: not quarantined", minOccasions, occasionLength, phase, delay)
+			}
+		}
+	}
+}
+
 // Evidence that other hosts send can't grow the state without limit.
 func TestStateIsBounded(t *testing.T) {
 	s := newState()
