Want more crashes of a part that was answered seconds before a quick series

Twelve targets crash within a second; the first five have a prompt with the first part system1, which a third of all prompts have, and on which an answer ended 1.3 s before. Four of the five crashes have no two others without the part within 300 ms, so they counted, and three occasions sufficed. Ruled out: more for every part that was answered shortly before (TestQuarantine "complete answer before": three crashes a second apart on a part that has become deadly must suffice); a shorter first hold (fewer refusals, but not none). Change: crashes that all come within a second, on a part with a complete answer at most 10 s before the first, need two occasions more; five suffice as before, so the fifth crash still quarantines. Measured: the new case of TestQuarantine was refused before and isn't now; its two guards (five occasions; an answer long before) passed before and after.

--- a/entry/internal/blame/derive.go
+++ b/entry/internal/blame/derive.go
@@ -219,9 +219,20 @@
 	if oneAddress {
 		needed += sameAddressExtra
 	}
+	if times[len(times)-1].Sub(times[0]) < seriesTime && s.wasSound(sus.part) {
+		needed += seriesExtra
+	}
 	return len(times) >= min(needed, maxOccasions)
 }
 
+// wasSound reports whether the latest complete answer on a part ended before the first crash
+// on it, but not long before.
+func (s *state) wasSound(p part) bool {
+	at, wasAnswered := s.cleared[p]
+	first := s.suspects[p]
+	return wasAnswered && !at.After(first) && first.Sub(at) < trustDuration
+}
+
 // spread reports whether one prompt has all crashes on a part, and whether all are those
 // of targets at one address.
 func (s *state) spread(sus *suspect) (onePrompt, oneAddress bool) {
--- a/entry/internal/blame/state.go
+++ b/entry/internal/blame/state.go
@@ -28,6 +28,10 @@
 	// address, which may crash for reasons of its own.
 	samePromptExtra  = 1
 	sameAddressExtra = 2
+	// seriesExtra is added if all are within seriesTime and a complete answer on the part ended
+	// shortly before, since targets may crash one after the other for a reason of their own.
+	seriesExtra = 2
+	seriesTime  = time.Second
 	// occasionsPerExtra is the number of occasions without the part that adds one.
 	occasionsPerExtra = 2
 	// otherWindow is the time before the first crash on a part from which on they count.
--- a/entry/internal/blame/state_test.go
+++ b/entry/internal/blame/state_test.go
@@ -168,6 +168,18 @@
 	d.recordBroken(Broken{Service: service, Target: target, Address: target, StartMillis: startMillis, Parts: parts, Own: own}, d.now)
 }
 
+// series records a complete answer on the first of parts, and crashes of n targets 300 ms
+// apart on different prompts with it, the first of them two seconds later than now.
+func (d *deployment) series(parts []string, n int) {
+	d.recordComplete("s", parts[:1], start)
+	d.now = d.now.Add(2 * time.Second)
+	for i := range n {
+		d.crash("s", fmt.Sprint(i), 0, []string{parts[0], fmt.Sprint(i)}, fmt.Sprint(i))
+		d.now = d.now.Add(occasionLength * 3 / 2)
+	}
+	d.now = d.now.Add(settleTime)
+}
+
 // refusedPart returns the part for which the first host refuses a request.
 func (d *deployment) refusedPart(service string, parts ...string) string {
 	return d.check(service, parts, false, func(string) int { return 0 }, d.now).Part
@@ -247,6 +259,16 @@
 			}
 			d.now = d.now.Add(time.Second)
 		}, []string{"system", "x"}, ""},
+		{"three occasions within a second, two seconds after a complete answer", func(d *deployment) {
+			d.series([]string{"system", "x"}, 3)
+		}, []string{"system", "x"}, ""},
+		{"five occasions within a second and a half, two seconds after a complete answer", func(d *deployment) {
+			d.series([]string{"system", "x"}, maxOccasions)
+		}, []string{"system", "x"}, "system"},
+		{"three occasions within a second, long after a complete answer", func(d *deployment) {
+			d.now = d.now.Add(trustDuration)
+			d.series([]string{"system", "x"}, 3)
+		}, []string{"system", "x"}, "system"},
 		{"many crashes on two occasions, one without the part", func(d *deployment) {
 			d.crash("s", "other", 0, []string{"a", "b"}, "other")
 			for i := range maxOccasions {
