Try a store that is away by one feed, and less often at hosts that follow a reader

While the store is away each of 295 hosts tried both feeds each 1.5 s, though a refusal of one says as much of the other. Ruled out: that only some of the followers try (if just the readers are turned away, the others must still read in time); longer pauses at readers (they notice the store's return for all). Change: while neither feed can be read, reads of targets alone show when the store is back; operators' records are read at once then, when a peer reads the store for this host again, or each 5 s. Hosts with a reader retry after 1.5 s and then each 3 s, within the 4 s after which bounds hold again. The own front reads its log with one long read per host and has its own pauses; not changed.

--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -31,9 +31,14 @@
 	// the time within which a departed target must get no more requests.
 	targetsInterval = time.Second
 	// retryPause is the pause after a failed read. followerRetryPause replaces it at a host
-	// with a peer that reads the store for it: that peer notices the store's return.
+	// with a peer that reads the store for it: that peer notices the store's return. It is
+	// doubled from the second retry on, and then still within the time after the store's
+	// return from which on bounds hold.
 	retryPause         = 300 * time.Millisecond
 	followerRetryPause = 1500 * time.Millisecond
+	// otherFeedPause is the pause between reads of operators' records while neither feed can
+	// be read: reads of the targets show when the store is back.
+	otherFeedPause = 5 * time.Second
 	// peerFetchDelay is how long reads must have failed before peers are asked.
 	peerFetchDelay = 500 * time.Millisecond
 	// syncWait is how long the peer that reads the store holds a sync request while it has no
@@ -102,12 +107,13 @@
 	changed             chan struct{} // closed and replaced by publish
 	operatorFailedSince time.Time     // zero: the last read of operators' records succeeded
 	targetsFailedSince  time.Time     // the same for targets
+	targetsBack         chan struct{} // wakes the reads of operators' records, which wait for targets
 }
 
 // New returns a controller that runs until Close.
 func New(operator Reader[feed.OperatorChange], targets Reader[feed.TargetChange], peers Peers, logger logr.Logger) *Controller {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState(), changed: make(chan struct{})}
+	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState(), changed: make(chan struct{}), targetsBack: make(chan struct{}, 1)}
 	now := time.Now()
 	c.startedAt, c.operatorFailedSince, c.targetsFailedSince = now, now, now
 	c.view.Store(c.state.View())
@@ -116,7 +122,16 @@
 		follow(ctx, operator, 0, operatorReadWait, c.waitWhileSynced, c.OperatorOffset, func(changes []feed.OperatorChange, next int64, isFull bool) int64 {
 			return c.applyOperator(changes, next, isFull)
 		}, func(err error) time.Duration {
-			return c.recordFailure(&c.operatorFailedSince, "operators' records", err)
+			pause := c.recordFailure(&c.operatorFailedSince, "operators' records", err)
+			if !c.areTargetsLost() {
+				return pause
+			}
+			select {
+			case <-ctx.Done():
+			case <-c.targetsBack:
+			case <-time.After(otherFeedPause):
+			}
+			return 0
 		})
 	})
 	keep("targets", func() {
@@ -184,10 +199,32 @@
 	if first {
 		c.logger.Error(err, "store lost", "what", what)
 	}
-	if c.peers.HasReader() {
+	switch {
+	case !c.peers.HasReader():
+		return retryPause
+	case first:
 		return followerRetryPause
+	default:
+		return 2 * followerRetryPause
 	}
-	return retryPause
+}
+
+// wakeOperatorReads ends the wait of the reads of operators' records for the targets. c.mu must
+// be held.
+func (c *Controller) wakeOperatorReads() {
+	if c.operatorFailedSince.IsZero() {
+		return
+	}
+	select {
+	case c.targetsBack <- struct{}{}:
+	default: // woken already
+	}
+}
+
+func (c *Controller) areTargetsLost() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.targetsFailedSince.IsZero()
 }
 
 // recordSuccess logs the end of a series of failed reads. The caller holds c.mu.
@@ -259,6 +296,7 @@
 		c.logger.Info("a peer reads the store for this host", "offset", s.OpOffset)
 	}
 	c.syncedAt = now
+	c.wakeOperatorReads()
 	c.recordSuccess(&c.operatorFailedSince, "operators' records")
 	c.recordSuccess(&c.targetsFailedSince, "targets")
 	if s.TargetsOffset > c.state.TargetsOffset() {
@@ -313,6 +351,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.operatorReadAt = time.Now()
+	select {
+	case <-c.targetsBack: // nothing is left to wake
+	default:
+	}
 	c.recordSuccess(&c.operatorFailedSince, "operators' records")
 	c.logRejected(c.state.ApplyOperator(changes, next, isFull, time.Now()))
 	if len(changes) > 0 || isFull {
@@ -325,6 +367,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.targetsReadAt, c.mark = time.Now(), Mark{}
+	c.wakeOperatorReads()
 	c.recordSuccess(&c.targetsFailedSince, "targets")
 	c.logRejected(c.state.ApplyTargets(changes, next, isFull, time.Now()))
 	if len(changes) > 0 || isFull {
