Hold orders for which no host polls

A host without an answer for 0.75 s goes on with the next home and tells the first. A home that can't hear that, but reaches its targets, went on until 2.5 s after the last poll: it started calls that the next home made too, and as stages ended or space ran short it freed inputs that the next home had taken over. Ruled out: ending such orders after 0.75 s (a host that was slow itself for a moment would lose what is made); waiting for the message of the host (it is what doesn't arrive); a shorter wait of the hosts. Change: 0.65 s after the last poll, checked each 50 ms and before anything is started or taken over from a call, an order is held: no call, no stage, nothing freed, its share of what is released goes to others. A poll resumes it; after 2.5 s it is released as before. Calls that run go on. Measured: TestOrderThatNobodyPollsForIsHeld (0.75, 1.5, 2.4 s; much and little space) without the hold: calls up to 2.4 s after the last poll; passes with it, and the order completes with all results freed once. batch (race detector), graph, pipe and model pass.

--- a/entry/internal/batch/admit.go
+++ b/entry/internal/batch/admit.go
@@ -212,7 +212,7 @@
 	kept := sc.waiting[:0]
 	var started []*order
 	for _, o := range sc.waiting {
-		if sc.hasCapacity(o, blocked, now) {
+		if !o.isHeld && sc.hasCapacity(o, blocked, now) {
 			o.addLoad(sc.committed)
 			started = append(started, o)
 			continue
--- a/entry/internal/batch/fill.go
+++ b/entry/internal/batch/fill.go
@@ -200,7 +200,7 @@
 				}
 			}
 			for _, j := range c.jobs {
-				if j.fetched == j.job.Pieces && !j.finished && !j.inputsFreed {
+				if j.fetched == j.job.Pieces && !j.finished && !j.inputsFreed && !j.isHeld {
 					j.inputsFreed = j.onFetched()
 				}
 			}
--- a/entry/internal/batch/handover_test.go
+++ b/entry/internal/batch/handover_test.go
@@ -65,12 +65,16 @@
 
 // recordingClient makes pieces in the time of a call and records what is freed.
 type recordingClient struct {
-	mu    sync.Mutex
-	seq   int
-	freed []string
+	mu      sync.Mutex
+	seq     int
+	freed   []string
+	started []time.Time // of each call
 }
 
 func (c *recordingClient) Run(ctx context.Context, call *Call) ([]Outcome, Failure, error) {
+	c.mu.Lock()
+	c.started = append(c.started, time.Now())
+	c.mu.Unlock()
 	select {
 	case <-time.After(call.Expected):
 	case <-ctx.Done():
@@ -146,6 +150,61 @@
 	}
 }
 
+// A host without an answer for 0.75 s goes on with the next home. If the first one can't hear
+// that, both once made calls for the order for up to 2.5 s more, and the first freed inputs
+// that the next had taken over.
+func TestOrderThatNobodyPollsForIsHeld(t *testing.T) {
+	const takeover = 750 * time.Millisecond // pollTimeout and networkSlack of the hosts
+	for _, silence := range []time.Duration{takeover, 1500 * time.Millisecond, 2400 * time.Millisecond} {
+		for _, fill := range []float64{0.1, 0.9} { // of the space for results, which frees inputs early
+			t.Run(fmt.Sprintf("%v, space %v", silence, fill), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					client := &recordingClient{}
+					batching := spec(4)
+					batching.ResultTTL = time.Minute
+					h := New(client, fixedCatalog{batching}, logr.Discard())
+					defer h.Close()
+					o := twoStageOrder("x", 2, 120) // the second stage takes 4 s
+					o.TimeLeft, o.DueIn = time.Minute, time.Minute
+					o.Stages[0].ResultBytes, o.Stages[1].ResultBytes = int64(fill*float64(batching.ResultSpaceBytes)), 10
+					h.Submit(o)
+					res := h.Await(t.Context(), "x", 300*time.Millisecond)
+					polled := time.Now().Add(-300 * time.Millisecond)
+					if len(res.Progress) != 2 || !res.Progress[0].IsDone {
+						t.Fatalf("progress %+v, want the first stage", res.Progress)
+					}
+					time.Sleep(time.Until(polled.Add(silence)))
+					client.mu.Lock()
+					for _, at := range client.started {
+						if at.Sub(polled) >= takeover {
+							t.Errorf("a call started %v after the last poll, want none from %v on", at.Sub(polled), takeover)
+						}
+					}
+					for _, handle := range res.Progress[0].Handles {
+						if slices.Contains(client.freed, handle) {
+							t.Errorf("%s was freed, which the next home may have taken over", handle)
+						}
+					}
+					client.mu.Unlock()
+					for !res.IsDone { // the host polls once more after all
+						res = h.Await(t.Context(), "x", 400*time.Millisecond)
+					}
+					if res.Reason != ReasonNone || len(res.Handles) != 120 {
+						t.Errorf("got %d results and reason %q after the order was held, want 120", len(res.Handles), res.Reason)
+					}
+					h.Drop("x", SessionTarget{}, nil)
+					time.Sleep(time.Second)
+					client.mu.Lock()
+					defer client.mu.Unlock()
+					if len(client.freed) != client.seq {
+						t.Errorf("%d of %d results freed in the end, want all", len(client.freed), client.seq)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Load pattern: burst at a home with hundreds of orders. A plan for each event took more time
 // than the home had, so that it answered late and hosts took it for lost.
 func TestPatternBurstAtAHomeIsPlannedInSteps(t *testing.T) {
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -21,6 +21,7 @@
 	callsFailed   = expvar.NewInt("stage_calls_failed_count")
 	ordersRefused = expvar.NewInt("stage_orders_refused_count")
 	ordersMoved   = expvar.NewInt("stage_orders_moved_count")
+	ordersHeld    = expvar.NewInt("stage_orders_held_count")
 	ordersGiven   = expvar.NewInt("stage_orders_released_count")
 	plansMade     = expvar.NewInt("stage_plans_count")
 )
@@ -44,6 +45,11 @@
 	busyFreeDelay = 500 * time.Millisecond
 	// freeTimeout is the timeout of the call that frees results at a target.
 	freeTimeout = time.Second
+	// holdAfter is the time after which nothing more is started for an order if its host
+	// doesn't poll for it. It is less, by holdCheckInterval and more, than the time after which
+	// a host without an answer goes on with another home.
+	holdAfter         = 650 * time.Millisecond
+	holdCheckInterval = 50 * time.Millisecond
 	// abandonAfter is how long an order is kept if its host doesn't poll for it.
 	abandonAfter = 2500 * time.Millisecond
 )
@@ -76,6 +82,7 @@
 	report        func(ctx context.Context, report RegionReport)
 	reportedAt    time.Time // last report to other homes
 	freeScheduled bool      // a timer for sendFreed is set
+	holdCheckedAt time.Time // when orders were last held for which no host polls
 }
 
 // pendingOrder is an order whose result a host waits for.
@@ -84,6 +91,7 @@
 	result    Result
 	done      chan struct{}
 	isDone    bool
+	isHeld    bool
 	polledAt  time.Time
 }
 
@@ -174,6 +182,7 @@
 		return
 	}
 	sc.plannedAt = now
+	h.holdUnpolled(now)
 	plansMade.Add(1)
 	for service, calls := range sc.Plan(now) {
 		for _, c := range calls {
@@ -188,6 +197,33 @@
 	}
 }
 
+// holdUnpolled holds the orders for which no host polls. A home that was frozen does so before
+// it starts anything.
+func (h *Home) holdUnpolled(now time.Time) {
+	if now.Sub(h.holdCheckedAt) < holdCheckInterval {
+		return
+	}
+	h.holdCheckedAt = now
+	for id, p := range h.orders {
+		if !p.isHeld && now.Sub(p.polledAt) > holdAfter {
+			ordersHeld.Add(1)
+			p.isHeld = true
+			p.scheduler.Hold(id)
+		}
+	}
+}
+
+// recordPoll records that a host polls for an order. The caller holds h.mu.
+func (h *Home) recordPoll(id string, p *pendingOrder) {
+	now := time.Now()
+	p.polledAt = now
+	if p.isHeld {
+		p.isHeld = false
+		p.scheduler.Resume(id, now)
+		h.advance(p.scheduler, now)
+	}
+}
+
 func (h *Home) advanceLater(sc *Scheduler) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -213,6 +249,7 @@
 		h.logger.Info("stage call failed", "service", service, "target", c.Target, "pieces", len(c.Pieces),
 			"took", now.Sub(c.started).String(), "expected", c.Expected.String(), "failure", int(failure), "err", errText(err))
 	}
+	h.holdUnpolled(now)
 	sc.CompleteCall(service, c, outcomes, failure, now)
 	h.advance(sc, now)
 }
@@ -231,7 +268,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	if p := h.orders[o.ID]; p != nil {
-		p.polledAt = now
+		h.recordPoll(o.ID, p)
 		return
 	}
 	sc := h.schedulers[o.Region]
@@ -267,7 +304,7 @@
 	h.mu.Lock()
 	p := h.orders[id]
 	if p != nil {
-		p.polledAt = time.Now()
+		h.recordPoll(id, p)
 	}
 	h.mu.Unlock()
 	if p == nil {
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -133,6 +133,8 @@
 	added          time.Time
 	started        time.Time // time of the first call; zero: none yet
 	todo           []int     // numbers of the pieces to send
+	isHeld         bool      // nobody polls for its order
+	held           []int     // instead of todo while the job is held
 	pending        int       // number of pieces in calls
 	handles        []string
 	dataCentre     string // data centre of the first call
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -249,7 +249,7 @@
 		return
 	}
 	delete(q.byID, j.job.ID)
-	j.todo = nil
+	j.todo, j.held = nil, nil
 	q.jobs = slices.DeleteFunc(q.jobs, func(o *queuedJob) bool { return o == j })
 	if r.Reason != ReasonNone {
 		for _, h := range j.handles {
@@ -265,7 +265,7 @@
 // their targets have expired.
 func (q *Queue) Expire(now time.Time) {
 	for _, j := range slices.Clone(q.jobs) {
-		if len(j.todo) > 0 && now.Add(q.spec.CallOverhead).After(j.until) || now.After(j.until) {
+		if j.left() > 0 && now.Add(q.spec.CallOverhead).After(j.until) || now.After(j.until) {
 			q.finish(j, Result{Reason: ReasonLate})
 		}
 	}
@@ -343,7 +343,7 @@
 // it has none.
 func (q *Queue) partialResults(id string) []string {
 	j := q.byID[id]
-	if j == nil || len(j.todo)+j.pending == j.job.Pieces {
+	if j == nil || j.left()+j.pending == j.job.Pieces {
 		return nil
 	}
 	return slices.Clone(j.handles)
@@ -407,7 +407,7 @@
 	switch {
 	case out.Handle != "":
 		j.handles[number] = out.Handle
-		if len(j.todo) == 0 && j.pending == 0 {
+		if j.left() == 0 && j.pending == 0 {
 			q.jobTime += time.Duration(meanWeight * float64(now.Sub(j.added)-q.jobTime))
 			q.finish(j, Result{Handles: j.handles})
 		}
@@ -438,5 +438,9 @@
 		q.finish(j, Result{Reason: ReasonGone}) // the inputs are freed, so the piece can't be retried
 		return
 	}
+	if j.isHeld {
+		j.held = append(j.held, number)
+		return
+	}
 	j.todo = append(j.todo, number)
 }
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -93,6 +93,7 @@
 	releasedAt   time.Time
 	waited       time.Duration
 	runs         int
+	isHeld       bool // nobody polls for it
 	ended        bool
 	finish       func(Result)
 }
@@ -363,6 +364,11 @@
 		sc.completeStage(o, i, r.Handles, now)
 		return
 	}
+	if o.isHeld {
+		o.end(r)
+		sc.Release(o.ID) // the results may be another home's
+		return
+	}
 	if r.Reason == ReasonGone && o.runs < maxRuns && now.Add(o.criticalPath).Before(o.until) {
 		sc.restart(o)
 		return
@@ -393,8 +399,10 @@
 	sc.committed[o.Stages[i].Service] -= st.committed
 	st.committed = 0
 	o.stagesLeft--
-	sc.freeInputs(o, i)
-	if sc.endIfDone(o) {
+	if !o.isHeld {
+		sc.freeInputs(o, i)
+	}
+	if sc.endIfDone(o) || o.isHeld {
 		return
 	}
 	for k, s := range o.Stages {
