Play the stops in series until enough requests were answered

The floor only says that there was traffic to judge, but a play lasts three seconds whatever the machine does, so the count falls with the load. Ruled out: a fault of the hosts (every check on lost, abandoned and broken requests passed in that run); a lower floor or longer times. Change: plays with other seeds, at most five, until a hundred requests were answered in all. All other checks hold in each play, so more is checked on a slow machine and the same on others.

--- a/entry/internal/edge/shutdown_test.go
+++ b/entry/internal/edge/shutdown_test.go
@@ -184,13 +184,28 @@
 }
 
 // Incident "lost in restarts": when hosts stopped one after the other while callers kept
-// their connections, requests that had been taken got no answer.
+// their connections, requests that had been taken got no answer. A busy machine answers fewer
+// in the time of a play, so there are as many plays as it takes.
 func TestHostsThatStopInSeriesLoseNoRequest(t *testing.T) {
+	const enough, maxPlays = 100, 5
+	answered := 0
+	for play := uint64(1); answered < enough && play <= maxPlays; play++ {
+		answered += playStopsInSeries(t, play)
+	}
+	if answered < enough {
+		t.Errorf("%d requests were answered, want at least %d", answered, enough)
+	}
+}
+
+// playStopsInSeries stops three hosts one after the other and returns the number of requests
+// that were answered meanwhile.
+func playStopsInSeries(t *testing.T, seed uint64) (answered int) {
+	t.Helper()
 	const ttl = 300 * time.Millisecond
 	planFrom := func(start time.Time) drain.Plan {
 		return drain.Plan{Start: start, Unlisted: start.Add(ttl), Closing: start.Add(600 * time.Millisecond), Abort: start.Add(time.Second), End: start.Add(2 * time.Second)}
 	}
-	random := rand.New(rand.NewPCG(1, 1))
+	random := rand.New(rand.NewPCG(seed, 1))
 	var delay sync.Mutex
 	wait := func(most time.Duration) {
 		delay.Lock()
@@ -230,7 +245,7 @@
 	var running sync.WaitGroup
 	for i := range 24 {
 		c := &caller{
-			name: fmt.Sprintf("c%d", i), addresses: addresses, transport: &http.Transport{MaxConnsPerHost: 1}, random: rand.New(rand.NewPCG(2, uint64(i))),
+			name: fmt.Sprintf("c%d", i), addresses: addresses, transport: &http.Transport{MaxConnsPerHost: 1}, random: rand.New(rand.NewPCG(seed+1, uint64(i))),
 			answers: map[string]int{}, broken: map[string]bool{},
 		}
 		callers = append(callers, c)
@@ -248,7 +263,7 @@
 		})
 	}
 	running.Wait()
-	answered, cut := 0, 0
+	cut := 0
 	for _, c := range callers {
 		answered += len(c.answers)
 		for id := range c.broken {
@@ -267,10 +282,8 @@
 	if abandoned := log.matching("request abandoned"); len(abandoned) > 0 {
 		t.Errorf("abandoned requests: %q", abandoned)
 	}
-	if answered < 100 {
-		t.Errorf("%d requests were answered, want at least 100", answered)
-	}
 	t.Logf("%d answered, %d streams broken off at the end, %d refused", answered, cut, len(log.matching(`"reason"="the host is leaving"`)))
+	return answered
 }
 
 func leavingForOf(t *testing.T, line string) time.Duration {
