Let the soak's targets announce that they leave or are busy, and answer twice

What a host sends against it is found from the contacts of targets and the kept connections of callers. Ruled out: identifying hosts at the target by address (the link between is a proxy); checking stage calls, which one host makes for others.

--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -148,13 +148,13 @@
 	h.signal(syscall.SIGKILL)
 }
 
-// inject starts random faults for the duration of the run and returns their number by kind.
-func (r *runner) inject(ctx context.Context) map[string]int {
+// inject starts random faults of these kinds for the duration of the run and returns their number by kind.
+func (r *runner) inject(ctx context.Context, kinds []fault) map[string]int {
 	counts := map[string]int{}
 	end := time.Now().Add(r.opts.Duration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(r.rand.ExpFloat64() * float64(faultInterval)))
-		f := faultKinds[r.rand.IntN(len(faultKinds))]
+		f := kinds[r.rand.IntN(len(kinds))]
 		d := 300*time.Millisecond + time.Duration(r.rand.Int64N(int64(maxFaultTime)))
 		counts[f.name]++
 		r.print("%s for %s", f.name, d.Round(time.Millisecond))
--- a/stand/internal/soak/planned.go
+++ b/stand/internal/soak/planned.go
@@ -19,7 +19,9 @@
 	FaultsMixed   Faults = "mixed"   // random faults, one after the other
 	FaultsPlanned Faults = "planned" // nothing but planned work
 	FaultsTainted Faults = "tainted" // prompts that crash targets, and restarts of single hosts
-	FaultsAll     Faults = "all"     // all of these at the same time
+	FaultsAll     Faults = "all"     // all of these and those of announced at the same time
+	// FaultsAnnounced are targets that leave or are busy by what they answer, or answer twice.
+	FaultsAnnounced Faults = "announced"
 )
 
 const (
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -272,7 +273,7 @@
 	if out.AnsweredRatio < minAnsweredRatio {
 		r.checker.report("answered ratio after the faults is %.3f, want at least %.2f", out.AnsweredRatio, minAnsweredRatio)
 	}
-	for _, v := range r.trace.losses() {
+	for _, v := range slices.Concat(r.trace.losses(), r.trace.announceViolations()) {
 		r.checker.report("%s", v)
 	}
 	if r.hasTaint() {
@@ -303,8 +304,13 @@
 	}
 	steps := rand.New(rand.NewPCG(r.opts.Seed, 95))
 	kind := cmp.Or(r.opts.Faults, FaultsMixed)
-	if kind == FaultsMixed || kind == FaultsAll {
-		add(func() map[string]int { return r.inject(ctx) })
+	switch kind {
+	case FaultsMixed:
+		add(func() map[string]int { return r.inject(ctx, faultKinds) })
+	case FaultsAll:
+		add(func() map[string]int { return r.inject(ctx, slices.Concat(faultKinds, announcedFaults)) })
+	case FaultsAnnounced:
+		add(func() map[string]int { return r.inject(ctx, announcedFaults) })
 	}
 	switch kind {
 	case FaultsPlanned, FaultsAll:
--- a/stand/internal/soak/target.go
+++ b/stand/internal/soak/target.go
@@ -59,6 +59,9 @@
 	sequence                atomic.Int64
 	leavingAt               atomic.Int64 // Unix nanoseconds, 0 if the target isn't leaving
 	slow                    atomic.Bool
+	saysLeaving             atomic.Bool  // in its answers
+	busySeconds             atomic.Int64 // for which it wants no requests, by its refusals; 0: it takes them
+	answersTwice            atomic.Bool
 	stopped                 chan struct{}
 	stopOnce                sync.Once
 
@@ -81,7 +84,7 @@
 		id: id, service: service, dataCentre: dataCentre, run: r, proxy: link, startMillis: time.Now().UnixMilli(),
 		stopped: make(chan struct{}), handles: map[string]string{},
 	}
-	t.server = &http.Server{Handler: t}
+	t.server = &http.Server{Handler: t, ConnContext: withConnState}
 	go func() { _ = t.server.Serve(listener) }()
 	go t.sendHeartbeats()
 	return t, nil
@@ -149,6 +152,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.saysLeaving.Load() {
+		w.Header().Set(wire.HeaderLeaving, "1")
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return // the sender has disconnected
@@ -218,6 +224,10 @@
 	}
 	id := r.Header.Get(wire.HeaderID)
 	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	t.run.trace.recordContact(contact{id: id, target: t.id, at: time.Now(), saysLeave: t.saysLeaving.Load(), busy: time.Duration(t.busySeconds.Load()) * time.Second})
+	if t.refuse(w, r, id) {
+		return
+	}
 	if stages := pieces[kind]; len(stages) > 0 {
 		last := len(stages) - 1
 		want := stages[last] // all pieces of the last stage
@@ -232,9 +242,13 @@
 	w.Header().Set(wire.HeaderID, id)
 	w.Header().Set(wire.HeaderReceipt, "receipt-"+t.id+"-"+id)
 	if len(pieces[kind]) == 0 {
-		t.simulateWork(plainCallTime)
 		text := responseBody(id, body)
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		if t.answerAfterCopy(w, r, text) {
+			return
+		}
+		t.keepAnswer(r, http.StatusOK, w.Header(), text)
+		t.simulateWork(plainCallTime)
 		_, _ = io.WriteString(w, text) // the sender may have disconnected
 		return
 	}
--- a/stand/internal/soak/trace.go
+++ b/stand/internal/soak/trace.go
@@ -66,7 +66,8 @@
 	attempts []attempt
 	runs     map[string][]*targetRun // by request
 	outages  []*outage
-	lives    map[string][]*life           // by host
+	lives    map[string][]*life // by host
+	contacts []contact
 	reloads  map[string][]time.Time       // SIGHUP, by host
 	crashes  []time.Time                  // of targets that began to answer a tainted request
 	tainted  struct{ from, to time.Time } // when tainted requests are sent
