Leave odd entries among those of the soak's targets

Change: a fault of `announced` and `all`; entries under IDs of their own, and under that of a target that serves, whose next entry follows.

--- a/stand/internal/soak/announce.go
+++ b/stand/internal/soak/announce.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
+	"chivepost/platform/feed"
 	"chivepost/platform/wire"
 )
 
@@ -22,8 +24,16 @@
 	refusedOf = 3
 )
 
-// announcedFaults are what targets say of themselves in their answers, and answers that they
-// write a second time.
+// oddEntries are what another writer may leave among the entries of the targets.
+var oddEntries = []string{
+	"\xff\xfe{", "null", "[]", "{", `{"Service":["llm"],"Address":7,"born":"x"}`, strings.Repeat("[", 10_000), strings.Repeat(`{"Service":`, 10_000),
+	`{"Service":"llm","Address":"127.0.0.1:0","Zone":"dc-a","Slots":8,"State":"ready","Sequence":1,"born":1}`,
+	`{"Service":"llm","Address":"127.0.0.1:65536","Zone":"dc-a","Slots":8,"State":"ready","Sequence":1,"born":1}`,
+	`{"Service":"reg","Address":"127.0.0.1:9","Zone":"dc-b","Slots":1e400,"State":"ready","Sequence":` + strings.Repeat("9", 400) + `,"born":1}`,
+}
+
+// announcedFaults are what targets say of themselves in their answers, answers that they write
+// a second time, and odd entries of another writer under IDs of its own and of a target.
 var announcedFaults = []fault{
 	{"target leaves by its answers", true, func(r *runner, _ time.Duration) func() {
 		t := r.detachTarget()
@@ -39,6 +49,13 @@
 		t.busySeconds.Store(1 + r.rand.Int64N(3))
 		return func() { t.busySeconds.Store(0) }
 	}},
+	{"odd entries", true, func(r *runner, _ time.Duration) func() {
+		own, taken := fmt.Sprintf("odd-%d", r.rand.IntN(3)), r.randomTarget("").id
+		for _, id := range []string{own, taken} {
+			r.store.put(feed.TopicTargets, id, []byte(oddEntries[r.rand.IntN(len(oddEntries))]))
+		}
+		return func() { r.store.put(feed.TopicTargets, own, nil) }
+	}},
 	{"target answers twice", false, func(r *runner, _ time.Duration) func() {
 		t := r.randomTarget(servicePlain)
 		end := r.trace.recordOutage(t.id)
