--- a/entry/internal/table/outage_test.go
+++ b/entry/internal/table/outage_test.go
@@ -115,33 +115,34 @@
 
 // Either feed may return before the other, or alone: the other must not hold it up for long.
 func TestFeedThatReturnsAloneIsRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		from := time.Now().Add(8 * time.Second)
-		operator := &lostFeed[feed.OperatorChange]{awayFrom: from, awayUntil: from.Add(12 * time.Second)}
-		targets := &lostFeed[feed.TargetChange]{awayFrom: from, awayUntil: from.Add(40 * time.Second)}
-		c := New(operator, targets, lostPeer{}, logr.Discard())
-		defer c.Close()
-		time.Sleep(30 * time.Second)
-		if late := time.Unix(0, operator.firstRead.Load()).Sub(operator.awayUntil); operator.firstRead.Load() == 0 || late > otherFeedPause {
-			t.Errorf("operators' records: read %s after their return, want within %s", late, otherFeedPause)
-		}
-	})
-	synctest.Test(t, func(t *testing.T) {
-		from := time.Now().Add(8 * time.Second)
-		operator := &lostFeed[feed.OperatorChange]{awayFrom: from, awayUntil: from.Add(14 * time.Second)}
-		targets := &lostFeed[feed.TargetChange]{awayFrom: from, awayUntil: from.Add(12 * time.Second)}
-		c := New(operator, targets, lostPeer{}, logr.Discard())
-		defer c.Close()
-		time.Sleep(30 * time.Second)
-		for name, late := range map[string]time.Duration{
-			"operators' records": time.Unix(0, operator.firstRead.Load()).Sub(operator.awayUntil),
-			"targets":            time.Unix(0, targets.firstRead.Load()).Sub(targets.awayUntil),
-		} {
-			if late < 0 || late > 2*retryPause {
-				t.Errorf("%s: read %s after their return, want within %s", name, late, 2*retryPause)
-			}
-		}
-	})
+	for _, test := range []struct {
+		name                         string
+		operatorOutage, targetOutage time.Duration
+		maxOperator, maxTarget       time.Duration // until the first read after the return; 0: not checked
+	}{
+		{"operators' records alone", 12 * time.Second, 40 * time.Second, otherFeedPause, 0},
+		{"targets first", 14 * time.Second, 12 * time.Second, 2 * retryPause, 2 * retryPause},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				from := time.Now().Add(8 * time.Second)
+				operator := &lostFeed[feed.OperatorChange]{awayFrom: from, awayUntil: from.Add(test.operatorOutage)}
+				targets := &lostFeed[feed.TargetChange]{awayFrom: from, awayUntil: from.Add(test.targetOutage)}
+				c := New(operator, targets, lostPeer{}, logr.Discard())
+				defer c.Close()
+				time.Sleep(30 * time.Second)
+				check := func(name string, firstRead int64, back time.Time, most time.Duration) {
+					if late := time.Unix(0, firstRead).Sub(back); firstRead == 0 || late < 0 || late > most {
+						t.Errorf("%s: read %s after their return, want within %s", name, late, most)
+					}
+				}
+				check("operators' records", operator.firstRead.Load(), operator.awayUntil, test.maxOperator)
+				if test.maxTarget > 0 {
+					check("targets", targets.firstRead.Load(), targets.awayUntil, test.maxTarget)
+				}
+			})
+		})
+	}
 }
 
 // The peer that reads the store may go shortly after the store's return.
--- a/stand/internal/soak/announce_test.go
+++ b/stand/internal/soak/announce_test.go
@@ -22,11 +22,7 @@
 			request(tr, string(rune('a'+i)), s, contact{}, answered)
 		}
 	}
-	tests := []struct {
-		name string
-		set  func(tr *trace)
-		want int
-	}{
+	tests := []traceTest{
 		{"long after an answer that says that the target leaves", func(tr *trace) { leaves(tr); request(tr, "x", 2.6, contact{}, answered) }, 1},
 		{"soon after it", func(tr *trace) { leaves(tr); request(tr, "x", 2.4, contact{}, answered) }, 0},
 		{"sent soon after it and long on the way", func(tr *trace) {
@@ -66,13 +62,5 @@
 			tr.outages = []*outage{{name: "reg", from: after(1), to: after(1.2)}}
 		}, 0},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			tr := newTrace()
-			test.set(tr)
-			if got := tr.announceViolations(); len(got) != test.want {
-				t.Errorf("got %q, want %d lines", got, test.want)
-			}
-		})
-	}
+	runTraceTests(t, tests, newTrace, (*trace).announceViolations)
 }
--- a/stand/internal/soak/losses_test.go
+++ b/stand/internal/soak/losses_test.go
@@ -25,13 +25,29 @@
 	return attempt{id: "x", host: "h", kind: kind, limit: 20 * time.Second, began: after(sent), sent: after(sent), ended: after(ended), outcome: cut}
 }
 
+// traceTest is a case of a check: what is set in a trace, and how many lines the check returns.
+type traceTest struct {
+	name string
+	set  func(t *trace)
+	want int
+}
+
+func runTraceTests(t *testing.T, tests []traceTest, begin func() *trace, check func(*trace) []string) {
+	t.Helper()
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tr := begin()
+			test.set(tr)
+			if got := check(tr); len(got) != test.want {
+				t.Errorf("got %q, want %d lines", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a check of lost requests that misses some, and one that finds what is excused.
 func TestLosses(t *testing.T) {
-	tests := []struct {
-		name string
-		set  func(t *trace)
-		want int
-	}{
+	tests := []traceTest{
 		{"reached a target late in the grace period", func(t *trace) {
 			t.attempts = []attempt{cutAttempt(kindLong, 4, 7.5)}
 			t.runs["x"] = []*targetRun{{target: "llm", began: after(6), ended: after(7.6)}}
@@ -111,13 +127,5 @@
 		}, 0},
 		{"after the grace period, no target reached", func(t *trace) { t.attempts = []attempt{cutAttempt(kindOnce, 9, 9.5)} }, 0},
 	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			tr := terminatedTrace()
-			test.set(tr)
-			if got := tr.losses(); len(got) != test.want {
-				t.Errorf("losses %q, want %d", got, test.want)
-			}
-		})
-	}
+	runTraceTests(t, tests, terminatedTrace, (*trace).losses)
 }
