Let only a stream go on with a stream that has begun

Cause: an answer of the next target with a status under 500 was relayed as final after the head of the stream had been written. The status was lost, the body went into the stream, and the handler returned as after a whole answer.

Failures from 500 on were held back already.

Change: after the head, any answer but a stream is a failed attempt. The stream is resumed at a further target or cut off. `stream not resumed` and edge_resumes_failed_count show it.

--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -20,6 +20,8 @@
 	abandonedCount = expvar.NewInt("edge_requests_abandoned_count")
 	brokenAnswers  = expvar.NewInt("edge_target_answers_broken_count")
 	resumeCount    = expvar.NewInt("edge_resumes_count")
+	// failedResumeCount counts answers that don't go on with the stream that they were to resume.
+	failedResumeCount = expvar.NewInt("edge_resumes_failed_count")
 )
 
 // firstByteBuckets are the upper bounds of the histogram's buckets.
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -60,6 +60,12 @@
 	if c.route.Retry == fleet.RetryStream && a.Status == http.StatusOK {
 		return c.relayStream(ctx, cancel, t, a, firstByteTimer)
 	}
+	if c.headWritten {
+		// Only events may follow the head of a stream; the status and body of this answer would
+		// become a part of its body.
+		a.Discard()
+		return c.handleFailedResume(t, fmt.Sprintf("the target answered with status %d", a.Status))
+	}
 	t.FirstByte()
 	c.answerBegan = time.Now()
 	body, err := io.ReadAll(io.LimitReader(a, maxHeldAnswer+1))
@@ -370,6 +376,16 @@
 	c.w.WriteHeader(a.Status)
 }
 
+// handleFailedResume records an answer that doesn't go on with a stream of which the caller has
+// the head. The result lets it be resumed at another target; if there is none, the response is
+// cut off.
+func (c *call) handleFailedResume(t *pick.Chosen, reason string) result {
+	t.Done(pick.Failed)
+	failedResumeCount.Add(1)
+	c.h.logger.Info("stream not resumed", "id", c.req.ID, "target", t.ID, "last_event", c.req.LastEvent, "events", c.events, "reason", reason)
+	return result{verdict: verdictMayHaveRun, reason: "the stream was not resumed: " + reason}
+}
+
 // handleBrokenStream records the outcome of a stream that broke off. The result lets it
 // be resumed at another target unless the caller is gone or the deadline has passed.
 func (c *call) handleBrokenStream(ctx context.Context, t *pick.Chosen, err error) result {
--- /dev/null
+++ b/entry/internal/edge/resume_test.go
@@ -0,0 +1,110 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"chivepost/platform/wire"
+)
+
+// breaksOffAfterOne streams one event and breaks off. It leaves requests that resume the stream
+// to another script.
+func breaksOffAfterOne(resumed targetScript) targetScript {
+	return func(w net.Conn, r *http.Request) {
+		if r.Header.Get(wire.HeaderLastEvent) != "" {
+			resumed(w, r)
+			return
+		}
+		streamHead(w, r)
+		chunk(w, one)
+		_ = w.Close()
+	}
+}
+
+func replyWith(status int, body string, headers ...string) targetScript {
+	return func(w net.Conn, r *http.Request) { reply(w, r, status, body, headers...) }
+}
+
+// chunkedReply writes an answer with a chunked body.
+func chunkedReply(status int, body string) targetScript {
+	return func(w net.Conn, r *http.Request) {
+		_, _ = io.WriteString(w, strings.ReplaceAll(answerHead(status), "ID", r.Header.Get(wire.HeaderID))+"Transfer-Encoding: chunked\r\n\r\n")
+		if body != "" {
+			chunk(w, body)
+		}
+		chunk(w, "")
+	}
+}
+
+// unframedReply writes an answer whose body ends with its connection.
+func unframedReply(status int, body string) targetScript {
+	return func(w net.Conn, r *http.Request) {
+		_, _ = io.WriteString(w, strings.ReplaceAll(answerHead(status), "ID", r.Header.Get(wire.HeaderID))+"\r\n"+body)
+		_ = w.Close()
+	}
+}
+
+// failedResumes are answers that don't go on with a stream.
+var failedResumes = []struct {
+	name   string
+	script targetScript
+}{
+	{"429 without a body", replyWith(429, "")},
+	{"429", replyWith(429, "too many requests\n\n")},
+	{"429, chunked", chunkedReply(429, "too many requests\n\n")},
+	{"429, unframed", unframedReply(429, "too many requests\n\n")},
+	{"long 429", replyWith(429, strings.Repeat("x", maxHeldAnswer+1))},
+	{"408", replyWith(408, "timeout")},
+	{"400", replyWith(400, "bad request")},
+	{"404", replyWith(404, "id: 2\ndata: not found\n\n")},
+	{"302", replyWith(302, "elsewhere", "Location: /stream/y\r\n")},
+	{"201", replyWith(201, "id: 2\ndata: created\n\n")},
+	{"204", func(w net.Conn, r *http.Request) {
+		_, _ = io.WriteString(w, strings.ReplaceAll(answerHead(204), "ID", r.Header.Get(wire.HeaderID))+"\r\n")
+	}},
+	{"503", replyWith(503, "busy")},
+	{"500", replyWith(500, "broken")},
+	{"500, long", replyWith(500, strings.Repeat("x", maxHeldAnswer+1))},
+	{"503, not run", refuse},
+}
+
+// Guards against an answer of the next target that ends up in a stream which has begun, or that
+// ends it as if it were complete: the host once relayed answers with a status under 500.
+func TestFailedResumeCutsTheStream(t *testing.T) {
+	for _, test := range failedResumes {
+		t.Run(test.name, func(t *testing.T) {
+			h := startHost(t, fakeStages{}, breaksOffAfterOne(test.script), breaksOffAfterOne(test.script))
+			if got := h.send(t, "/stream/x", nil); !errors.Is(got.err, io.ErrUnexpectedEOF) || got.body != one {
+				t.Errorf("got %.300q, %v, want %q and %v", got.body, got.err, one, io.ErrUnexpectedEOF)
+			}
+			if n := h.runs.Load(); n != 2 {
+				t.Errorf("targets got %d requests, want 2", n)
+			}
+		})
+	}
+}
+
+// Guards against a stream that is given up though a further target could go on with it.
+func TestFailedResumeIsTriedAtAnotherTarget(t *testing.T) {
+	for _, test := range failedResumes {
+		t.Run(test.name, func(t *testing.T) {
+			resumes := 0
+			script := breaksOffAfterOne(func(w net.Conn, r *http.Request) {
+				if resumes++; resumes == 1 {
+					test.script(w, r)
+					return
+				}
+				slowStream(0, two, three)(w, r)
+			})
+			h := startHost(t, fakeStages{}, script, script, script)
+			h.view.Config.Routes[2].MaxAttempts = 3
+			if got := h.send(t, "/stream/x", nil); got.err != nil || got.status != http.StatusOK || got.body != one+two+three {
+				t.Errorf("got %d %.300q, %v, want all events", got.status, got.body, got.err)
+			}
+		})
+	}
+}
