Don't take a time without changes for an outage of the store

Cause: such a host counted the time since its last change of the targets as time in which the store could not be read. More than 3 s of it looked like an outage, after which a target whose entry is missing is kept for 2.1 s, since it may only have expired. The effect came when the next change arrived as a whole table (the first change after the start, each minute, after a change of the reader) or by a read of the host's own; a delta was applied before the outage was detected, so it didn't hold what it should hold after a real one.

Change: a peer's table says how old its reading of the targets is, and each answer of the peer confirms the targets as of then, with or without changes. Outages are detected before departures are applied. The lines `target draining`, `target departed`, `missing target held` and `targets read again after an outage` are new.

--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -114,6 +114,7 @@
 func New(operator Reader[feed.OperatorChange], targets Reader[feed.TargetChange], peers Peers, logger logr.Logger) *Controller {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Controller{peers: peers, logger: logger, cancel: cancel, state: NewState(), changed: make(chan struct{}), targetsBack: make(chan struct{}, 1)}
+	c.state.logger = logger
 	now := time.Now()
 	c.startedAt, c.operatorFailedSince, c.targetsFailedSince = now, now, now
 	c.view.Store(c.state.View())
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"chivepost/platform/feed"
 	"chivepost/share/fleet"
 )
@@ -58,6 +60,7 @@
 
 // State is the table without its I/O. It isn't safe for concurrent use.
 type State struct {
+	logger         logr.Logger // the zero value discards
 	config         *fleet.Config
 	out            map[string]bool
 	restored       map[string]time.Time // when a data centre was brought back, while its targets count as cold
@@ -67,7 +70,7 @@
 	contenders     map[string]contender    // entries that seem older than the known ones, by target
 	displacing     map[string]bool         // targets whose entry displaced one that seemed newer
 	expiring       map[string]time.Time    // when an expired target is dropped
-	targetsReadAt  time.Time               // last read of the targets
+	targetsReadAt  time.Time               // of the last read of the targets, by this host or by a peer for it
 	targetsOffset  int64
 	targetsLoaded  bool
 	storeBackAt    time.Time // when the store was first read after the last outage
@@ -161,11 +164,12 @@
 // set the changes are complete: other targets are removed. It returns the errors of
 // records that were rejected.
 func (s *State) ApplyTargets(changes []feed.TargetChange, next int64, isFull bool, now time.Time) []error {
-	isAfterOutage := s.targetsLoaded && now.Sub(s.targetsReadAt) > outageAfter
-	if isAfterOutage {
-		s.storeBackAt = now
-	}
-	s.targetsReadAt, s.targetsOffset, s.targetsLoaded = now, next, true
+	s.recordTargetsRead(now, now)
+	return s.applyTargets(changes, next, isFull, now)
+}
+
+func (s *State) applyTargets(changes []feed.TargetChange, next int64, isFull bool, now time.Time) []error {
+	s.targetsOffset, s.targetsLoaded = next, true
 	var rejected []error
 	seen := map[string]bool{}
 	for _, c := range changes {
@@ -191,6 +195,19 @@
 	return rejected
 }
 
+// recordTargetsRead records that the known targets are those of the store as of readAt, and
+// detects the end of an outage.
+func (s *State) recordTargetsRead(readAt, now time.Time) {
+	gap := readAt.Sub(s.targetsReadAt)
+	if s.targetsLoaded && gap > outageAfter {
+		s.storeBackAt = now
+		s.logger.Info("targets read again after an outage", "outage", gap.String(), "hold", expiryHold.String())
+	}
+	if gap > 0 {
+		s.targetsReadAt = readAt
+	}
+}
+
 // putTarget stores an entry unless it is older than the known one. The store may carry out
 // a write seconds late.
 func (s *State) putTarget(e fleet.Target, now time.Time) {
@@ -208,12 +225,16 @@
 	if e.ColdRemaining > 0 {
 		t.ColdUntil = now.Add(e.ColdRemaining)
 	}
-	if old, ok := s.targets[e.ID]; ok && isSameEntry(t, old, now) {
+	old, ok := s.targets[e.ID]
+	if ok && isSameEntry(t, old, now) {
 		t.revision = old.revision
 	} else {
 		s.revision++
 		t.revision = s.revision
 	}
+	if ok && e.Draining && !old.Draining {
+		s.logDraining(t)
+	}
 	s.targets[e.ID] = t
 	delete(s.expiring, e.ID)
 	delete(s.lastEntries, e.ID)
@@ -251,6 +272,11 @@
 	t := *old
 	t.Draining, t.revision = true, s.revision
 	s.targets[t.ID] = &t
+	s.logDraining(&t)
+}
+
+func (s *State) logDraining(t *Target) {
+	s.logger.Info("target draining", "target", t.ID, "service", t.Service, "offset", s.targetsOffset)
 }
 
 // isSameEntry reports whether two entries differ in nothing but their sequence and, within
@@ -279,6 +305,7 @@
 	}
 	if !s.storeBackAt.IsZero() && now.Sub(s.storeBackAt) < expiryHold && !t.Draining {
 		s.expiring[id] = s.storeBackAt.Add(expiryHold)
+		s.logger.Info("missing target held", "target", id, "service", t.Service, "for", s.expiring[id].Sub(now).String())
 		return
 	}
 	s.drop(id)
@@ -294,6 +321,8 @@
 			s.departuresFrom = s.departures[n-1].revision
 			s.departures = slices.Delete(s.departures, 0, n)
 		}
+		_, wasHeld := s.expiring[id]
+		s.logger.Info("target departed", "target", id, "service", t.Service, "was_draining", t.Draining, "was_held", wasHeld, "offset", s.targetsOffset)
 		s.lastEntries[id] = t.Target
 		delete(s.targets, id)
 		delete(s.expiring, id)
@@ -353,7 +382,8 @@
 	OpOffset      int64          `cbor:"op_offset"`
 	Targets       []fleet.Target `cbor:"targets"`
 	TargetsOffset int64          `cbor:"targets_next"`
-	Age           time.Duration  `cbor:"age"` // since the store was last read
+	Age           time.Duration  `cbor:"age"`         // since the peer last read both feeds of the store
+	TargetsAge    time.Duration  `cbor:"targets_age"` // since the targets were read from the store, by the peer or for it
 	Mark          Mark           `cbor:"mark"`
 	IsDelta       bool           `cbor:"is_delta,omitempty"`   // holds only targets changed since the requested mark
 	Departed      []fleet.Target `cbor:"left,omitempty"`       // last entries of targets departed since then
@@ -380,7 +410,7 @@
 func (s *State) Snapshot(req SnapshotRequest, now time.Time) Snapshot {
 	out := Snapshot{
 		Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.operatorOffset, TargetsOffset: s.targetsOffset,
-		Mark: Mark{Instance: s.instance, Revision: s.revision},
+		TargetsAge: now.Sub(s.targetsReadAt), Mark: Mark{Instance: s.instance, Revision: s.revision},
 	}
 	if s.config != nil && s.config.Version > req.Version {
 		out.Config = s.config
@@ -447,6 +477,10 @@
 		s.out, s.operatorOffset = out, p.OpOffset
 		changed = true
 	}
+	if p.TargetsOffset >= s.targetsOffset {
+		// Without changes, too, the peer's read confirms what is known.
+		s.recordTargetsRead(now.Add(-max(p.TargetsAge, 0)), now)
+	}
 	if p.TargetsOffset > s.targetsOffset {
 		changes := make([]feed.TargetChange, len(p.Targets))
 		for i := range p.Targets {
@@ -460,7 +494,7 @@
 				s.displaceFor(e.ID)
 			}
 		}
-		s.ApplyTargets(changes, p.TargetsOffset, !p.IsDelta, now)
+		s.applyTargets(changes, p.TargetsOffset, !p.IsDelta, now)
 		changed = true
 	}
 	return changed
