Limit the memory of all answers that calls of the own interface read

Report of other operators: a faulty target sends bytes without end, and the process that called it runs out of memory with the requests of all callers. It could happen on the product's own interface: 32 calls to one such target took 150 to 228 MB of heap, of 256 MB for a host.

Cause: each body is limited (six times the largest output), all bodies together were not.

Change: the calls of a client hold at most 16 MiB of bodies beyond the first 64 KiB of each, and fail as too large above that. Short answers are not counted.

Ruled out: heads, headers and streams of the own interface, and everything on the platform's front: those tests passed before any change, also the new one for stage calls (TestEndlessStageAnswersFitIntoTheMemory).

The loop that measures the heap stands in share/heap now; the test in edge that had it samples each 2 ms in place of 5.

--- a/entry/internal/edge/endless_test.go
+++ b/entry/internal/edge/endless_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"chivepost/platform/wire"
+	"chivepost/share/heap"
 )
 
 // socketSlack is room for what the kernel buffers between a target and the host.
@@ -333,44 +334,28 @@
 		t.Run(test.name, func(t *testing.T) {
 			script, _ := endless(test.start, test.unit)
 			h := startHost(t, fakeStages{}, script, script, script)
-			done := make(chan struct{})
-			peak := make(chan uint64)
-			go func() {
-				highest := uint64(0)
-				for {
-					var m runtime.MemStats
-					runtime.ReadMemStats(&m)
-					highest = max(highest, m.HeapInuse)
-					select {
-					case <-done:
-						peak <- highest
-						return
-					case <-time.After(5 * time.Millisecond):
-					}
+			got := heap.Peak(func() {
+				var wait sync.WaitGroup
+				for range callers {
+					wait.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+						defer cancel()
+						req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+test.path, strings.NewReader("body"))
+						if err != nil {
+							t.Error(err)
+							return
+						}
+						req.Host = "svc"
+						req.Header.Set(wire.HeaderID, "id1")
+						req.Header.Set("Authorization", "Token k")
+						if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
+							_, _ = io.Copy(io.Discard, resp.Body)
+							resp.Body.Close()
+						}
+					})
 				}
-			}()
-			var wait sync.WaitGroup
-			for range callers {
-				wait.Go(func() {
-					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-					defer cancel()
-					req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url+test.path, strings.NewReader("body"))
-					if err != nil {
-						t.Error(err)
-						return
-					}
-					req.Host = "svc"
-					req.Header.Set(wire.HeaderID, "id1")
-					req.Header.Set("Authorization", "Token k")
-					if resp, err := http.DefaultTransport.RoundTrip(req); err == nil {
-						_, _ = io.Copy(io.Discard, resp.Body)
-						resp.Body.Close()
-					}
-				})
-			}
-			wait.Wait()
-			close(done)
-			got := <-peak
+				wait.Wait()
+			})
 			if got > limit {
 				t.Errorf("the heap took %d bytes, want at most %d", got, limit)
 			}
--- a/entry/internal/maker/maker_test.go
+++ b/entry/internal/maker/maker_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/platform/wire"
+	"chivepost/share/heap"
 )
 
 // startTarget starts a stage target that answers a request with start and then sends unit
@@ -85,3 +87,33 @@
 		})
 	}
 }
+
+// Guards against a host that runs out of memory because one stage target answers without end.
+// The smallest host has 184 MB; calls to one target must leave it half of that.
+func TestEndlessStageAnswersFitIntoTheMemory(t *testing.T) {
+	const limit = 92 << 20
+	for name, start := range map[string]string{
+		"head": "", "results": "HTTP/1.1 200 OK\r\n\r\n" + `{"Items":[{"Handle":"t/1"}]}`, "refusal": "HTTP/1.1 503 Busy\r\n" + wire.HeaderNotRun + ": 1\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := dialer.New()
+			defer pool.Close()
+			client := New(pool, notice.New(time.Second, logr.Discard()))
+			highest := heap.Peak(func() {
+				var wait sync.WaitGroup
+				for range maxConnections {
+					address := startTarget(t, start, strings.Repeat(" ", 4<<10), 0)
+					wait.Go(func() {
+						ctx, cancel := context.WithTimeout(context.Background(), maxCall)
+						defer cancel()
+						_, _, _ = client.Run(ctx, &batch.Call{Target: "t", Address: address, Pieces: make([]batch.Piece, 1)})
+					})
+				}
+				wait.Wait()
+			})
+			if highest > limit {
+				t.Errorf("the heap took %d bytes, want at most %d", highest, limit)
+			}
+		})
+	}
+}
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -40,8 +40,9 @@
 
 // Client calls targets over HTTP. It is safe for concurrent use.
 type Client struct {
-	opts   Options
-	pooled *http.Client
+	opts      Options
+	pooled    *http.Client
+	bodyBytes atomic.Int64 // held of response bodies beyond their first freeBodyBytes
 }
 
 var _ Caller = (*Client)(nil)
@@ -188,7 +189,12 @@
 func (c *Client) readRun(ctx context.Context, body io.Reader, id string, onToken func(int, string), res *Result) *CallError {
 	// JSON may escape one byte of output as six bytes.
 	limit := int64(c.opts.MaxOutput)*6 + 4096
-	data, err := io.ReadAll(io.LimitReader(body, limit+1))
+	counted := &countedReader{reader: io.LimitReader(body, limit+1), held: &c.bodyBytes}
+	defer counted.release()
+	data, err := io.ReadAll(counted)
+	if errors.Is(err, errBodiesTooLarge) {
+		return &CallError{Reason: ReasonTooLarge, Err: err}
+	}
 	if err != nil {
 		return readError(ctx, err)
 	}
--- a/share/target/errors.go
+++ b/share/target/errors.go
@@ -26,7 +26,8 @@
 	ReasonIncomplete Reason = "incomplete"
 	// ReasonFormat: the response could not be decoded.
 	ReasonFormat Reason = "format"
-	// ReasonTooLarge: the output exceeds Options.MaxOutput.
+	// ReasonTooLarge: the output exceeds Options.MaxOutput, or the responses that are being read
+	// take too much memory.
 	ReasonTooLarge Reason = "too_large"
 )
 
