Keep what a faulty target sent out of error texts

The bytes may be part of an answer to somebody else.

Cause: net/http quotes the line of a head that it can't read, and the error was passed on. Own errors quoted IDs of other calls, JSON errors long numbers.

Change: share/quote takes what is quoted out of errors about answers, in the dialer of the platform's front and in the client of the own interface. Errors that quote nothing keep their cause.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"chivepost/share/quote"
 )
 
 const (
@@ -149,6 +151,10 @@
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		a.readToEnd = true
+		return n, err
+	}
+	if err != nil {
+		err = quote.Strip(err)
 	}
 	return n, err
 }
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"chivepost/share/quote"
 )
 
 var (
@@ -309,19 +311,17 @@
 			if c.head.left == 0 {
 				err = errHeadTooLong // the parser reports what is left of a line as malformed
 			}
-			return nil, &SendError{Sent: true, Stale: used && isConnectionEnd(err), RoundTrip: c.roundTrip, Err: err}
+			return nil, &SendError{Sent: true, Stale: used && isConnectionEnd(err), RoundTrip: c.roundTrip, Err: quote.Strip(err)}
 		}
-		if id := ""; req.ID != "" {
-			if id = req.ResponseID(resp.Header); id != req.ID {
-				// This is the answer to an earlier request; the right one may follow.
-				strayAnswers.Add(1)
-				if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, readBufferSize)); err != nil {
-					return nil, &SendError{Sent: true, Err: fmt.Errorf("answer to request %q: %w", id, err)}
-				}
-				used = true
-				c.idleLimit = -1 // must not be reused
-				continue
+		if req.ID != "" && req.ResponseID(resp.Header) != req.ID {
+			// This is the answer to an earlier request; the right one may follow.
+			strayAnswers.Add(1)
+			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, readBufferSize)); err != nil {
+				return nil, &SendError{Sent: true, Err: fmt.Errorf("answer to another request: %w", quote.Strip(err))}
 			}
+			used = true
+			c.idleLimit = -1 // must not be reused
+			continue
 		}
 		req.heard(resp)
 		c.head.limited = false
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -17,6 +17,7 @@
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/pause"
+	"chivepost/share/quote"
 	"chivepost/share/units"
 )
 
@@ -169,16 +170,16 @@
 // readResponse validates the response and stores the output in res.
 func (c *Client) readResponse(ctx context.Context, resp *http.Response, call Call, onToken func(int, string), res *Result) *CallError {
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
-		if gotID := resp.Header.Get(HeaderRequestID); gotID != call.ID {
-			return wrongIDError(resp.StatusCode, call.ID, gotID)
+		if resp.Header.Get(HeaderRequestID) != call.ID {
+			return wrongIDError(resp.StatusCode)
 		}
 		return &CallError{Reason: ReasonNotRun, Status: resp.StatusCode}
 	}
 	if resp.StatusCode != http.StatusOK {
 		return &CallError{Reason: ReasonStatus, Status: resp.StatusCode}
 	}
-	if gotID := resp.Header.Get(HeaderRequestID); gotID != call.ID {
-		return wrongIDError(resp.StatusCode, call.ID, gotID)
+	if resp.Header.Get(HeaderRequestID) != call.ID {
+		return wrongIDError(resp.StatusCode)
 	}
 	if call.Kind == bundle.KindEngine {
 		return c.readStream(ctx, resp.Body, onToken, res)
@@ -203,11 +204,11 @@
 	}
 	var response RunResponse
 	if err := json.Unmarshal(data, &response); err != nil {
-		return &CallError{Reason: ReasonFormat, Err: err}
+		return &CallError{Reason: ReasonFormat, Err: quote.Strip(err)}
 	}
 	switch {
 	case response.ID != id:
-		return wrongIDError(http.StatusOK, id, response.ID)
+		return wrongIDError(http.StatusOK)
 	case len(response.Output) > c.opts.MaxOutput:
 		return &CallError{Reason: ReasonTooLarge}
 	case response.Length != len(response.Output):
@@ -244,12 +245,13 @@
 	return load, nil
 }
 
-func wrongIDError(status int, want, got string) *CallError {
-	return &CallError{Reason: ReasonWrongID, Status: status, Detail: fmt.Sprintf("response to call %q, want %q", got, want)}
+func wrongIDError(status int) *CallError {
+	return &CallError{Reason: ReasonWrongID, Status: status, Detail: "response to another call"}
 }
 
 // transportError classifies err as a timeout, a cancelled call or a lost connection.
 func transportError(ctx context.Context, err error) *CallError {
+	err = quote.Strip(err)
 	switch {
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return &CallError{Reason: ReasonTimeout, Err: err}
@@ -264,7 +266,7 @@
 // makes the response incomplete, unless the call timed out or was cancelled.
 func readError(ctx context.Context, err error) *CallError {
 	if ctx.Err() == nil && errors.Is(err, io.ErrUnexpectedEOF) {
-		return &CallError{Reason: ReasonIncomplete, Status: http.StatusOK, Err: err}
+		return &CallError{Reason: ReasonIncomplete, Status: http.StatusOK, Err: quote.Strip(err)}
 	}
 	return transportError(ctx, err)
 }
--- a/share/target/stream.go
+++ b/share/target/stream.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"strings"
+
+	"chivepost/share/quote"
 )
 
 // maxLineBytes limits a line of a stream, which holds one chunk.
@@ -95,13 +97,13 @@
 func (s *stream) addChunk(data string) *CallError {
 	var chunk Chunk
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return &CallError{Reason: ReasonFormat, Err: err}
+		return &CallError{Reason: ReasonFormat, Err: quote.Strip(err)}
 	}
 	if s.id == "" {
 		s.id = chunk.ID
 	}
 	if chunk.ID != s.id {
-		return &CallError{Reason: ReasonWrongID, Detail: fmt.Sprintf("chunk with id %q in stream %q", chunk.ID, s.id)}
+		return &CallError{Reason: ReasonWrongID, Detail: "chunk of another stream"}
 	}
 	if chunk.Usage != nil {
 		s.usage = chunk.Usage
