Let a host of the own front finish or refuse its requests within a grace period

Report of other operators: in a planned stop, requests that come late are taken, passed on, and cut without an answer when the process is killed. It could happen on the product's own front if whoever stops it waits less than the longest deadline plus 4 s, or for deadlines over 10 minutes.

Cause: nothing decided whether a host that leaves can still finish a request, and nothing ended what was left.

Change: the setting timing.grace says how long after SIGTERM the process is killed (10 minutes, as the fixed limit before). Requests with later deadlines are refused with the addresses of other hosts, and what is left is ended in time by its kind: refused, failed or unknown.

The tests of drain call BeginRequest with a deadline now; what they check is the same.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -46,7 +46,7 @@
 		fx.Provide(newLogger, newIncarnation, newRecorder, newTransport, newTargets, newNode, newServers),
 		fx.Invoke(func(*servers) {}), fx.Populate(&log),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StartTimeout(startTimeout), fx.StopTimeout(stopTimeout),
+		fx.StartTimeout(startTimeout), fx.StopTimeout(settings.Timing.Grace),
 	)
 	if err := app.Err(); err != nil {
 		return err
@@ -56,21 +56,17 @@
 	if err := app.Start(ctx); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
-	signals.awaitStop(func() {
+	stopAt := signals.awaitStop(func() {
 		_, _, err := conf.Load(c.File)
 		log.Info("settings read again", "err", fmt.Sprint(err))
 	})
-	stop, cancelStop := context.WithTimeout(context.Background(), stopTimeout)
+	stop, cancelStop := context.WithDeadline(context.Background(), drain.End(stopAt, settings.Timing.Grace))
 	defer cancelStop()
 	return app.Stop(stop)
 }
 
-// startTimeout and stopTimeout limit the start and stop hooks. stopTimeout covers the
-// time for which callers hold addresses and the longest deadline of a pipeline.
-const (
-	startTimeout = 10 * time.Second
-	stopTimeout  = 10 * time.Minute
-)
+// startTimeout limits the start hooks.
+const startTimeout = 10 * time.Second
 
 // newTransport returns the transport for messages between entry hosts.
 func newTransport(s conf.Settings, log logr.Logger, inc incarnation) (*peers.Transport, error) {
--- a/entry/internal/conf/conf.go
+++ b/entry/internal/conf/conf.go
@@ -49,6 +49,7 @@
 type Timing struct {
 	Hold              time.Duration `key:"hold" default:"3s" check:"min=100ms,max=5m" doc:"how long callers keep an address"`
 	Spread            time.Duration `key:"spread" default:"1s" check:"min=100ms,max=1m" doc:"time until all peers know that this host is leaving"`
+	Grace             time.Duration `key:"grace" default:"10m" check:"min=1s,max=1h" doc:"time from SIGTERM until the process is killed; a host that leaves takes and finishes only what fits in"`
 	Lease             time.Duration `key:"lease" default:"2s" check:"min=100ms,max=1m" doc:"lifetime of a grant of slots"`
 	Margin            time.Duration `key:"margin" default:"250ms" check:"min=1ms,max=10s" doc:"allowance for differences between monotonic clocks"`
 	AttemptBound      time.Duration `key:"attempt_bound" default:"5s" check:"min=100ms,max=10m" doc:"longest time that a call may run at a target"`
--- a/entry/internal/drain/drain.go
+++ b/entry/internal/drain/drain.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -35,20 +36,29 @@
 	Spread time.Duration
 }
 
+// ErrEnding is the cause with which the context of a request ends because the process is about
+// to end.
+var ErrEnding = errors.New("the host is shutting down")
+
 // Controller holds the state of the host and counts the requests in flight.
 type Controller struct {
-	opts Options
-	log  logr.Logger
+	opts  Options
+	log   logr.Logger
+	abort context.CancelFunc // ends all requests
+	ended context.Context    // by abort
 
 	mu       sync.Mutex
 	state    State
+	abortAt  time.Time // when a leaving host calls abort; zero: it doesn't
 	inFlight int
 	idle     chan struct{} // closed when a closing host has nothing in flight
 }
 
 // New returns a controller in state Starting.
 func New(opts Options, log logr.Logger) *Controller {
-	return &Controller{opts: opts, log: log, state: Starting, idle: make(chan struct{})}
+	c := &Controller{opts: opts, log: log, state: Starting, idle: make(chan struct{})}
+	c.ended, c.abort = context.WithCancel(context.Background())
+	return c
 }
 
 // Name returns the controller's name.
@@ -101,25 +111,40 @@
 	}
 }
 
-// BeginRequest counts a request as in flight and reports whether the host accepts it. The
-// returned function ends the request and must be called; further calls do nothing.
-func (c *Controller) BeginRequest() (end func(), ok bool) {
+// BeginRequest counts a request as in flight and reports whether the host accepts it: a host
+// that is leaving accepts only what its deadline allows to finish. The returned context ends
+// with ErrEnding if the process is about to end. The returned function ends the request and must
+// be called; further calls do nothing.
+func (c *Controller) BeginRequest(ctx context.Context, deadline time.Time) (requestCtx context.Context, end func(), ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.acceptsRequests() {
-		return nil, false
+	if !c.acceptsRequests() || !c.abortAt.IsZero() && deadline.After(c.abortAt) {
+		return nil, nil, false
 	}
 	c.inFlight++
+	requestCtx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(c.ended, func() { cancel(ErrEnding) })
 	var once sync.Once
-	return func() { once.Do(c.endRequest) }, true
+	return requestCtx, func() {
+		once.Do(func() {
+			stop()
+			cancel(nil)
+			c.endRequest()
+		})
+	}, true
 }
 
-// Leave shuts the host down and returns when no request is in flight or ctx ends. A second
-// call waits for the first one.
+// Leave shuts the host down and returns when no request is in flight or ctx ends. Shortly before
+// the deadline of ctx, if it has one, the requests in flight are ended. A second call waits for
+// the first one.
 func (c *Controller) Leave(ctx context.Context) error {
-	if c.advance(Leaving) {
-		c.log.Info("leaving", "hold", c.opts.Hold, "spread", c.opts.Spread, "in_flight", c.InFlight())
-		if err := sleep(ctx, c.opts.Hold+c.opts.Spread); err != nil {
+	if plan, isFirst := c.beginLeaving(ctx); isFirst {
+		c.log.Info("leaving", "hold", c.opts.Hold, "spread", c.opts.Spread, "closing_at", plan.Closing, "abort_at", plan.Abort, "in_flight", c.InFlight())
+		if !plan.Abort.IsZero() {
+			abort := time.AfterFunc(time.Until(plan.Abort), c.abort)
+			defer abort.Stop()
+		}
+		if err := sleep(ctx, time.Until(plan.Closing)); err != nil {
 			return err
 		}
 		c.beginClosing()
@@ -133,6 +158,22 @@
 	}
 }
 
+// beginLeaving returns the plan of the shutdown, and false if it has begun before.
+func (c *Controller) beginLeaving(ctx context.Context) (Plan, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != Starting && c.state != Serving {
+		return Plan{}, false
+	}
+	plan := Plan{Start: time.Now()}
+	plan.Closing = plan.Start.Add(c.opts.Hold + c.opts.Spread)
+	if deadline, ok := ctx.Deadline(); ok {
+		plan = newPlanUntil(plan.Start, deadline, c.opts.Hold+c.opts.Spread)
+	}
+	c.state, c.abortAt = Leaving, plan.Abort
+	return plan, true
+}
+
 func (c *Controller) acceptsRequests() bool { return c.state == Serving || c.state == Leaving }
 
 func (c *Controller) endRequest() {
--- a/entry/internal/drain/drain_test.go
+++ b/entry/internal/drain/drain_test.go
@@ -37,6 +37,11 @@
 	return c
 }
 
+// begin begins a request with a deadline of 5 s.
+func begin(c *drain.Controller) (context.Context, func(), bool) {
+	return c.BeginRequest(context.Background(), time.Now().Add(5*time.Second))
+}
+
 var _ = Describe("a graceful shutdown", func() {
 	// Guards against refusing a caller that still has the address.
 	It("accepts requests until no caller has the address", func() {
@@ -45,11 +50,11 @@
 			ended := make(chan error, 1)
 			go func() { ended <- c.Leave(context.Background()) }()
 			time.Sleep(options.Hold + options.Spread - time.Millisecond)
-			done, ok := c.BeginRequest()
+			_, done, ok := begin(c)
 			Expect(ok).To(BeTrue())
 			Expect(c.IsLeaving()).To(BeTrue())
 			time.Sleep(2 * time.Millisecond)
-			_, ok = c.BeginRequest()
+			_, _, ok = begin(c)
 			Expect(ok).To(BeFalse())
 			done()
 			Expect(<-ended).To(Succeed())
@@ -61,8 +66,8 @@
 	It("waits for every request in flight", func() {
 		inVirtualTime(func() {
 			c := serving()
-			first, _ := c.BeginRequest()
-			second, _ := c.BeginRequest()
+			_, first, _ := begin(c)
+			_, second, _ := begin(c)
 			ended := make(chan error, 1)
 			go func() { ended <- c.Leave(context.Background()) }()
 			time.Sleep(time.Minute)
@@ -80,7 +85,7 @@
 	It("is not shortened by a second call", func() {
 		inVirtualTime(func() {
 			c := serving()
-			done, _ := c.BeginRequest()
+			_, done, _ := begin(c)
 			ended := make(chan error, 2)
 			for range 2 {
 				go func() { ended <- c.Leave(context.Background()) }()
@@ -94,10 +99,49 @@
 		})
 	})
 
+	// Guards against requests that can't be finished before the process is killed.
+	It("accepts only requests whose deadline allows to finish them", func() {
+		inVirtualTime(func() {
+			c := serving()
+			ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- c.Leave(ctx) }()
+			time.Sleep(time.Second)
+			_, _, ok := c.BeginRequest(context.Background(), time.Now().Add(4900*time.Millisecond))
+			Expect(ok).To(BeFalse(), "deadline 100 ms before the process ends")
+			_, end, ok := c.BeginRequest(context.Background(), time.Now().Add(4*time.Second))
+			Expect(ok).To(BeTrue())
+			end()
+			time.Sleep(2400 * time.Millisecond) // more than 0.55 of the time
+			_, _, ok = c.BeginRequest(context.Background(), time.Now().Add(time.Millisecond))
+			Expect(ok).To(BeFalse())
+			Expect(<-ended).To(Succeed())
+		})
+	})
+
+	// Guards against a process that is killed while its requests have no answer.
+	It("ends the requests that are in flight shortly before its context ends", func() {
+		inVirtualTime(func() {
+			c := serving()
+			requestCtx, end, _ := begin(c)
+			start := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- c.Leave(ctx) }()
+			<-requestCtx.Done()
+			Expect(context.Cause(requestCtx)).To(MatchError(drain.ErrEnding))
+			Expect(time.Since(start)).To(Equal(7750 * time.Millisecond))
+			end()
+			Expect(<-ended).To(Succeed())
+		})
+	})
+
 	It("returns when its context ends while requests are in flight", func() {
 		inVirtualTime(func() {
 			c := serving()
-			_, _ = c.BeginRequest()
+			_, _, _ = begin(c)
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
 			Expect(c.Leave(ctx)).To(MatchError(context.DeadlineExceeded))
@@ -108,7 +152,7 @@
 // Guards against accepting requests before there is a configuration.
 var _ = It("accepts no requests while starting", func() {
 	c := drain.New(options, logr.Discard())
-	_, ok := c.BeginRequest()
+	_, _, ok := begin(c)
 	Expect(ok).To(BeFalse())
 	Expect(c.Status().Reason).To(Equal("the host is starting"))
 })
--- a/entry/internal/drain/plan.go
+++ b/entry/internal/drain/plan.go
@@ -36,11 +36,25 @@
 // keep a list of hosts.
 func NewPlan(start time.Time, grace, ttl time.Duration) Plan {
 	hold := min(holdFactor*ttl, ratio(maxHoldRatio, grace))
-	end := start.Add(grace - min(maxEndMargin, ratio(endMarginRatio, grace)))
+	end := End(start, grace)
 	return Plan{
 		Start: start, Unlisted: start.Add(min(ttl, hold)), Closing: start.Add(hold),
 		Abort: end.Add(-min(maxAbortMargin, ratio(abortMarginRatio, grace))), End: end,
 	}
 }
 
+// End returns when a process ends at the latest whose shutdown began at start, so that it isn't
+// killed after the grace period.
+func End(start time.Time, grace time.Duration) time.Time {
+	return start.Add(grace - min(maxEndMargin, ratio(endMarginRatio, grace)))
+}
+
+// newPlanUntil returns the plan of a shutdown that has to end at a moment. hold is how long
+// callers may use the host.
+func newPlanUntil(start, end time.Time, hold time.Duration) Plan {
+	left := end.Sub(start)
+	closing := start.Add(min(hold, ratio(maxHoldRatio, left)))
+	return Plan{Start: start, Unlisted: closing, Closing: closing, Abort: end.Add(-min(maxAbortMargin, ratio(abortMarginRatio, left))), End: end}
+}
+
 func ratio(r float64, d time.Duration) time.Duration { return time.Duration(r * float64(d)) }
--- a/entry/internal/edge/quote_test.go
+++ b/entry/internal/edge/quote_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/go-logr/logr/funcr"
@@ -36,13 +35,8 @@
 					_ = w.Close()
 				}
 				h := startHost(t, fakeStages{}, script, script)
-				var mu sync.Mutex
-				var lines []string
-				h.handler.logger = funcr.New(func(_, line string) {
-					mu.Lock()
-					defer mu.Unlock()
-					lines = append(lines, line)
-				}, funcr.Options{Verbosity: 1})
+				var log logLines
+				h.handler.logger = funcr.New(log.add, funcr.Options{Verbosity: 1})
 				got := h.send(t, path, nil)
 				if got.status != http.StatusBadGateway || got.err != nil {
 					t.Errorf("status %d, %v, want 502", got.status, got.err)
@@ -50,10 +44,8 @@
 				if strings.Contains(got.body, secret) || len(got.body) > maxText {
 					t.Errorf("the response of %d bytes quotes the target: %.200q", len(got.body), got.body)
 				}
-				for h.handler.Active() > 0 {
-				}
-				mu.Lock()
-				defer mu.Unlock()
+				h.awaitIdle(t)
+				lines := log.matching("")
 				if len(lines) == 0 {
 					t.Error("got no log line")
 				}
--- a/entry/internal/edge/shutdown_test.go
+++ b/entry/internal/edge/shutdown_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -150,9 +151,20 @@
 	addresses []string
 	transport *http.Transport
 	random    *rand.Rand
+	timeLeft  time.Duration // for which it waits; 0: it doesn't say
+	pause     time.Duration // after a refusal
 	sent      int
 	answers   map[string]int  // status by request ID; complete answers only
 	broken    map[string]bool // requests without a complete answer
+	sentAt    map[string]time.Time
+	streams   map[string]bool // requests for streams
+}
+
+func newCaller(name string, addresses []string, random *rand.Rand) *caller {
+	return &caller{
+		name: name, addresses: addresses, transport: &http.Transport{MaxConnsPerHost: 1}, random: random,
+		answers: map[string]int{}, broken: map[string]bool{}, sentAt: map[string]time.Time{}, streams: map[string]bool{},
+	}
 }
 
 func (c *caller) run(until time.Time) {
@@ -161,11 +173,16 @@
 		c.sent++
 		id := fmt.Sprintf("%s-%d", c.name, c.sent)
 		address := c.addresses[c.random.IntN(len(c.addresses))]
-		req, _ := http.NewRequest(http.MethodPost, "http://"+address+paths[c.random.IntN(len(paths))], strings.NewReader("body"))
+		path := paths[c.random.IntN(len(paths))]
+		c.sentAt[id], c.streams[id] = time.Now(), strings.HasPrefix(path, "/st")
+		req, _ := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("body"))
 		req.Host = "svc"
 		req.Header.Set(wire.HeaderID, id)
 		req.Header.Set("Authorization", "Token k")
 		req.Header.Set(wire.HeaderPieces, "2")
+		if c.timeLeft > 0 {
+			req.Header.Set(wire.HeaderTimeLeft, strconv.FormatInt(c.timeLeft.Milliseconds(), 10))
+		}
 		req.GetBody = nil // the transport sends nothing again by itself
 		resp, err := c.transport.RoundTrip(req)
 		if err != nil {
@@ -179,7 +196,9 @@
 			c.broken[id] = true
 			continue
 		}
-		c.answers[id] = resp.StatusCode
+		if c.answers[id] = resp.StatusCode; resp.StatusCode == http.StatusServiceUnavailable {
+			time.Sleep(c.pause)
+		}
 	}
 }
 
@@ -244,10 +263,7 @@
 	var callers []*caller
 	var running sync.WaitGroup
 	for i := range 24 {
-		c := &caller{
-			name: fmt.Sprintf("c%d", i), addresses: addresses, transport: &http.Transport{MaxConnsPerHost: 1}, random: rand.New(rand.NewPCG(seed+1, uint64(i))),
-			answers: map[string]int{}, broken: map[string]bool{},
-		}
+		c := newCaller(fmt.Sprintf("c%d", i), addresses, rand.New(rand.NewPCG(seed+1, uint64(i))))
 		callers = append(callers, c)
 		running.Go(func() { c.run(start.Add(3 * time.Second)) })
 	}
--- a/entry/internal/front/filter.go
+++ b/entry/internal/front/filter.go
@@ -2,19 +2,22 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
 	"chivepost/entry/internal/chain"
+	"chivepost/entry/internal/drain"
 	"chivepost/share/apiv1"
 	"chivepost/share/events"
 )
 
-// Tracker counts the requests in progress. BeginRequest returns false while the host
-// takes no new requests; otherwise end must be called when the request is done.
+// Tracker counts the requests in progress. BeginRequest returns false if the host doesn't take
+// a request with the deadline; otherwise end must be called when the request is done. The
+// context of the request ends with drain.ErrEnding if the host must end it.
 type Tracker interface {
-	BeginRequest() (end func(), ok bool)
+	BeginRequest(ctx context.Context, deadline time.Time) (requestCtx context.Context, end func(), ok bool)
 }
 
 // Readiness reports whether the host may take new requests under the configuration in
@@ -51,7 +54,7 @@
 
 // Handle passes req on if the host takes new requests.
 func (f *readyFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
-	end, ok := f.tracker.BeginRequest()
+	ctx, end, ok := f.tracker.BeginRequest(ctx, latestDeadline(req))
 	if !ok {
 		return f.refuse(req, apiv1.ProblemUnready, "the host is starting or shutting down")
 	}
@@ -65,7 +68,11 @@
 	if !f.refresh(req) {
 		return chain.Refused(req.Body.ID, apiv1.ProblemNotFound, http.StatusNotFound, "unknown pipeline "+req.Pipeline.Name())
 	}
-	return next(ctx, req)
+	out := next(ctx, req)
+	if out.Kind == apiv1.Refused && errors.Is(context.Cause(ctx), drain.ErrEnding) {
+		return f.refuse(req, apiv1.ProblemUnready, drain.ErrEnding.Error())
+	}
+	return out
 }
 
 // refresh updates req to the configuration in force and reports whether its pipeline
@@ -169,16 +176,17 @@
 
 // Handle sets the deadline and passes req on.
 func (deadlineFilter) Handle(ctx context.Context, req *chain.Request, next chain.Next) chain.Outcome {
+	if req.Deadline = latestDeadline(req); time.Until(req.Deadline) <= 0 {
+		return chain.Refused(req.Body.ID, apiv1.ProblemDeadline, http.StatusGatewayTimeout, "the deadline has passed")
+	}
+	return next(ctx, req)
+}
+
+// latestDeadline returns the deadline of a request, which is at most that of its pipeline.
+func latestDeadline(req *chain.Request) time.Time {
 	d := req.Body.Deadline.Std()
 	if d == 0 {
 		d = req.Pipeline.Deadline()
 	}
-	if d < 0 {
-		return chain.Refused(req.Body.ID, apiv1.ProblemDeadline, http.StatusGatewayTimeout, "the deadline has passed")
-	}
-	req.Deadline = req.Arrived.Add(min(d, req.Pipeline.Deadline()))
-	if time.Until(req.Deadline) <= 0 {
-		return chain.Refused(req.Body.ID, apiv1.ProblemDeadline, http.StatusGatewayTimeout, "the deadline has passed")
-	}
-	return next(ctx, req)
+	return req.Arrived.Add(min(d, req.Pipeline.Deadline()))
 }
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -45,8 +45,11 @@
 func (f *fake) Addresses(string) apiv1.Address {
 	return apiv1.Address{Addresses: []string{"127.0.0.1:1"}, ValidFor: units.Duration(3 * time.Second), ClaimsOffset: 5}
 }
-func (f *fake) IsLeaving() bool              { return f.leaving }
-func (f *fake) BeginRequest() (func(), bool) { return func() {}, !f.notServing }
+func (f *fake) IsLeaving() bool { return f.leaving }
+func (f *fake) BeginRequest(ctx context.Context, _ time.Time) (context.Context, func(), bool) {
+	return ctx, func() {}, !f.notServing
+}
+
 func (f *fake) MayServe() error {
 	if f.next != nil {
 		f.config, f.version = f.next, f.version+1
