Resume a stream only with events that have their place in it

Report of other operators: a stream breaks off, the next target answers with an error, and callers find its text or its head in their stream, or a stream that seems complete. Answers with an error status were mended before; with status 200 it could still happen.

Cause: whatever followed status 200 was relayed by its blank lines. A text without an ID was taken for an event, and an answer that ends with its connection before its first event for the end of the stream. After an event without an ID from the first target, the next one started anew or at an earlier event.

Change: a stream goes on only with an answer whose type, if it names one, is that of events and whose events have IDs. An answer without events completes it only by a length or by chunks. A stream that breaks off after an event without an ID is cut off.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -132,6 +132,9 @@
 	Header http.Header
 	// Length is the Content-Length of the body, or negative if it is unknown.
 	Length int64
+	// IsUnframed says that the body has no length and no chunks, so that the end of its
+	// connection is its end.
+	IsUnframed bool
 
 	body        io.ReadCloser
 	conn        *conn
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -157,11 +157,14 @@
 	headWritten bool // the response head is written
 	mayHaveRun  bool // a target may have run the request
 	isAnswered  bool // a target's answer was written completely
-	firstSend   time.Time
-	tried       map[string]bool // targets chosen since the stages ran
-	sentTo      map[string]bool // targets that may have got this attempt
-	isTrial     bool            // shows whether a quarantined part still crashes targets
-	answerBegan time.Time       // at the current target; zero: not yet
+	// endsWithoutID says that the last event that the caller got has no ID, so that no other
+	// target can go on after it.
+	endsWithoutID bool
+	firstSend     time.Time
+	tried         map[string]bool // targets chosen since the stages ran
+	sentTo        map[string]bool // targets that may have got this attempt
+	isTrial       bool            // shows whether a quarantined part still crashes targets
+	answerBegan   time.Time       // at the current target; zero: not yet
 
 	// The fields below are mostly for the log line and the counters.
 	status           int
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,14 +58,14 @@
 		t.Done(pick.Failed)
 		return result{verdict: verdictMayHaveRun, reason: "the target's answer lacks a receipt or has a Content-Encoding"}
 	}
-	if c.route.Retry == fleet.RetryStream && a.Status == http.StatusOK {
-		return c.relayStream(ctx, cancel, t, a, firstByteTimer)
-	}
-	if c.headWritten {
+	if c.headWritten && (a.Status != http.StatusOK || !isEventStream(a.Header)) {
 		// Only events may follow the head of a stream; the status and body of this answer would
 		// become a part of its body.
 		a.Discard()
-		return c.handleFailedResume(t, fmt.Sprintf("the target answered with status %d", a.Status))
+		return c.handleFailedResume(t, fmt.Sprintf("the target answered with status %d and no stream of events", a.Status))
+	}
+	if c.route.Retry == fleet.RetryStream && a.Status == http.StatusOK {
+		return c.relayStream(ctx, cancel, t, a, firstByteTimer)
 	}
 	t.FirstByte()
 	c.answerBegan = time.Now()
@@ -110,6 +111,17 @@
 	return result{verdict: verdictDone}
 }
 
+// isEventStream reports whether an answer may be a stream of events by its type, which targets
+// need not name.
+func isEventStream(h http.Header) bool {
+	text := h.Get("Content-Type")
+	if text == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(text)
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // promisesNotRun reports whether callers take a status for the promise that the request has
 // not run and never will. A target's own answer with such a status doesn't promise that.
 func promisesNotRun(status int) bool {
@@ -285,6 +297,7 @@
 		defer silenceTimer.Stop()
 	}
 	n := 0
+	resumes := c.headWritten
 	var early []byte // comments before the first event, after which the answer begins
 	commentBytes := 0
 	for {
@@ -304,6 +317,10 @@
 		if firstByteTimer != nil && n == 0 {
 			firstByteTimer.Stop()
 		}
+		if errors.Is(err, io.EOF) && resumes && n == 0 && a.IsUnframed {
+			// A target that fails may close its connection as well.
+			return c.handleFailedResume(t, "the answer ended with its connection and without an event")
+		}
 		if errors.Is(err, io.EOF) && n+c.events > 0 {
 			if c.headWritten && len(e.raw) > 0 && !c.writeStream(t, e.raw, true) {
 				return result{verdict: verdictDone}
@@ -325,6 +342,10 @@
 			c.answerBegan = time.Now()
 		}
 		t.FirstByte()
+		if resumes && e.id == "" {
+			// Nothing tells whether the caller has it, or whether it is an event at all.
+			return c.handleFailedResume(t, "the answer has an event without an ID")
+		}
 		if !isAfter(e.id, c.req.LastEvent) {
 			continue // the caller has this event
 		}
@@ -339,7 +360,7 @@
 			return result{verdict: verdictDone}
 		}
 		c.events++
-		if e.id != "" {
+		if c.endsWithoutID = e.id == ""; e.id != "" {
 			c.req.LastEvent = e.id
 		}
 		if c.events == 1 && c.results != nil {
@@ -403,6 +424,9 @@
 	t.Done(pick.Failed)
 	c.recordBroken(t, true, reason)
 	c.blameParts(ctx, t, err)
+	if c.endsWithoutID {
+		c.abort(reason + "; it can't be resumed after an event without an ID")
+	}
 	if c.headWritten {
 		c.resumes++
 	}
--- a/entry/internal/edge/resume_test.go
+++ b/entry/internal/edge/resume_test.go
@@ -70,6 +70,11 @@
 	{"500", replyWith(500, "broken")},
 	{"500, long", replyWith(500, strings.Repeat("x", maxHeldAnswer+1))},
 	{"503, not run", refuse},
+	{"success of another type", replyWith(200, "{\"error\":\"broken\"}\n\n", "Content-Type: application/json\r\n")},
+	{"event without an ID", chunkedReply(200, "data: broken\n\n")},
+	{"text without an event", replyWith(200, "broken")},
+	{"unframed success without an event", unframedReply(200, "")},
+	{"a head within the body", chunkedReply(200, "HTTP/1.1 500 X\r\nContent-Length: 6\r\n\r\nbroken")},
 }
 
 // Guards against an answer of the next target that ends up in a stream which has begun, or that
@@ -108,3 +113,35 @@
 		})
 	}
 }
+
+// A target that finds nothing more to send ends the stream, if it says so by the framing.
+func TestResumeWithoutFurtherEventsCompletesTheStream(t *testing.T) {
+	for name, script := range map[string]targetScript{
+		"chunked": chunkedReply(200, ""), "Content-Length": replyWith(200, "", "Content-Type: text/event-stream; charset=utf-8\r\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := startHost(t, fakeStages{}, breaksOffAfterOne(script), breaksOffAfterOne(script))
+			if got := h.send(t, "/stream/x", nil); got.err != nil || got.body != one {
+				t.Errorf("got %q, %v, want %q", got.body, got.err, one)
+			}
+		})
+	}
+}
+
+// Guards against a stream that starts again, or goes on at another place, because the caller's
+// last event has no ID: an error text that a failing target sends looks like that.
+func TestStreamIsNotResumedAfterAnEventWithoutAnID(t *testing.T) {
+	const text = "error: overloaded\n\n"
+	for _, sent := range []string{text, one + text} {
+		script := func(w net.Conn, r *http.Request) {
+			streamHead(w, r)
+			chunk(w, sent)
+			_ = w.Close()
+		}
+		h := startHost(t, fakeStages{}, script, slowStream(0, one+two, three))
+		h.view.Targets["s"][1].DataCentre = "elsewhere" // the other one is nearer
+		if got := h.send(t, "/stream/x", nil); !errors.Is(got.err, io.ErrUnexpectedEOF) || got.body != sent {
+			t.Errorf("got %q, %v, want %q and %v", got.body, got.err, sent, io.ErrUnexpectedEOF)
+		}
+	}
+}
--- a/entry/internal/pipe/pipe_test.go
+++ b/entry/internal/pipe/pipe_test.go
@@ -220,3 +220,36 @@
 		Expect(a.made).To(Equal([]string{"rank/0"}))
 	})
 })
+
+// streamingAttempter passes one token on in each attempt, and then fails it.
+type streamingAttempter struct{ fakeAttempter }
+
+func (a *streamingAttempter) Attempt(_ context.Context, w stage.Attempt) stage.Result {
+	a.made = append(a.made, fmt.Sprintf("%s/%d", w.Stage, w.Number))
+	w.OnToken(0, "token of attempt "+fmt.Sprint(w.Number))
+	return maybeSent()
+}
+
+// Guards against a stream that goes on with the answer or the error of another target after it
+// broke off.
+var _ = It("doesn't go on with a stream that broke off", func() {
+	withClaims(func(_ *memlog.Service, c *claims.Controller) {
+		b, err := bundle.New(bundle.Doc{
+			Pools: []bundle.PoolDoc{{Name: "llm", Kind: bundle.KindEngine, Retryable: true, Limit: 2, ColdLimit: 1}},
+			Pipelines: []bundle.PipelineDoc{{Name: "letter", Deadline: units.Duration(5 * time.Second), Stages: []bundle.StageDoc{
+				{Name: "llm", Pool: "llm", Timeout: units.Duration(time.Second)},
+			}}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		a := &streamingAttempter{}
+		req := request(id)
+		req.Config = b
+		req.Pipeline, _ = b.Pipeline("letter")
+		var tokens []string
+		req.OnToken = func(_ int, text string) { tokens = append(tokens, text) }
+		out := pipe.New(a, a, c, retry.New(retry.Options{})).Run(context.Background(), req)
+		Expect(out.Kind).To(Equal(apiv1.Failed))
+		Expect(a.made).To(Equal([]string{"llm/0"}))
+		Expect(tokens).To(Equal([]string{"token of attempt 0"}))
+	})
+})
