Close the connection of every response that isn't complete

A caller that had shut down its half of the connection within a stream got a regular end of the body, though the host had given the stream up (seen by the review by reading). It is the cause of the streams that ended too early, on another way out of a request: the handler returned normally with an incomplete response.

Change: what writes the end of a response marks it as complete. A request that ends otherwise closes its connection.

Before: TestHalfClosedStreamDoesNotLookComplete failed:

the stream ends with "", <nil>, want it cut off

After: it passes, as do all tests of edge.

--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -155,6 +155,7 @@
 	phase       atomic.Int32  // of type phase
 	results     *graph.Results
 	headWritten bool // the response head is written
+	isComplete  bool // so is the response to its end
 	mayHaveRun  bool // a target may have run the request
 	isAnswered  bool // a target's answer was written completely
 	// endsWithoutID says that the last event that the caller got has no ID, so that no other
@@ -209,8 +210,8 @@
 }
 
 // finish frees the stage results, and logs and counts the request. It passes the panic of
-// abort on, and reports any other one, which ends only this request. Without a response, it
-// closes the connection, since the server would respond with an empty success.
+// abort on, and reports any other one, which ends only this request. Without a complete
+// response, it closes the connection, since the server would give the response a regular end.
 func (c *call) finish() {
 	p := recover()
 	if p != nil && p != http.ErrAbortHandler { //nolint:errorlint // the server compares it in the same way
@@ -225,7 +226,7 @@
 		c.freeResults()
 	}
 	c.record()
-	if p == nil && !c.headWritten {
+	if p == nil && !c.isComplete {
 		p = http.ErrAbortHandler
 	}
 	if p != nil {
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -107,7 +107,7 @@
 		c.clearParts()
 	}
 	c.writeHeldAnswer(h)
-	c.isAnswered = c.reason == ""
+	c.isAnswered = c.isComplete
 	return result{verdict: verdictDone}
 }
 
@@ -142,7 +142,9 @@
 	c.w.WriteHeader(h.status)
 	if _, err := c.w.Write(h.body); err != nil {
 		c.reason = "caller disconnected"
+		return
 	}
+	c.isComplete = true
 }
 
 func copyHeader(to, from http.Header) {
@@ -179,7 +181,7 @@
 		c.recordBroken(t, true, err.Error())
 		c.abort("the answer ended early")
 	}
-	c.isAnswered = true
+	c.isAnswered, c.isComplete = true, true
 	t.Done(pick.Answered)
 	return result{verdict: verdictDone}
 }
@@ -332,7 +334,7 @@
 			if !c.headWritten {
 				c.writeStreamHead(a) // the caller has every event
 			}
-			c.isAnswered = true
+			c.isAnswered, c.isComplete = true, true
 			return result{verdict: verdictDone}
 		}
 		if err != nil {
--- a/entry/internal/edge/respond.go
+++ b/entry/internal/edge/respond.go
@@ -47,6 +47,6 @@
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	_, _ = io.WriteString(c.w, reason+"\n") // a caller that disconnected needs no response
-	c.headWritten = true
+	c.headWritten, c.isComplete = true, true
 	return false
 }
--- a/entry/internal/edge/resume_test.go
+++ b/entry/internal/edge/resume_test.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -145,3 +147,32 @@
 		}
 	}
 }
+
+// Guards against the regular end of a stream that the host gives up because its caller has shut
+// down one half of the connection: what the caller still reads must not look complete.
+func TestHalfClosedStreamDoesNotLookComplete(t *testing.T) {
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		streamHead(w, r)
+		chunk(w, one)
+		_, _ = io.Copy(io.Discard, w) // until the host closes the connection
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "POST /stream/x HTTP/1.1\r\nHost: svc\r\n%s: id1\r\nAuthorization: Token k\r\nContent-Length: 0\r\n\r\n", wire.HeaderID)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, len(one))
+	if _, err := io.ReadFull(resp.Body, first); err != nil || string(first) != one {
+		t.Fatalf("got %q, %v, want %q", first, err, one)
+	}
+	_ = c.(*net.TCPConn).CloseWrite()
+	if rest, err := io.ReadAll(resp.Body); err == nil || len(rest) > 0 {
+		t.Errorf("the stream ends with %q, %v, want it cut off", rest, err)
+	}
+}
