Log a target that is held after an outage once

A whole table that is read while a target is held names it as missing again, and each time wrote the line `missing target held`. Cause: the line was written with each removal. It is written for the first one now; the time until which the target is held is set as before. The tests of table pass.

--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -304,8 +304,11 @@
 		return
 	}
 	if !s.storeBackAt.IsZero() && now.Sub(s.storeBackAt) < expiryHold && !t.Draining {
+		_, wasHeld := s.expiring[id]
 		s.expiring[id] = s.storeBackAt.Add(expiryHold)
-		s.logger.Info("missing target held", "target", id, "service", t.Service, "for", s.expiring[id].Sub(now).String())
+		if !wasHeld {
+			s.logger.Info("missing target held", "target", id, "service", t.Service, "for", s.expiring[id].Sub(now).String())
+		}
 		return
 	}
 	s.drop(id)
