Let the soak break off streams and fail the targets that go on with them

`--faults resumed` covers the report of streams that go on at a failing target with real processes: targets break off streams, and others answer requests that resume one with errors, other types, events without an ID, heads and connections that end. The other kinds of faults draw what they drew before.

--- a/stand/internal/soak/planned.go
+++ b/stand/internal/soak/planned.go
@@ -22,6 +22,8 @@
 	FaultsAll     Faults = "all"     // all of these and those of announced at the same time
 	// FaultsAnnounced are targets that leave or are busy by what they answer, or answer twice.
 	FaultsAnnounced Faults = "announced"
+	// FaultsResumed are streams that break off and targets that fail to go on with them.
+	FaultsResumed Faults = "resumed"
 )
 
 const (
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -311,6 +311,8 @@
 		add(func() map[string]int { return r.inject(ctx, slices.Concat(faultKinds, announcedFaults)) })
 	case FaultsAnnounced:
 		add(func() map[string]int { return r.inject(ctx, announcedFaults) })
+	case FaultsResumed:
+		add(func() map[string]int { return r.inject(ctx, resumeFaults) })
 	}
 	switch kind {
 	case FaultsPlanned, FaultsAll:
--- a/stand/internal/soak/target.go
+++ b/stand/internal/soak/target.go
@@ -62,6 +62,9 @@
 	saysLeaving             atomic.Bool  // in its answers
 	busySeconds             atomic.Int64 // for which it wants no requests, by its refusals; 0: it takes them
 	answersTwice            atomic.Bool
+	breaksStreams           atomic.Bool
+	failsResumes            atomic.Bool
+	resumes, events         atomic.Int64 // of streams, counted to select the ones that fail
 	stopped                 chan struct{}
 	stopOnce                sync.Once
 
@@ -264,10 +267,16 @@
 		events, interval = tokens/tokensPerEvent, longEventInterval
 	}
 	lastEvent, _ := strconv.Atoi(r.Header.Get(wire.HeaderLastEvent)) // absent: from the start
-	w.Header().Set("Content-Type", "text/event-stream")
+	if t.failResume(w, lastEvent) {
+		return
+	}
+	w.Header().Set("Content-Type", eventStream)
 	flush := http.NewResponseController(w)
 	for n := lastEvent + 1; n <= events; n++ {
 		t.simulateWork(interval)
+		if t.breaksOff() {
+			panic(http.ErrAbortHandler) // closes the connection
+		}
 		if isTainted {
 			if t.sequence.Load()%2 == 0 {
 				_ = flush.Flush() // the head alone arrives
