--- a/entry/internal/table/follow_test.go
+++ b/entry/internal/table/follow_test.go
@@ -75,7 +75,7 @@
 	hangsFrom time.Time
 }
 
-// callTimeout is the time limit of calls to peers.
+// callTimeout is the timeout of calls to peers.
 const callTimeout = 1500 * time.Millisecond
 
 func (readingPeer) Fetch(context.Context, int64, int64) (Snapshot, bool) { return Snapshot{}, false }
