Keep two checks as strict as they were

The collection stands in the two new tests now, and edge measures as on, each 2 ms.

The bound is 2.6 s again, by its own figure.

--- a/entry/internal/maker/maker_test.go
+++ b/entry/internal/maker/maker_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -99,6 +100,7 @@
 			pool := dialer.New()
 			defer pool.Close()
 			client := New(pool, notice.New(time.Second, logr.Discard()))
+			runtime.GC() // what earlier tests have left
 			highest := heap.Peak(func() {
 				var wait sync.WaitGroup
 				for range maxConnections {
--- a/entry/internal/table/outage_test.go
+++ b/entry/internal/table/outage_test.go
@@ -156,7 +156,8 @@
 			c := New(operator, targets, lostPeer{from: from, until: until, goneAt: goneAt, follows: true}, logr.Discard())
 			defer c.Close()
 			time.Sleep(30 * time.Second)
-			const want = syncValidity + syncWait
+			// One sync that the reader holds in vain, and the time for which a sync counts.
+			const want = 2600 * time.Millisecond
 			if late := time.Unix(0, operator.firstRead.Load()).Sub(goneAt); operator.firstRead.Load() == 0 || late > want {
 				t.Errorf("operators' records: read %s after the reader went, %s after the store's return, want within %s", late, late+goneAt.Sub(until), want)
 			}
--- a/share/heap/heap.go
+++ b/share/heap/heap.go
@@ -11,7 +11,6 @@
 // Peak runs f and returns the largest heap in use that was seen meanwhile, in bytes. It
 // includes garbage that has not been collected.
 func Peak(f func()) uint64 {
-	runtime.GC()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/share/target/memory_test.go
+++ b/share/target/memory_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,7 @@
 		defer server.Close()
 		client := target.New(target.Options{DataCentre: "thies"})
 		defer client.Close()
+		runtime.GC() // what earlier specs have left
 		got := heap.Peak(func() {
 			var wait sync.WaitGroup
 			for range calls {
