--- a/review/standin2/deploy.go
+++ b/review/standin2/deploy.go
@@ -171,7 +171,7 @@
 }
 
 // send sends one client attempt with an ID of its own.
-func (c *client) send(h *host, method, path string, body []byte) result {
+func (c *client) send(h *host, method, path string, body []byte, headers ...string) result {
 	out := result{id: fmt.Sprintf("%016x", rand.Uint64()), path: path, sent: time.Now()}
 	req, err := http.NewRequest(method, "http://"+h.front()+path, bytes.NewReader(body))
 	if err != nil {
@@ -183,6 +183,9 @@
 	req.Header.Set("Attempt-Id", out.id)
 	req.Header.Set("Deadline-Ms", "2500")
 	req.Header.Set("Authorization", "Token "+apiKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	c.rec.line("client", "%s sent to %s: %s %s", out.id, h.name, method, path)
 	resp, err := c.http.Do(req)
 	if err == nil {
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -27,7 +27,6 @@
 	mu       sync.Mutex
 	sequence int64
 	state    string
-	leaving  bool
 	stopped  bool
 	beaten   chan struct{} // closed and replaced by each entry that it writes
 
@@ -71,6 +70,9 @@
 func (e *engine) beat() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.stopped {
+		return
+	}
 	e.sequence++
 	value, _ := json.Marshal(e.entry(e.sequence))
 	e.store.put("keyed.servers", e.id, value)
@@ -117,6 +119,14 @@
 	_, _ = w.Write(out)
 }
 
+// leave removes the engine's entry, which it writes no more. It serves on.
+func (e *engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stopped = true
+	e.store.put("keyed.servers", e.id, nil)
+}
+
 func (e *engine) stop() {
 	e.mu.Lock()
 	e.stopped = true
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -22,6 +22,7 @@
 	runs  []run
 	// results are what the clients got.
 	results []result
+	calls   []stageCall
 }
 
 func newRecorder(path string) (*recorder, error) {
