--- a/review/standin2/deploy.go
+++ b/review/standin2/deploy.go
@@ -154,6 +154,7 @@
 type result struct {
 	id, path string
 	sent     time.Time
+	took     time.Duration
 	status   int // 0: no complete answer
 	header   http.Header
 	body     []byte
@@ -193,6 +194,7 @@
 		_ = resp.Body.Close()
 		out.header = resp.Header
 	}
+	out.took = time.Since(out.sent)
 	if out.err = err; err != nil {
 		c.rec.line("client", "%s no complete answer: %v", out.id, err)
 		return out
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -28,6 +28,8 @@
 	sequence int64
 	state    string
 	stopped  bool
+	leaving  bool // all its answers say so
+	leftAt   time.Time
 	beaten   chan struct{} // closed and replaced by each entry that it writes
 
 	// answer, unless nil, writes the answer to a request that the engine runs.
@@ -46,12 +48,6 @@
 	go func() {
 		for {
 			time.Sleep(heartbeat)
-			e.mu.Lock()
-			stopped := e.stopped
-			e.mu.Unlock()
-			if stopped {
-				return
-			}
 			e.beat()
 		}
 	}()
@@ -101,6 +97,11 @@
 	if id != "" {
 		w.Header().Set("Attempt-Id", id)
 	}
+	e.mu.Lock()
+	if e.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	e.mu.Unlock()
 	if named := r.Header.Get("Target-Instance"); named != "" && named != e.id {
 		e.rec.line("engine", "%s of %s answers 421 to %s, which names %s", e.id, e.service, id, named)
 		w.Header().Set("Instance-Id", e.id)
@@ -119,11 +120,32 @@
 	_, _ = w.Write(out)
 }
 
+// restart ends the engine for a while and starts it again at its address, under its ID.
+func (e *engine) restart(pause time.Duration) error {
+	e.mu.Lock()
+	e.stopped = true
+	e.mu.Unlock()
+	_ = e.server.Close()
+	time.Sleep(pause)
+	l, err := net.Listen("tcp", e.address)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.born, e.sequence, e.stopped = time.Now().UnixMilli(), 0, false
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	server := e.server
+	e.mu.Unlock()
+	go func() { _ = server.Serve(l) }()
+	e.beat()
+	return nil
+}
+
 // leave removes the engine's entry, which it writes no more. It serves on.
 func (e *engine) leave() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stopped = true
+	e.stopped, e.leftAt = true, time.Now()
 	e.store.put("keyed.servers", e.id, nil)
 }
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken int, err error){
 	"entry":  playEntry,
 	"gone":   playGone,
+	"reborn": playReborn,
 	"silent": playSilent,
 }
 
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -12,6 +12,7 @@
 	target   string
 	mu       sync.Mutex
 	open     map[*channel]bool
+	isCut    bool // new channels are silent too
 }
 
 // channel is one connection through the proxy.
@@ -38,8 +39,8 @@
 				_ = near.Close()
 				continue
 			}
-			c := &channel{near: near, far: far}
 			p.mu.Lock()
+			c := &channel{near: near, far: far, silent: p.isCut}
 			p.open[c] = true
 			p.mu.Unlock()
 			go p.pass(c, far, near)
@@ -93,6 +94,20 @@
 	return len(p.open)
 }
 
+// cut makes all channels silent until heal, also new ones. Channels of that time stay silent.
+func (p *proxy) cut() {
+	p.mu.Lock()
+	p.isCut = true
+	p.mu.Unlock()
+	p.silence()
+}
+
+func (p *proxy) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isCut = false
+}
+
 func (p *proxy) stop() {
 	_ = p.listener.Close()
 	p.mu.Lock()
