--- a/review/standin2/case_silent.go
+++ b/review/standin2/case_silent.go
@@ -11,6 +11,7 @@
 const (
 	contactTime     = 4000 * time.Millisecond // ContactMs
 	configApplyTime = 2500 * time.Millisecond // ConfigApplyMs
+	serviceLots     = "registre-lots"
 	serviceLotsNew  = "registre-lots-2"
 )
 
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -12,7 +12,7 @@
 
 // cases returns, for a deployment, how often the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken int, err error){
-	"entry":  playEntry,
+	"again":  playAgain,
 	"gone":   playGone,
 	"reborn": playReborn,
 	"silent": playSilent,
--- a/review/standin2/record.go
+++ b/review/standin2/record.go
@@ -22,7 +22,8 @@
 	runs  []run
 	// results are what the clients got.
 	results []result
-	calls   []stageCall
+	// foreign are the requests that ran on inputs of another one.
+	foreign []string
 }
 
 func newRecorder(path string) (*recorder, error) {
