--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken int, err error){
 	"again":  playAgain,
 	"gone":   playGone,
+	"idle":   playIdle,
 	"reborn": playReborn,
 	"silent": playSilent,
 }
