Place requests with prompts on model targets at the home of their region

Cause: a host knows only its own requests, about a twenty-fifth of those of its data centre, and counts a request of 500 tokens like one of 20,000.

Nearly all requests with prompts pass the home of their region before they go to a target, and the home is told of their first events to free stage results. It now keeps the prompt tokens that each model target still has to read, and names the target that has read a prompt first; a cached prefix counts as tokens that needn't be read. The host uses that target unless it is overloaded, ejected or leaving, as it did with the target of a session. No message is added. It applies where regions have homes of their own.

--- a/entry/internal/batch/handover_test.go
+++ b/entry/internal/batch/handover_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/place"
 	"chivepost/share/fleet"
 )
 
@@ -104,6 +105,8 @@
 	return c.spec, stageTargets("a", "b"), true
 }
 
+func (fixedCatalog) Models(string, string) []place.Target { return nil }
+
 // A host that hears nothing from a home for 0.75 s goes on with the next one, and tells the
 // first, if that hears it. The first must then not free what the second has taken over, and not
 // go on for long.
--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -12,6 +12,7 @@
 
 	"chivepost/entry/internal/guard"
 	"chivepost/entry/internal/notice"
+	"chivepost/entry/internal/place"
 	"chivepost/share/fleet"
 )
 
@@ -64,6 +65,8 @@
 // a region, or in all regions if region is empty.
 type Catalog interface {
 	Stage(service, region string) (fleet.Batching, []Target, bool)
+	// Models returns the warm targets of a model service in a region.
+	Models(service, region string) []place.Target
 }
 
 // Home runs the stages of requests for which this host is home.
@@ -132,6 +135,9 @@
 	}
 	for region, sc := range h.schedulers {
 		h.refreshServices(sc, region, sc.Services())
+		for service := range sc.models {
+			sc.SetModels(service, h.catalog.Models(service, region))
+		}
 		h.advance(sc, now)
 	}
 	if now.Sub(h.reportedAt) >= reportInterval {
@@ -283,6 +289,9 @@
 		services = append(services, s.Service)
 	}
 	h.refreshServices(sc, o.Region, services)
+	if o.Region != "" && o.Service != "" && !sc.hasModels(o.Service) {
+		sc.SetModels(o.Service, h.catalog.Models(o.Service, o.Region))
+	}
 	sc.lastSubmit = now
 	sc.Submit(o, now, func(r Result) {
 		p.result, p.isDone = r, true
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -52,6 +52,11 @@
 	Progress     []StageProgress `cbor:"made,omitempty"`    // by stage, at the previous home
 	Session      string          `cbor:"session,omitempty"` // requests of a session share a prefix of their prompts
 	PrefixTokens int             `cbor:"shared,omitempty"`  // tokens of that prefix
+	Service      string          `cbor:"service,omitempty"` // of the request itself
+	// SessionTokens are the tokens of the prefix that only the session shares, and OwnTokens
+	// those of the rest of the prompt but for parts that most requests of the service have.
+	SessionTokens int `cbor:"session_tokens,omitempty"`
+	OwnTokens     int `cbor:"own_tokens,omitempty"`
 }
 
 // maxStages and maxPieces bound an order: many times the stages of a pipeline, and many full
--- a/entry/internal/batch/odd_test.go
+++ b/entry/internal/batch/odd_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/place"
 	"chivepost/share/fleet"
 )
 
@@ -31,6 +32,8 @@
 	return fleet.Batching{Slots: 1, BatchSize: 4, CallOverhead: time.Millisecond, ItemTime: time.Millisecond}, []Target{{ID: "t", Address: "t", DataCentre: "a"}}, true
 }
 
+func (oddCatalog) Models(string, string) []place.Target { return nil }
+
 // Orders come from other hosts. A malformed one must end neither the home nor the orders of
 // others; one with a thousand million pieces once took all memory of the process, and one with
 // a stage after a missing one ended it.
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"chivepost/entry/internal/place"
 	"chivepost/share/fleet"
 )
 
@@ -76,6 +77,8 @@
 	sessions       map[string]sessionUse
 	depth          map[string]int         // greatest depth of a service in the stage graphs of orders, from 1
 	remoteHomes    map[string]*remoteHome // by region
+	board          *place.Board
+	models         map[string][]place.Target // by service
 	seq            int
 	now            time.Time // time of the current event
 	lastSubmit     time.Time // last order from a host
@@ -122,6 +125,7 @@
 		rand: random, queues: map[string]*Queue{}, byID: map[string]*order{}, committed: map[string]int{},
 		freed: map[string][]string{}, freedElsewhere: map[string]map[string][]string{}, arrivals: map[string]*arrivalRates{},
 		sessions: map[string]sessionUse{}, depth: map[string]int{}, remoteHomes: map[string]*remoteHome{},
+		board: place.New(), models: map[string][]place.Target{},
 	}
 }
 
@@ -431,7 +435,7 @@
 		}
 	}
 	r := Result{Handles: out}
-	r.DataCentre, r.PrefixTarget = sc.preferredTarget(o)
+	r.DataCentre, r.PrefixTarget = sc.placeRequest(o)
 	o.end(r)
 	return true
 }
@@ -472,6 +476,7 @@
 // Drop ends an order whose caller has left, or frees the results of one that is
 // done. It reports whether the order was known.
 func (sc *Scheduler) Drop(id string) bool {
+	sc.board.Done(id)
 	o := sc.byID[id]
 	if o != nil {
 		sc.drop(o, Result{Reason: ReasonDropped})
--- a/entry/internal/batch/session.go
+++ b/entry/internal/batch/session.go
@@ -1,7 +1,10 @@
 package batch
 
 import (
+	"cmp"
 	"time"
+
+	"chivepost/entry/internal/place"
 )
 
 // preferredTarget returns where the request of an order should run. It prefers the
@@ -36,6 +39,33 @@
 	return u.DataCentre, u.Target
 }
 
+// placeRequest returns where the request of an order should run: the preferred data centre
+// and, if the region has its own home, the target that has read the prompt first.
+func (sc *Scheduler) placeRequest(o *order) (dataCentre, target string) {
+	dataCentre, target = sc.preferredTarget(o)
+	in := cmp.Or(dataCentre, o.DataCentre)
+	var near []place.Target
+	for _, t := range sc.models[o.Service] {
+		if t.DataCentre == in {
+			near = append(near, t)
+		}
+	}
+	r := place.Request{ID: o.ID, Session: o.Session, CachedAt: target, SessionTokens: o.SessionTokens, OwnTokens: o.OwnTokens}
+	if placed := sc.board.Choose(r, near, sc.now); placed != "" {
+		return in, placed
+	}
+	return dataCentre, target
+}
+
+// SetModels sets the targets of a model service on which requests are placed. Without any,
+// hosts choose by themselves.
+func (sc *Scheduler) SetModels(service string, targets []place.Target) { sc.models[service] = targets }
+
+func (sc *Scheduler) hasModels(service string) bool {
+	_, ok := sc.models[service]
+	return ok
+}
+
 // hasTargetsIn reports whether this scheduler has stage targets in a data centre.
 func (sc *Scheduler) hasTargetsIn(dataCentre string) bool {
 	for _, q := range sc.queues {
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -50,6 +50,22 @@
 	return n
 }
 
+// sessionTokens returns the tokens of the part of the prompt that only its session shares.
+func (c *call) sessionTokens() int {
+	if !c.route.Sticky || len(c.req.Prefix) < 2 {
+		return 0
+	}
+	return c.req.Prefix[len(c.req.Prefix)-2].Tokens
+}
+
+// ownTokens returns the tokens of the part of the prompt that is the request's own.
+func (c *call) ownTokens() int {
+	if !c.route.Sticky || len(c.req.Prefix) == 0 {
+		return 0
+	}
+	return c.req.Prefix[len(c.req.Prefix)-1].Tokens
+}
+
 // tryTargets sends the request to one target after another until one answers or no
 // further attempt is allowed. It returns nil when the response is written or the
 // caller is gone, and errResultsGone if the stages must run again.
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -384,7 +384,7 @@
 	var err error
 	c.results, err = c.h.stages.Run(ctx, batch.Order{
 		Request: c.req.ID, Route: c.route.Name, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority, Rank: c.route.Priority, Objective: c.route.LatencyObjective,
-		Session: c.prefixID(), PrefixTokens: c.sharedPrefixTokens(), DataCentre: c.h.opts.DataCentre, Regions: c.regions,
+		Session: c.prefixID(), PrefixTokens: c.sharedPrefixTokens(), Service: c.service.Name, SessionTokens: c.sessionTokens(), OwnTokens: c.ownTokens(), DataCentre: c.h.opts.DataCentre, Regions: c.regions,
 	}, c.start.Add(c.route.LatencyObjective-c.h.afterStages.estimate(c.route.Name)), c.deadline.Add(-minAfterStages))
 	if c.pieceCount == 0 {
 		return nil // if the home doesn't answer, the host chooses a target by itself
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -15,6 +15,7 @@
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
+	"chivepost/entry/internal/place"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -241,6 +242,27 @@
 	return *v.Config.Services[service].Stage, out, true
 }
 
+// Models returns the targets of a model service in a region on which requests are placed:
+// those that are warm and have announced nothing. It returns none for other services.
+func (c *Catalog) Models(service, region string) []place.Target {
+	v := c.tables.View()
+	if v.Config == nil || v.Config.Services[service].Slots == 0 {
+		return nil
+	}
+	var out []place.Target
+	now := time.Now()
+	for _, t := range v.Targets[service] {
+		if c.regions[t.DataCentre] != region || t.IsCold(now) {
+			continue
+		}
+		if s := c.notices.Status(notice.Target{ID: t.ID, StartMillis: t.StartMillis}, now); s.Closed || s.Leaving {
+			continue
+		}
+		out = append(out, place.Target{ID: t.ID, DataCentre: t.DataCentre})
+	}
+	return out
+}
+
 // minTargetsPerRegion is the average number of targets per region from which on each region
 // has its own home: enough to fill calls and to lose a target.
 const minTargetsPerRegion = 3
