Estimate the stages of tight orders by measured call times

Cause: the estimate took every call for a full one. The chain of an urgent route fits its objective only barely with full calls, so some of its orders seemed late, went last, and were refused.

The mean time of calls that find their target free is used instead.

--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -131,6 +131,7 @@
 	meanFactor    float64            // mean factor on the time of a piece; 0: not known
 	jobTime       time.Duration      // mean time from adding a job to its results
 	itemFactors   map[string]float64 // factor on the time of a piece, by class
+	callTime      time.Duration      // mean time of a call that finds its target free; 0: not known
 	tightUntil    time.Time          // until then, orders count as tight
 	waiting       map[urgency]int    // waiting pieces by the urgency of their jobs, at waitingAt
 	waitingAt     time.Time
--- a/entry/internal/batch/timing.go
+++ b/entry/internal/batch/timing.go
@@ -90,9 +90,12 @@
 			targets++
 		}
 	}
-	// A full call of its own, after the wait for the first target that becomes free.
-	full := q.fullCallTime()
-	own := full + full/time.Duration(max(targets, 1)) + time.Duration(float64(ahead)/rate*float64(time.Second))
+	// A call of its own, after the wait for the first target that becomes free.
+	call := q.fullCallTime()
+	if q.callTime > 0 {
+		call = q.callTime
+	}
+	own := call + call/time.Duration(max(targets, 1)) + time.Duration(float64(ahead)/rate*float64(time.Second))
 	return min(typical, own)
 }
 
@@ -173,6 +176,10 @@
 			if ts.slowdown < slowThreshold {
 				q.adjustItemFactors(c, took-ts.roundTrip)
 			}
+			if q.callTime == 0 {
+				q.callTime = took
+			}
+			q.callTime += time.Duration(meanWeight * float64(took-q.callTime))
 		}
 		ratio := float64(took-c.roundTrip) / float64(c.Expected-c.roundTrip)
 		ts.slowdown += slowdownWeight * (max(ratio, 0.5) - ts.slowdown)
