Refuse streams that can't begin before their callers give up

Cause: orders of streams waited at the home of stages until the deadline of the request, though callers abandon a stream whose first event takes longer than two seconds, four latency objectives and eight of the longest pauses. In bursts the least urgent requests waited for 6 s and more, were abandoned, and their stages ran in vain.

The order is of no use after that time, so the home refuses it as soon as it shows.

--- a/entry/internal/edge/estimate.go
+++ b/entry/internal/edge/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"chivepost/share/fleet"
 )
 
 const (
@@ -15,6 +17,19 @@
 	maxEstimatedRoutes = 4096
 )
 
+// lastFirstByte returns when the caller gives up if no byte of the response has arrived. A
+// request that can't be answered by then is refused instead of held.
+func (c *call) lastFirstByte() time.Time {
+	if c.route.Retry != fleet.RetryStream || c.route.LatencyObjective <= 0 {
+		return c.deadline
+	}
+	patience := max(minStreamPatience, streamPatienceObjective*c.route.LatencyObjective, streamPatienceGaps*c.route.MaxGap)
+	if limit := c.start.Add(patience); limit.Before(c.deadline) {
+		return limit
+	}
+	return c.deadline
+}
+
 // meanDeviation holds moving averages of a duration and of its deviation from the mean.
 type meanDeviation struct {
 	mean, deviation time.Duration
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -64,6 +64,11 @@
 	// writeSlack is how long after the deadline a response may still be written, by a host
 	// that was paused or to a caller that reads slowly.
 	writeSlack = 2 * time.Second
+	// Callers abandon a stream whose first event takes longer than all of these: a time, a
+	// multiple of the route's latency objective, and one of its longest pause on time.
+	minStreamPatience       = 2 * time.Second
+	streamPatienceObjective = 4
+	streamPatienceGaps      = 8
 	// maxStageRuns is how often the stages of a request run if their results get lost.
 	maxStageRuns = 3
 )
@@ -385,7 +390,7 @@
 	c.results, err = c.h.stages.Run(ctx, batch.Order{
 		Request: c.req.ID, Route: c.route.Name, Stages: c.route.Stages, Pieces: c.req.Pieces, Key: c.req.PieceKey, Priority: c.priority, Rank: c.route.Priority, Objective: c.route.LatencyObjective,
 		Session: c.prefixID(), PrefixTokens: c.sharedPrefixTokens(), Service: c.service.Name, SessionTokens: c.sessionTokens(), OwnTokens: c.ownTokens(), DataCentre: c.h.opts.DataCentre, Regions: c.regions,
-	}, c.start.Add(c.route.LatencyObjective-c.h.afterStages.estimate(c.route.Name)), c.deadline.Add(-minAfterStages))
+	}, c.start.Add(c.route.LatencyObjective-c.h.afterStages.estimate(c.route.Name)), c.lastFirstByte().Add(-minAfterStages))
 	if c.pieceCount == 0 {
 		return nil // if the home doesn't answer, the host chooses a target by itself
 	}
