Batch: a handle belongs to one start of its maker

Cause: handles were stored, passed on and freed without the start of their maker.

Ruled out: copies of answers; these need the connection of the earlier answer, which a crash closes.

Change: handles are bound to a start inside the system, and messages between hosts carry the starts beside them. Results of an earlier start are forgotten and made again, and freed nowhere; an answer to a call for another start isn't used. Repeated handles show a new start before its entry is read. Hosts check before each send. An order whose results are lost while another of its stages runs is run again; its own drop ended it before.

--- a/entry/internal/batch/home.go
+++ b/entry/internal/batch/home.go
@@ -54,7 +54,7 @@
 	abandonAfter = 2500 * time.Millisecond
 )
 
-// TargetClient makes calls to stage targets.
+// TargetClient makes calls to stage targets. It gets bound handles and returns plain ones.
 type TargetClient interface {
 	Run(ctx context.Context, c *Call) ([]Outcome, Failure, error)
 	Free(ctx context.Context, target Target, handles []string) error
@@ -238,6 +238,7 @@
 	ctx, cancel := context.WithTimeout(h.ctx, c.Timeout)
 	outcomes, failure, err := h.client.Run(ctx, c)
 	cancel()
+	bindOutcomes(outcomes, c.Start)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -92,6 +92,7 @@
 type StageProgress struct {
 	IsDone  bool     `cbor:"is_done"`
 	Handles []string `cbor:"handles,omitempty"` // empty once no stage needs them; "" for missing ones of a running stage
+	Starts  []int64  `cbor:"starts,omitempty"`  // of the makers of Handles, on the wire
 }
 
 // Reason is why a job or an order ended without results.
@@ -115,6 +116,7 @@
 type Result struct {
 	IsDone       bool            `cbor:"is_done"`
 	Handles      []string        `cbor:"handles,omitempty"`
+	Starts       []int64         `cbor:"starts,omitempty"` // of the makers of Handles, on the wire
 	Reason       Reason          `cbor:"reason,omitempty"`
 	RetryAfter   time.Duration   `cbor:"retry_after,omitempty"`
 	Progress     []StageProgress `cbor:"made,omitempty"`   // by stage, of an order that isn't done
@@ -219,4 +221,6 @@
 	FailureUnreachable         // no connection, or another target has the address
 	FailureBroken              // the answer is incomplete or invalid
 	FailureTimeout             // no answer within the timeout of the call
+	FailureRepeated            // the target gives handles again that it gave before: it has started again
+	failureOutlived            // the answer is of another start of the target than the queue knows
 )
--- a/entry/internal/batch/queue.go
+++ b/entry/internal/batch/queue.go
@@ -107,6 +107,7 @@
 	pausedUntil time.Time             // no calls before this
 	pauseCount  int                   // pauses in a row
 	present     bool                  // listed by the last SetTargets
+	repeatedAt  time.Time             // when it was last seen to repeat handles
 }
 
 // heldResult is a result that a target holds.
@@ -131,6 +132,8 @@
 	meanFactor    float64            // mean factor on the time of a piece; 0: not known
 	jobTime       time.Duration      // mean time from adding a job to its results
 	itemFactors   map[string]float64 // factor on the time of a piece, by class
+	starts        map[string]int64   // newest known start at each address of a target
+	outlived      outlived           // results lost and not yet returned by takeOutlived
 }
 
 // NewQueue returns an empty queue.
@@ -204,14 +207,19 @@
 	for _, ts := range q.targets {
 		ts.present = false
 	}
+	hasChanged := false
 	for _, t := range targets {
 		ts := q.targets[t.ID]
 		if ts == nil {
-			ts = &targetState{results: map[string]heldResult{}, slowdown: 1, roundTrip: -1}
+			ts = &targetState{results: map[string]heldResult{}, slowdown: 1, roundTrip: -1, target: t}
 			q.targets[t.ID] = ts
+			q.forgetResults(ts, t.StartMillis)
+			hasChanged = true
 		}
 		if ts.target.StartMillis != t.StartMillis {
-			ts.pausedUntil = time.Time{} // that was another process
+			ts.pausedUntil, ts.pauseCount = time.Time{}, 0 // that was another process
+			q.forgetResults(ts, t.StartMillis)
+			hasChanged = true
 		}
 		ts.target, ts.present = t, true
 		ts.pausedUntil = later(ts.pausedUntil, t.BusyUntil)
@@ -219,6 +227,13 @@
 	for id, ts := range q.targets {
 		if !ts.present && len(ts.calls) == 0 {
 			delete(q.targets, id)
+			hasChanged = true
+		}
+	}
+	if hasChanged {
+		q.starts = make(map[string]int64, len(q.targets))
+		for _, ts := range q.targets {
+			q.starts[ts.target.Address] = max(ts.target.StartMillis, q.starts[ts.target.Address])
 		}
 	}
 	if len(q.sortedTargets) != len(q.targets) || slices.ContainsFunc(q.sortedTargets, func(ts *targetState) bool { return q.targets[ts.target.ID] != ts }) {
@@ -365,7 +380,10 @@
 	if ts != nil {
 		ts.calls = slices.DeleteFunc(ts.calls, func(o *Call) bool { return o == c })
 		ts.bytes -= c.resultBytes
-		q.observeCall(ts, c, failure, now)
+		failure = q.checkStart(ts, c, outcomes, failure, now)
+		if failure != failureOutlived { // that says nothing of the start that is known
+			q.observeCall(ts, c, failure, now)
+		}
 		for _, o := range ts.calls[:min(len(ts.calls), max(q.spec.Slots, 1))] {
 			if o.runningSince.IsZero() {
 				o.runningSince = now
@@ -390,7 +408,7 @@
 			}
 			continue
 		}
-		if failure != FailureNone && failure != FailureRefused && !counted[j] {
+		if failure != FailureNone && failure != FailureRefused && failure != failureOutlived && !counted[j] {
 			counted[j] = true
 			j.failures++
 		}
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -95,6 +95,7 @@
 	runs         int
 	isHeld       bool // nobody polls for it
 	ended        bool
+	isRestarting bool
 	finish       func(Result)
 }
 
@@ -128,6 +129,7 @@
 	}
 	q.SetSpec(spec)
 	q.SetTargets(targets)
+	sc.dropOutlived(name)
 }
 
 // Services returns the names of the services with a queue.
@@ -355,7 +357,7 @@
 // handleStageResult completes the stage, restarts the order if inputs were lost, or
 // drops it.
 func (sc *Scheduler) handleStageResult(o *order, i int, r Result) {
-	if o.ended {
+	if o.ended || o.isRestarting { // other stages of an order that restarts are dropped
 		return
 	}
 	now := sc.now
@@ -378,7 +380,9 @@
 
 // restart returns an order whose results were lost to the waiting orders.
 func (sc *Scheduler) restart(o *order) {
+	o.isRestarting = true
 	sc.dropWork(o)
+	o.isRestarting = false
 	for i := range o.state {
 		isInput := o.state[i].isInput
 		o.state[i] = stageState{isInput: isInput}
@@ -494,6 +498,11 @@
 func (sc *Scheduler) FreeHandles(handles []string) {
 	for service, q := range sc.queues {
 		for id, list := range q.groupByTarget(handles) {
+			start := q.targets[id].target.StartMillis
+			list = slices.DeleteFunc(list, func(h string) bool { return !IsOfStart(h, start) })
+			if len(list) == 0 {
+				continue
+			}
 			if sc.freedElsewhere[service] == nil {
 				sc.freedElsewhere[service] = map[string][]string{}
 			}
@@ -548,6 +557,7 @@
 	sc.now = now
 	if q := sc.queues[service]; q != nil {
 		q.CompleteCall(c, outcomes, failure, now)
+		sc.dropOutlived(service)
 	}
 }
 
--- a/entry/internal/batch/takeover.go
+++ b/entry/internal/batch/takeover.go
@@ -9,6 +9,7 @@
 	if len(progress) != len(o.Stages) {
 		return
 	}
+	progress = sc.withoutOutlived(o, progress)
 	reusable := o.reusableStages(progress)
 	for i, p := range progress {
 		st := &o.state[i]
--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -135,6 +135,9 @@
 	// IsUnframed says that the body has no length and no chunks, so that the end of its
 	// connection is its end.
 	IsUnframed bool
+	// IsFirst says that its connection carried no request before, so that it can't be a copy of
+	// an earlier answer.
+	IsFirst bool
 
 	body        io.ReadCloser
 	conn        *conn
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -327,6 +327,7 @@
 		c.head.limited = false
 		a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
 		a.IsUnframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		a.IsFirst = !used
 		a.reusable = !resp.Close && c.idleLimit >= 0
 		a.idleLimit = defaultIdleLimit
 		if req.KeepAlive != nil {
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
@@ -82,6 +83,9 @@
 			return nil
 		}
 		view := c.h.tables.View()
+		if c.areResultsOutlived(view) {
+			return errResultsGone
+		}
 		query := pick.Query{
 			Targets: view.Targets[c.service.Name], Regions: c.regions, Tried: tried, Affinity: c.prefixID(),
 			ColdLimit: c.service.ColdPerSecond, Slots: c.targetSlots(view.Config),
@@ -139,6 +143,21 @@
 	}
 }
 
+// areResultsOutlived reports whether a target has started again since it made a stage result of
+// the request. It then has none, or that of another request, under the same handle.
+func (c *call) areResultsOutlived(view *table.View) bool {
+	if c.results == nil || len(c.results.Handles) == 0 {
+		return false
+	}
+	starts := map[string]int64{}
+	for _, s := range c.route.Stages {
+		for _, t := range view.Targets[s.Service] {
+			starts[t.Address] = max(t.StartMillis, starts[t.Address])
+		}
+	}
+	return slices.ContainsFunc(c.results.Handles, func(h string) bool { return batch.IsOutlived(h, starts) })
+}
+
 // hasUntriedTarget reports whether some target might go on with a stream that stalls. Without
 // one, a slow stream is the best that the caller can get.
 func (c *call) hasUntriedTarget() bool {
@@ -211,13 +230,18 @@
 		sent.Account = c.account.Name
 	}
 	if c.results != nil {
-		sent.Inputs = c.results.Handles
+		sent.Inputs = batch.PlainHandles(c.results.Handles)
 	}
 	sent.Apply(header)
 	req := dialer.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.req.ID,
 		ResponseID: wire.AnswerID, KeepAlive: wire.KeepAlive, NewConn: c.sentTo[t.ID],
-		Check: func() error { return c.h.notices.Check(t.Announcer(), time.Now()) },
+		Check: func() error {
+			if c.areResultsOutlived(c.h.tables.View()) {
+				return errResultsGone
+			}
+			return c.h.notices.Check(t.Announcer(), time.Now())
+		},
 		Heard: func(status int, h http.Header) {
 			head := wire.DecodeAnswer(status, h)
 			c.h.notices.Record(t.Announcer(), notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -603,3 +603,28 @@
 		}
 	})
 }
+
+// boundStages gives results of the first start of a stage target, then of the second.
+type boundStages struct{ runs atomic.Int64 }
+
+func (s *boundStages) Run(context.Context, batch.Order, time.Time, time.Time) (*graph.Results, error) {
+	return &graph.Results{Handles: []string{batch.BindHandle("maker/1", s.runs.Add(1))}}, nil
+}
+
+// A request once ran on the result of another, which a stage target made after a new start under
+// the handle of the earlier one.
+func TestResultsOfAnEarlierStartAreNotSent(t *testing.T) {
+	stages := &boundStages{}
+	inputs := make(chan string, 4)
+	h := startHost(t, stages, func(w net.Conn, r *http.Request) {
+		inputs <- r.Header.Get(wire.HeaderInputs)
+		streamHead(w, r)
+		chunk(w, "id: 1\ndata: one\n\n")
+		chunk(w, "")
+	})
+	h.view.Targets["p"] = []*table.Target{{Target: fleet.Target{ID: "m", Service: "p", Address: "maker", StartMillis: 2}}}
+	got := h.send(t, "/staged/a", func(r *http.Request) { r.Header.Set(wire.HeaderPieces, "1") })
+	if got.status != 200 || stages.runs.Load() != 2 || len(inputs) != 1 || <-inputs != "maker/1" {
+		t.Errorf("status %d after %d runs of the stages, want 200 after the second", got.status, stages.runs.Load())
+	}
+}
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -193,13 +193,14 @@
 			}
 		}
 	}
-	kind, body := KindRun, any(order)
+	kind, body := KindRun, any(order.Packed())
 	var progress []batch.StageProgress
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, pollTimeout+networkSlack)
 		var res batch.Result
 		err := r.bus.Call(callCtx, PeerHost(home), kind, body, &res)
 		cancel()
+		res = res.Unpacked()
 		switch {
 		case ctx.Err() != nil:
 			r.drop(home, orderRef{ID: order.ID})
@@ -221,6 +222,7 @@
 	ID      string              `cbor:"id"`
 	Session batch.SessionTarget `cbor:"use"`
 	Handles []string            `cbor:"handles,omitempty"` // results to free at a home that doesn't know the ID
+	Starts  []int64             `cbor:"starts,omitempty"`  // of the makers of Handles, on the wire
 }
 
 // freeResults frees results at the home that ran the order, and at its successor if
@@ -252,6 +254,7 @@
 // send sends a message about an order without waiting. If it is lost, the home ends the order
 // because nobody polls for it.
 func (r *Runner) send(home roster.Host, kind string, ref orderRef) {
+	ref.Handles, ref.Starts = batch.PackHandles(ref.Handles)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), networkSlack)
 		defer cancel()
@@ -291,15 +294,15 @@
 		if err := peers.Decode(body, &order); err != nil {
 			return nil, err
 		}
-		home.Submit(order)
-		return home.Await(ctx, order.ID, pollTimeout), nil
+		home.Submit(order.Unpacked())
+		return home.Await(ctx, order.ID, pollTimeout).Packed(), nil
 	})
 	bus.Handle(KindWait, func(ctx context.Context, _ string, _ uint64, body []byte) (any, error) {
 		var in orderRef
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		return home.Await(ctx, in.ID, pollTimeout), nil
+		return home.Await(ctx, in.ID, pollTimeout).Packed(), nil
 	})
 	bus.Handle(KindReport, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
 		var report batch.RegionReport
@@ -322,7 +325,7 @@
 		if err := peers.Decode(body, &in); err != nil {
 			return nil, err
 		}
-		home.Drop(in.ID, in.Session, in.Handles)
+		home.Drop(in.ID, in.Session, batch.UnpackHandles(in.Handles, in.Starts))
 		return nil, nil
 	})
 }
--- a/entry/internal/graph/graph_test.go
+++ b/entry/internal/graph/graph_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-logr/logr"
 
 	"chivepost/entry/internal/batch"
@@ -40,6 +42,8 @@
 type fakeBus struct {
 	call func(ctx context.Context, home, kind string, body any, reply *batch.Result) error
 
+	onSend func(body any) // unless nil
+
 	mu   sync.Mutex
 	sent []string
 }
@@ -49,6 +53,9 @@
 }
 
 func (b *fakeBus) Send(_ context.Context, to hosts.Host, kind string, body any) error {
+	if b.onSend != nil {
+		b.onSend(body)
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sent = append(b.sent, to.Name+" "+kind+" "+body.(orderRef).ID)
@@ -101,3 +108,70 @@
 		})
 	}
 }
+
+// recordingHandlers is a bus that keeps the handlers of messages.
+type recordingHandlers map[string]func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)
+
+func (h recordingHandlers) Handle(kind string, f func(ctx context.Context, from string, incarnation uint64, body []byte) (any, error)) {
+	h[kind] = f
+}
+
+// madeResults is a client whose target makes a result for each piece, and records what is freed.
+type madeResults struct{ freed chan []string }
+
+func (madeResults) Run(_ context.Context, c *batch.Call) ([]batch.Outcome, batch.Failure, error) {
+	out := make([]batch.Outcome, len(c.Pieces))
+	for i := range out {
+		out[i].Handle = fmt.Sprintf("a/%d", i)
+	}
+	return out, batch.FailureNone, nil
+}
+
+func (c madeResults) Free(_ context.Context, _ batch.Target, handles []string) error {
+	c.freed <- handles
+	return nil
+}
+
+type oneTarget struct{}
+
+func (oneTarget) Stage(string, string) (fleet.Batching, []batch.Target, bool) {
+	return fleet.Batching{Slots: 1, BatchSize: 2, CallOverhead: time.Millisecond, ResultTTL: time.Second}, []batch.Target{{ID: "t", Address: "a", StartMillis: 7}}, true
+}
+
+// A result that is passed to another host, and to another home to be freed, is that of the start
+// that made it. Hosts of an earlier version get the handles that they know.
+func TestStartsOfResultsArePassedOn(t *testing.T) {
+	home := batch.New(madeResults{make(chan []string, 1)}, oneTarget{}, logr.Discard())
+	defer home.Close()
+	handlers := recordingHandlers{}
+	RegisterHandlers(handlers, home)
+	freed := make(chan orderRef, 2)
+	bus := &fakeBus{call: func(ctx context.Context, _, kind string, body any, reply *batch.Result) error {
+		data, err := cbor.Marshal(body)
+		if err != nil {
+			return err
+		}
+		out, err := handlers[kind](ctx, "h", 1, data)
+		if err == nil {
+			*reply = out.(batch.Result)
+			if slices.ContainsFunc(reply.Handles, func(h string) bool { return h != "a/0" && h != "a/1" }) {
+				t.Errorf("handles on the wire: %q, want plain ones", reply.Handles)
+			}
+		}
+		return err
+	}, onSend: func(body any) { freed <- body.(orderRef) }}
+	homes := &fakeHomes{names: []string{"h1", "h2"}, avoided: map[string]bool{}}
+	r := New("self", "r", homes, bus, nil, oneRegion{})
+	now := time.Now()
+	res, err := r.Run(context.Background(), batch.Order{Stages: []fleet.Stage{{Service: "s"}}, Pieces: []int{2}}, now.Add(2*time.Second), now.Add(2*time.Second))
+	if err != nil || !slices.Equal(res.Handles, []string{batch.BindHandle("a/0", 7), batch.BindHandle("a/1", 7)}) {
+		t.Fatalf("results %+v, %v, want bound handles", res, err)
+	}
+	homes.Avoid("h1")
+	res.Free(batch.SessionTarget{})
+	for range 2 { // at the home that ran it, which knows the handles, and at its successor
+		if ref := <-freed; len(ref.Handles) > 0 && !slices.Equal(batch.UnpackHandles(ref.Handles, ref.Starts), res.Handles) {
+			t.Errorf("to be freed: %+v, want %q", ref, res.Handles)
+		}
+	}
+}
--- a/entry/internal/maker/copies.go
+++ b/entry/internal/maker/copies.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chivepost/entry/internal/notice"
 	"chivepost/platform/wire"
 )
 
@@ -24,15 +25,19 @@
 var (
 	// errCopy means that an answer holds the results of an earlier one.
 	errCopy = errors.New("the answer is a copy of an earlier one")
+	// errRepeated means that an answer holds the results of an earlier one and can't be a copy
+	// of it.
+	errRepeated = errors.New("the target has started again")
 	// errNoResults means that an answer holds no result by which a copy could be told.
 	errNoResults = errors.New("the answer holds no results")
 )
 
-// recentAnswers remembers the answers of targets by their results. Results have handles of
-// their own, so an answer with the same ones in the same order is a copy.
+// recentAnswers remembers the answers of targets by their results. Results of one
+// start of a target have handles of their own, so an answer with the same ones in the same order
+// is a copy.
 type recentAnswers struct {
 	mu      sync.Mutex
-	targets map[string]*answerRing
+	targets map[notice.Target]*answerRing
 }
 
 // answerRing holds the hashes of the newest answers of a target.
@@ -41,11 +46,13 @@
 	next   int
 }
 
-func newRecentAnswers() *recentAnswers { return &recentAnswers{targets: map[string]*answerRing{}} }
+func newRecentAnswers() *recentAnswers {
+	return &recentAnswers{targets: map[notice.Target]*answerRing{}}
+}
 
 // add remembers an answer by its results. It returns errCopy if the answer is known, and
 // errNoResults if it holds none.
-func (r *recentAnswers) add(target string, results []wire.Result) error {
+func (r *recentAnswers) add(target notice.Target, results []wire.Result) error {
 	isEmpty := true
 	hash := xxhash.New()
 	for _, result := range results {
--- a/entry/internal/maker/copies_test.go
+++ b/entry/internal/maker/copies_test.go
@@ -151,3 +151,37 @@
 		})
 	}
 }
+
+// A target that has started again gives its handles anew. On a connection that carried no request
+// before, an answer with the handles of an earlier one shows that, and isn't a copy.
+func TestRepeatedAnswerOnANewConnectionShowsARestart(t *testing.T) {
+	target := batch.Target{ID: "t", StartMillis: 1}
+	target.Address = startCopier(t, func(int) string { return answerText(200, `{"Items":[{"Handle":"t/0"}]}`, "Connection: close\r\n") })
+	pool := dialer.New()
+	defer pool.Close()
+	client := New(pool, notice.New(time.Second, logr.Discard()))
+	for start, want := range []batch.Failure{batch.FailureNone, batch.FailureRepeated, batch.FailureNone} {
+		call := &batch.Call{Target: target.ID, Address: target.Address, Start: int64(start / 2), Pieces: make([]batch.Piece, 1)}
+		if _, failure, err := client.Run(context.Background(), call); failure != want {
+			t.Errorf("call %d: got failure %d (%v), want %d", start, failure, err, want)
+		}
+	}
+}
+
+// Results are freed only at the start that made them.
+func TestResultsOfAnotherStartAreNotFreed(t *testing.T) {
+	got := make(chan int, 4)
+	target := batch.Target{ID: "t", StartMillis: 2}
+	target.Address = startCopier(t, func(n int) string { got <- n; return answerText(200, "{}") })
+	pool := dialer.New()
+	defer pool.Close()
+	client := New(pool, notice.New(time.Second, logr.Discard()))
+	for handle, want := range map[string]int{batch.BindHandle("t/1", 1): 0, "t/1": 0, batch.BindHandle("t/1", 2): 1} {
+		if err := client.Free(context.Background(), target, []string{handle}); err != nil || len(got) != want {
+			t.Errorf("freed %q: %v, the target got %d requests, want %d", handle, err, len(got), want)
+		}
+		for len(got) > 0 {
+			<-got
+		}
+	}
+}
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -63,7 +63,7 @@
 func (c *Client) Run(ctx context.Context, call *batch.Call) ([]batch.Outcome, batch.Failure, error) {
 	pieces := make([]wire.Piece, len(call.Pieces))
 	for i, p := range call.Pieces {
-		pieces[i] = wire.Piece{Request: p.Request, Stage: p.Stage, Number: p.Number, TimeLeft: p.TimeLeft, Key: p.Key, Inputs: p.Inputs}
+		pieces[i] = wire.Piece{Request: p.Request, Stage: p.Stage, Number: p.Number, TimeLeft: p.TimeLeft, Key: p.Key, Inputs: batch.PlainHandles(p.Inputs)}
 	}
 	body, err := wire.EncodePieces(pieces)
 	if err != nil {
@@ -71,12 +71,15 @@
 	}
 	target := batch.Target{ID: call.Target, Address: call.Address, StartMillis: call.Start}
 	var results []wire.Result
-	status, header, err := c.post(ctx, target, wire.PathStageRun, body, func(answer []byte) error {
+	status, header, err := c.post(ctx, target, wire.PathStageRun, body, func(answer []byte, isFirst bool) error {
 		var err error
 		if results, err = wire.DecodeResults(answer, len(pieces)); err != nil {
 			return err
 		}
-		return c.recent.add(target.ID, results)
+		if err = c.recent.add(noticeOf(target), results); errors.Is(err, errCopy) && isFirst {
+			return errRepeated
+		}
+		return err
 	})
 	switch {
 	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving):
@@ -89,6 +92,8 @@
 		return nil, batch.FailureRefused, fmt.Errorf("the target refused with status %d", status)
 	case status != http.StatusOK:
 		return nil, batch.FailureBroken, fmt.Errorf("the target answered with status %d", status)
+	case errors.Is(err, errRepeated):
+		return nil, batch.FailureRepeated, err
 	case err != nil && !errors.Is(err, errNoResults):
 		return nil, batch.FailureBroken, err
 	}
@@ -117,13 +122,17 @@
 	return batch.FailureBroken
 }
 
-// Free frees stage results at a target.
+// Free frees stage results at a target, except those that another start of it has made.
 func (c *Client) Free(ctx context.Context, target batch.Target, handles []string) error {
-	body, err := wire.EncodeFree(handles)
+	handles = slices.DeleteFunc(slices.Clone(handles), func(h string) bool { return !batch.IsOfStart(h, target.StartMillis) })
+	if len(handles) == 0 {
+		return nil
+	}
+	body, err := wire.EncodeFree(batch.PlainHandles(handles))
 	if err != nil {
 		return err
 	}
-	status, _, err := c.post(ctx, target, wire.PathStageFree, body, func(answer []byte) error {
+	status, _, err := c.post(ctx, target, wire.PathStageFree, body, func(answer []byte, _ bool) error {
 		if wire.HasResults(answer) {
 			return errors.New("free results: the answer is that to another call")
 		}
@@ -136,12 +145,13 @@
 }
 
 // post sends a request to a target and reads the answer. accept checks the body of an answer
-// with status 200. Stage calls have no ID in their answers, so the connection of an answer
-// that isn't accepted is closed: it may be a copy of an earlier one, and the right one may
-// follow. So is that of a failure. Refusals are frequent, so that of a refusal is only held
-// for as long as the call might take if it runs after all. The returned status is 0 if there
-// is no whole answer; the error is then of type *dialer.SendError.
-func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, accept func(answer []byte) error) (int, http.Header, error) {
+// with status 200, and is told whether it is the first on its connection. Stage calls have no ID
+// in their answers, so the connection of an answer that isn't accepted is closed: it may be a
+// copy of an earlier one, and the right one may follow. So is that of a failure. Refusals are
+// frequent, so that of a refusal is only held for as long as the call might take if it runs after
+// all. The returned status is 0 if there is no whole answer; the error is then of type
+// *dialer.SendError.
+func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, accept func(answer []byte, isFirst bool) error) (int, http.Header, error) {
 	announcer := noticeOf(target)
 	a, err := c.dialer.Do(ctx, target.ID, target.Address, maxConnections, dialer.Request{
 		Method: http.MethodPost, URI: path, Host: target.Address, Header: wire.StageHeader(target.ID), Body: body,
@@ -172,7 +182,7 @@
 	if err != nil {
 		return 0, nil, &dialer.SendError{Sent: true, Err: err}
 	}
-	if err := accept(data); err != nil {
+	if err := accept(data, a.IsFirst); err != nil {
 		a.CloseConn()
 		return a.Status, a.Header, err
 	}
