Notice: what a target announced before its start was known binds that start

Cause: announcements were filed under the start that the table knew.

Ruled out: the bound of the board. The hold of missing entries after an outage is needed for the fault, but is right.

Change: the table tells the board of each new start before it is in the view, with the time of the last reading that didn't show it. What was announced first since then binds the new start too, unless the target's own clock says that it started half of DrainMs later or more, so that a target that leaves and really starts anew is open. It binds for eight times DrainMs at most. The same holds for Retry-After.

Each test of the change was seen to fail without the mechanism that it guards.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -264,8 +264,9 @@
 // syncTimeout limits a call to a peer that may delay its reply by 1.25 s.
 const syncTimeout = 1500 * time.Millisecond
 
-func newTables(refs *fleetRefs, r *roster.Controller, bus *peers.Transport, client *store.Client, log logr.Logger) *table.Controller {
+func newTables(refs *fleetRefs, r *roster.Controller, bus *peers.Transport, client *store.Client, notices *notice.Board, log logr.Logger) *table.Controller {
 	t := table.New(feed.Operator(client), feed.Targets(client), peerTables{roster: r, bus: bus}, log.WithName("table"))
+	t.OnRestart(notices.Restarted)
 	bus.Handle(kindTable, func(_ context.Context, _ string, _ uint64, body []byte) (any, error) {
 		var req table.SnapshotRequest
 		if err := peers.Decode(body, &req); err != nil {
--- a/entry/internal/notice/notice.go
+++ b/entry/internal/notice/notice.go
@@ -15,6 +15,7 @@
 var (
 	leavingSeen = expvar.NewInt("target_leaving_announced_count")
 	busySeen    = expvar.NewInt("target_busy_announced_count")
+	inherited   = expvar.NewInt("target_leaving_inherited_count")
 	held        = expvar.NewInt("target_sends_held_count")
 )
 
@@ -25,6 +26,9 @@
 	// maxTargets bounds the targets kept: several times those of the largest deployment that
 	// is planned. Those that announced something first are dropped first.
 	maxTargets = 8192
+	// inheritDrains bounds, in drain times, how long an announcement binds an incarnation of which
+	// it isn't known that it made it. The entry of a target that leaves is gone by then.
+	inheritDrains = 8
 )
 
 // Reasons why a request must not be sent to a target.
@@ -33,8 +37,9 @@
 	ErrBusy    = errors.New("the target is busy")
 )
 
-// Target identifies one incarnation of a target. What one incarnation announced doesn't bind
-// the next one, even under the same ID.
+// Target identifies one incarnation of a target as the caller knows it. What one incarnation
+// announced doesn't bind the next one, even under the same ID. A target may have started again
+// before its entry shows it, though; see Restarted.
 type Target struct {
 	ID          string
 	StartMillis int64
@@ -55,12 +60,16 @@
 
 // state is what a target has announced.
 type state struct {
-	leavingSince time.Time // zero: not leaving
-	busyUntil    time.Time
+	leavingSince   time.Time // zero: not leaving
+	busySince      time.Time // when busyUntil was announced
+	busyUntil      time.Time
+	inheritedUntil time.Time // zero: it announced itself that it leaves
+	next           int64     // the start of the incarnation that follows; 0: none is known
 }
 
 // Board keeps the announcements of targets. It is safe for concurrent use.
 type Board struct {
+	drain      time.Duration
 	lastResort time.Duration // after a target's first announcement that it leaves
 	logger     logr.Logger
 
@@ -77,7 +86,7 @@
 
 // New returns an empty board. drain is how long a target that leaves still takes requests.
 func New(drain time.Duration, logger logr.Logger) *Board {
-	return &Board{lastResort: time.Duration(lastResortShare * float64(drain)), logger: logger, targets: map[Target]state{}}
+	return &Board{drain: drain, lastResort: time.Duration(lastResortShare * float64(drain)), logger: logger, targets: map[Target]state{}}
 }
 
 // Record adds what an answer of a target announced.
@@ -87,35 +96,90 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s, isKnown := b.targets[t]
-	if !isKnown {
-		b.order = append(b.order, t)
-		if len(b.order) > maxTargets {
-			delete(b.targets, b.order[0])
-			b.order = b.order[1:]
-		}
-	}
-	if n.Leaving && s.leavingSince.IsZero() {
+	t = b.newest(t)
+	s := b.targets[t]
+	if n.Leaving && (s.leavingSince.IsZero() || !s.inheritedUntil.IsZero() && !now.Before(s.inheritedUntil)) {
 		s.leavingSince = now
 		leavingSeen.Add(1)
 		b.logger.Info("target leaving", "target", t.ID, "last_resort", b.lastResort.String())
 	}
 	if until := now.Add(n.Pause); n.Pause > 0 && until.After(s.busyUntil) {
-		s.busyUntil = until
+		s.busySince, s.busyUntil = now, until
 		busySeen.Add(1)
 		b.logger.Info("target busy", "target", t.ID, "pause", n.Pause.String())
 	}
+	if n.Leaving {
+		s.inheritedUntil = time.Time{}
+	}
+	b.put(t, s)
+}
+
+// put stores the state of a target. The caller holds b.mu.
+func (b *Board) put(t Target, s state) {
+	if _, isKnown := b.targets[t]; !isKnown {
+		b.order = append(b.order, t)
+		if len(b.order) > maxTargets {
+			delete(b.targets, b.order[0])
+			b.order = b.order[1:]
+		}
+	}
 	b.targets[t] = s
 }
 
+// newest returns the newest known incarnation of a target: a caller may have chosen it before
+// that was known. The caller holds b.mu.
+func (b *Board) newest(t Target) Target {
+	for range maxTargets {
+		s := b.targets[t]
+		if s.next == 0 {
+			break
+		}
+		t.StartMillis = s.next
+	}
+	return t
+}
+
+// Restarted records that a target's entry shows another start than before. unseenSince is the
+// time of the last reading of the entries that didn't show it yet. What the target announced
+// since then may be of the new incarnation, although it was filed under the one before. It is
+// taken for that, unless the new one says that it started later: a target that leaves ends after
+// its drain time, and starts again later still. Clocks may differ by half of that.
+func (b *Board) Restarted(id string, from, to int64, unseenSince, now time.Time) {
+	if from == to {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, s := b.targets[Target{id, from}], b.targets[Target{id, to}]
+	isUnseen := func(announced time.Time, tolerance time.Duration) bool {
+		return announced.After(unseenSince) && to <= announced.Add(tolerance).UnixMilli()
+	}
+	limit := now.Add(inheritDrains * b.drain)
+	if !old.leavingSince.IsZero() && s.leavingSince.IsZero() && isUnseen(old.leavingSince, b.lastResort) {
+		s.leavingSince, s.inheritedUntil = old.leavingSince, limit
+		inherited.Add(1)
+		b.logger.Info("target leaving, as announced before its start was known", "target", id, "start", to)
+	}
+	if old.busyUntil.After(now) && isUnseen(old.busySince, 0) {
+		s.busySince, s.busyUntil = old.busySince, old.busyUntil
+		if limit.Before(s.busyUntil) {
+			s.busyUntil = limit
+		}
+	}
+	old.next, s.next = to, 0
+	b.put(Target{id, from}, old)
+	b.put(Target{id, to}, s)
+}
+
 // Status returns what holds for a target.
 func (b *Board) Status(t Target, now time.Time) Status {
 	b.mu.RLock()
-	s, isKnown := b.targets[t]
+	s := b.targets[b.newest(t)]
 	b.mu.RUnlock()
+	if !s.inheritedUntil.IsZero() && !now.Before(s.inheritedUntil) {
+		s.leavingSince = time.Time{}
+	}
 	switch {
-	case !isKnown:
-		return Status{}
 	case !s.leavingSince.IsZero() && now.Sub(s.leavingSince) >= b.lastResort:
 		return Status{Leaving: true, Closed: true}
 	case now.Before(s.busyUntil):
--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -465,6 +465,14 @@
 // isLost reports whether reads have failed for longer than peerFetchDelay.
 func isLost(since, now time.Time) bool { return !since.IsZero() && now.Sub(since) > peerFetchDelay }
 
+// OnRestart sets the function that is told of targets that have started again, before they are in
+// the view.
+func (c *Controller) OnRestart(f RestartFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state.onRestart = f
+}
+
 // View returns the current view.
 func (c *Controller) View() *View { return c.view.Load() }
 
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -71,6 +71,8 @@
 	displacing     map[string]bool         // targets whose entry displaced one that seemed newer
 	expiring       map[string]time.Time    // when an expired target is dropped
 	targetsReadAt  time.Time               // of the last read of the targets, by this host or by a peer for it
+	readBefore     time.Time               // of the read before that one
+	onRestart      RestartFunc             // nil: nobody asks
 	targetsOffset  int64
 	targetsLoaded  bool
 	storeBackAt    time.Time // when the store was first read after the last outage
@@ -204,7 +206,7 @@
 		s.logger.Info("targets read again after an outage", "outage", gap.String(), "hold", expiryHold.String())
 	}
 	if gap > 0 {
-		s.targetsReadAt = readAt
+		s.readBefore, s.targetsReadAt = s.targetsReadAt, readAt
 	}
 }
 
@@ -225,6 +227,7 @@
 	if e.ColdRemaining > 0 {
 		t.ColdUntil = now.Add(e.ColdRemaining)
 	}
+	s.noteStart(e, now)
 	old, ok := s.targets[e.ID]
 	if ok && isSameEntry(t, old, now) {
 		t.revision = old.revision
@@ -240,6 +243,21 @@
 	delete(s.lastEntries, e.ID)
 }
 
+// RestartFunc is told that the entry of a target shows another start than before, and the time
+// of the last reading that didn't show it.
+type RestartFunc func(id string, from, to int64, unseenSince, now time.Time)
+
+// noteStart tells onRestart if an entry shows another start of its target than the known one.
+func (s *State) noteStart(e fleet.Target, now time.Time) {
+	before, ok := s.lastEntries[e.ID]
+	if t := s.targets[e.ID]; t != nil {
+		before, ok = t.Target, true
+	}
+	if ok && before.StartMillis != e.StartMillis && s.onRestart != nil {
+		s.onRestart(e.ID, before.StartMillis, e.StartMillis, s.readBefore, now)
+	}
+}
+
 // displaces records an entry that seems older than the known one, and reports whether it
 // takes that one's place.
 func (s *State) displaces(e fleet.Target, now time.Time) bool {
@@ -447,6 +465,7 @@
 		if isOlder(last, t.Target) {
 			return
 		}
+		s.noteStart(last, now)
 		next := *t // a copy, because views share the old one
 		next.Target = last
 		s.targets[last.ID] = &next
--- a/entry/internal/table/state_test.go
+++ b/entry/internal/table/state_test.go
@@ -272,3 +272,44 @@
 		}
 	}
 }
+
+// A host that was cut off learned of the new start of a target and of its removal in one reading.
+// Those that keep announcements must be told of the start before, and since when it may have been
+// unseen, whichever way the entries come.
+func TestRestartIsToldWithTheReadingBefore(t *testing.T) {
+	born := func(startMillis int64) fleet.Target {
+		e := *entry("x", 1, false).Entry
+		e.StartMillis = startMillis
+		return e
+	}
+	old, next := born(1), born(2)
+	for name, learn := range map[string]func(s *State, now time.Time){
+		"own reading": func(s *State, now time.Time) {
+			s.ApplyTargets([]feed.TargetChange{{ID: "x", Entry: &next}, {ID: "x"}}, 9, false, now)
+		},
+		"of a peer": func(s *State, now time.Time) {
+			s.Merge(Snapshot{Targets: []fleet.Target{next}, TargetsOffset: 9}, now)
+		},
+		"of a peer, departed": func(s *State, now time.Time) {
+			s.Merge(Snapshot{Departed: []fleet.Target{next}, TargetsOffset: 9, IsDelta: true}, now)
+		},
+		"departed before": func(s *State, now time.Time) {
+			s.ApplyTargets([]feed.TargetChange{{ID: "x"}}, 8, false, start.Add(time.Second))
+			s.ApplyTargets([]feed.TargetChange{{ID: "x", Entry: &next}}, 9, false, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			var told []string
+			s.onRestart = func(id string, from, to int64, unseenSince, _ time.Time) {
+				told = append(told, fmt.Sprint(id, from, to, unseenSince.Sub(start)))
+			}
+			s.ApplyTargets([]feed.TargetChange{{ID: "x", Entry: &old}}, 1, true, start)
+			s.ApplyTargets(nil, 1, false, start.Add(time.Second))
+			learn(s, start.Add(6*time.Second))
+			if want := fmt.Sprint("x", 1, 2, time.Second); len(told) != 1 || told[0] != want {
+				t.Errorf("told %q, want %q", told, want)
+			}
+		})
+	}
+}
