--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -104,6 +104,7 @@
 	runs         int
 	isHeld       bool // nobody polls for it
 	ended        bool
+	isRestarting bool
 	finish       func(Result)
 }
 
@@ -138,6 +139,7 @@
 	}
 	q.SetSpec(spec)
 	q.SetTargets(targets)
+	sc.dropOutlived(name)
 }
 
 // Services returns the names of the services with a queue.
@@ -366,7 +368,7 @@
 // handleStageResult completes the stage, restarts the order if inputs were lost, or
 // drops it.
 func (sc *Scheduler) handleStageResult(o *order, i int, r Result) {
-	if o.ended {
+	if o.ended || o.isRestarting { // other stages of an order that restarts are dropped
 		return
 	}
 	now := sc.now
@@ -389,7 +391,9 @@
 
 // restart returns an order whose results were lost to the waiting orders.
 func (sc *Scheduler) restart(o *order) {
+	o.isRestarting = true
 	sc.dropWork(o)
+	o.isRestarting = false
 	for i := range o.state {
 		isInput := o.state[i].isInput
 		o.state[i] = stageState{isInput: isInput}
@@ -506,6 +510,11 @@
 func (sc *Scheduler) FreeHandles(handles []string) {
 	for service, q := range sc.queues {
 		for id, list := range q.groupByTarget(handles) {
+			start := q.targets[id].target.StartMillis
+			list = slices.DeleteFunc(list, func(h string) bool { return !IsOfStart(h, start) })
+			if len(list) == 0 {
+				continue
+			}
 			if sc.freedElsewhere[service] == nil {
 				sc.freedElsewhere[service] = map[string][]string{}
 			}
@@ -560,6 +569,7 @@
 	sc.now = now
 	if q := sc.queues[service]; q != nil {
 		q.CompleteCall(c, outcomes, failure, now)
+		sc.dropOutlived(service)
 	}
 }
 
