dialer: a reset during the upload is no end of a response, and invalid status lines are none

Cause: a connection that is reset while a request is written reports the reset once. If the writer got it, the reader got the end of the stream, and a response without a length counted as complete. http.ReadResponse accepts any three digits and any version, so 600 to 999 and HTTP/9.9 reached callers, and 000, 099 and 101 were skipped as interim responses after their headers had been passed on.

Change: at the end of a response without a length the dialer reads the TCP state, and waits up to 300 ms for the rest of the upload to be acknowledged, failed or reset. A target that closes only its own direction still ends its response. Status lines outside HTTP/1.x and 100 to 599, and 101, are rejected; the request counts as one that may have run. The client of chive-entry serve rejects other versions of HTTP; its checks of length, checksum and end mark held already.

Before, a refusal in HTTP/9.9 counted as not run in chive-entry serve.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,12 @@
 	// maxHeadBytes bounds what is read before the body of an answer: its head, interim
 	// answers and answers to other requests.
 	maxHeadBytes = 64 << 10
+	// uploadEndTimeout is how long the end of a response without a length waits for the rest of
+	// the request to be acknowledged. What is under way to a closed connection is answered by a
+	// reset within a round trip, which is 40 ms between regions, or after one retransmission.
+	// uploadEndPoll is the time between two checks.
+	uploadEndTimeout = 300 * time.Millisecond
+	uploadEndPoll    = 2 * time.Millisecond
 	// maxDiscardBytes and discardTimeout bound the rest of a body that is read only so that
 	// the connection can be reused: more costs more than another connection.
 	maxDiscardBytes = 64 << 10
@@ -118,6 +125,29 @@
 	return clean
 }
 
+// state reports whether the connection was reset, and how many sent bytes the peer hasn't
+// acknowledged.
+func (c *conn) state() (isReset bool, unacknowledged int, err error) {
+	tcp, ok := c.net.(syscall.Conn)
+	if !ok {
+		return false, 0, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false, 0, err
+	}
+	var infoErr error
+	err = raw.Control(func(fd uintptr) {
+		var info *unix.TCPInfo
+		if info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr != nil {
+			return
+		}
+		isReset = info.State == unix.BPF_TCP_CLOSE
+		unacknowledged, infoErr = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ)
+	})
+	return isReset, unacknowledged, errors.Join(err, infoErr)
+}
+
 // close closes the connection. It may be called more than once.
 func (c *conn) close() {
 	if c.closed.CompareAndSwap(false, true) {
@@ -153,6 +183,11 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if a.IsUnframed && !a.readToEnd {
+			if err := a.checkEnd(); err != nil {
+				return n, err
+			}
+		}
 		a.readToEnd = true
 		return n, err
 	}
@@ -162,6 +197,35 @@
 	return n, err
 }
 
+// checkEnd returns an error if the connection of a response without a length was reset, so
+// that the response is incomplete. While a request is written, the kernel may report a reset
+// to the writer, and then ends the stream for the reader.
+func (a *Answer) checkEnd() error {
+	for start := time.Now(); ; time.Sleep(uploadEndPoll) {
+		isReset, unacknowledged, err := a.conn.state()
+		if err != nil {
+			return err
+		}
+		isWritten := true
+		if a.written != nil {
+			select {
+			case <-a.written:
+				isReset = isReset || a.writeFailed.Load()
+			default:
+				isWritten = false
+			}
+		}
+		if isReset {
+			resetBodies.Add(1)
+			return &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+		}
+		// A target may close its own direction only, and read the rest of the request later.
+		if isWritten && unacknowledged == 0 || time.Since(start) > uploadEndTimeout {
+			return nil
+		}
+	}
+}
+
 // Discard reads the rest of the body, if it is short and arrives soon, so that the connection
 // can be reused.
 func (a *Answer) Discard() {
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -23,6 +23,8 @@
 var (
 	connectionsOpened = expvar.NewInt("target_connections_opened_count")
 	strayAnswers      = expvar.NewInt("target_stray_answers_count")
+	resetBodies       = expvar.NewInt("target_answers_reset_count")
+	invalidHeads      = expvar.NewInt("target_answers_invalid_count")
 )
 
 const (
@@ -353,6 +355,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkStatusLine(resp); err != nil {
+			invalidHeads.Add(1)
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -360,6 +366,22 @@
 	}
 }
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
+// checkStatusLine returns an error for a status line that http.ReadResponse accepts and that
+// isn't one of a response in HTTP/1.0 or HTTP/1.1 to a request that asked for no other
+// protocol.
+func checkStatusLine(resp *http.Response) error {
+	if resp.ProtoMajor != 1 || resp.ProtoMinor > 1 {
+		return fmt.Errorf("response in version %d.%d of HTTP", resp.ProtoMajor, resp.ProtoMinor)
+	}
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("response with the invalid status %03d", resp.StatusCode)
+	}
+	return nil
+}
+
 // heard passes the head of an answer on.
 func (r *Request) heard(resp *http.Response) {
 	if r.Heard != nil {
--- a/share/target/client.go
+++ b/share/target/client.go
@@ -169,6 +169,9 @@
 
 // readResponse validates the response and stores the output in res.
 func (c *Client) readResponse(ctx context.Context, resp *http.Response, call Call, onToken func(int, string), res *Result) *CallError {
+	if resp.ProtoMajor != 1 { // net/http accepts any version in the status line
+		return &CallError{Reason: ReasonFormat, Detail: fmt.Sprintf("response in version %d.%d of HTTP", resp.ProtoMajor, resp.ProtoMinor)}
+	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderNotRun) == "true" {
 		if resp.Header.Get(HeaderRequestID) != call.ID {
 			return wrongIDError(resp.StatusCode)
