--- a/entry/internal/graph/graph_test.go
+++ b/entry/internal/graph/graph_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/place"
 	"chivepost/entry/internal/roster"
 	"chivepost/share/fleet"
 	"chivepost/share/hosts"
