--- a/share/fleet/fleet.go
+++ b/share/fleet/fleet.go
@@ -157,3 +157,12 @@
 	StartMillis   int64         `cbor:"Born"` // start of the incarnation in Unix milliseconds; 0 if unknown
 	Sequence      int64         // number of the entry within the incarnation
 }
+
+// LoadReport is what a target reports of its load in a response. It holds no time of its
+// own: its age counts from the arrival of the response.
+type LoadReport struct {
+	Running  int     // requests that the target runs
+	Waiting  int     // requests that wait at the target
+	Slots    int     // requests that it runs at once; 0: not given
+	Slowdown float64 // time that work takes now, relative to the usual time
+}
