--- a/entry/internal/pick/health.go
+++ b/entry/internal/pick/health.go
@@ -49,6 +49,7 @@
 	probing      bool // a single request is trying it after an ejection
 	firstByte    time.Duration
 	lastChosen   time.Time
+	report       report
 	coldSends    []time.Time // recent sends while cold
 }
 
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,12 @@
 	Status(t notice.Target, now time.Time) notice.Status
 }
 
+// Others provides how many requests the other hosts have in flight at a target, as far as
+// this host has heard.
+type Others interface {
+	InFlight(target string, now time.Time) float64
+}
+
 // Options configures a Balancer.
 type Options struct {
 	DataCentre  string
@@ -41,6 +48,7 @@
 	RetryRatio  float64           // retries per request
 	RetryExtra  float64           // further retries per window of all hosts together
 	RetryWindow time.Duration     // window over which requests and retries are counted
+	Others      Others            // nil: nothing is heard of other hosts
 }
 
 // Balancer chooses targets and tracks the health of each one and the retry budget of each
@@ -49,8 +57,10 @@
 	opts    Options
 	hosts   Hosts
 	notices Notices
+	policy  policy
 
 	mu      sync.Mutex
+	rng     *rand.Rand // chooses among equal targets
 	targets map[string]*health
 	budgets map[string]*RetryBudget
 	choices int
@@ -58,7 +68,10 @@
 
 // New returns a Balancer without observations.
 func New(opts Options, hosts Hosts, notices Notices) *Balancer {
-	return &Balancer{opts: opts, hosts: hosts, notices: notices, targets: map[string]*health{}, budgets: map[string]*RetryBudget{}}
+	return &Balancer{
+		opts: opts, hosts: hosts, notices: notices, policy: policy{isPlain: true, ignoresReports: true},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), targets: map[string]*health{}, budgets: map[string]*RetryBudget{},
+	}
 }
 
 // Query describes a request that needs a target.
@@ -110,12 +123,16 @@
 	if c.done {
 		return
 	}
+	c.doneAt(o, c.firstByte, time.Now())
+}
+
+func (c *Chosen) doneAt(o Outcome, firstByte time.Duration, now time.Time) {
 	c.done = true
 	c.balancer.mu.Lock()
 	defer c.balancer.mu.Unlock()
 	h := c.balancer.health(c.ID)
 	h.inFlight--
-	h.record(o, c.firstByte, time.Now())
+	h.record(o, firstByte, now)
 }
 
 func (b *Balancer) health(id string) *health {
@@ -131,9 +148,13 @@
 type candidate struct {
 	target       *table.Target
 	health       *health
-	distance     int // 0: the nearest data centre, 1: its region, 2: elsewhere
-	load         float64
-	affinityHash uint64 // the highest one is preferred (rendezvous hashing)
+	distance     int     // 0: the nearest data centre, 1: its region, 2: elsewhere
+	own          float64 // this host's requests in flight there, with the one to send
+	load         float64 // all requests there, as far as this host knows, times its slowness
+	rank         float64 // load by which targets are compared: that of other hosts counts less
+	isHeard      bool    // load includes requests of other hosts
+	hasSlowdown  bool    // load includes a slowdown that the target reported
+	affinityHash uint64  // the highest one is preferred (rendezvous hashing)
 }
 
 // Choose returns a target for a request, or nil and the refusal if no target may get it
@@ -150,6 +171,7 @@
 	var available, leaving, unavailable []candidate
 	why := "no target is available"
 	var closed closures
+	isCrowded := (isCrowded(hosts, q.Slots) || b.policy.isForced) && !b.policy.isPlain
 	for _, t := range q.Targets {
 		region := b.opts.Regions[t.DataCentre]
 		if len(q.Regions) > 0 && !slices.Contains(q.Regions, region) {
@@ -165,7 +187,11 @@
 			why = "the cold limit of the targets is reached"
 			continue
 		}
-		k := candidate{target: t, health: h, load: float64(h.inFlight + 1), distance: 2}
+		k := candidate{target: t, health: h, own: float64(h.inFlight + 1), distance: 2}
+		k.load, k.rank = k.own, k.own
+		if isCrowded {
+			b.addOthers(&k, now)
+		}
 		switch {
 		case t.DataCentre == near:
 			k.distance = 0
@@ -194,7 +220,7 @@
 		}
 		available = []candidate{slices.MinFunc(unavailable, func(x, y candidate) int { return x.health.ejectedUntil.Compare(y.health.ejectedUntil) })}
 	}
-	best := b.selectBest(available, q)
+	best := b.selectBest(available, q, isCrowded, now)
 	h := best.health
 	if h.ejections > 0 {
 		h.probing = true
@@ -238,9 +264,11 @@
 // selectBest returns the target with the cached prefix unless it is overloaded. Otherwise
 // it chooses among the nearest candidates that aren't overloaded, by affinity or else by
 // load.
-func (b *Balancer) selectBest(available []candidate, q Query) candidate {
+func (b *Balancer) selectBest(available []candidate, q Query, isCrowded bool, now time.Time) candidate {
+	hasReports := b.applyReports(available, now)
 	penalizeSlow(available)
-	if k, ok := prefixCandidate(available, q.PrefixTarget); ok {
+	isHeard := slices.ContainsFunc(available, func(k candidate) bool { return k.isHeard })
+	if k, ok := b.prefixCandidate(available, q.PrefixTarget, isHeard); ok {
 		return k
 	}
 	for distance := range 3 {
@@ -252,22 +280,26 @@
 		for _, k := range near {
 			sum += k.load
 		}
-		least := slices.MinFunc(near, byLoad)
+		least := b.least(near, isCrowded || hasReports)
 		// Slots are shared with other hosts, so a host that would fill more than half of
 		// them alone goes to targets further away.
-		if distance < 2 && q.Slots > 0 && least.load > max(float64(q.Slots)/2, 2) {
+		if distance < 2 && q.Slots > 0 && isFull(least, q.Slots, isCrowded) {
+			fullCount.Add(1)
 			continue
 		}
 		if q.Affinity == "" {
 			return least
 		}
-		bound := loadSlack + loadFactor*sum/float64(len(near))
+		bound := b.affinityBound(sum/float64(len(near)), isHeard)
 		slices.SortFunc(near, func(x, y candidate) int {
 			if x.affinityHash > y.affinityHash {
 				return -1
 			}
 			return 1
 		})
+		if near[0].load > bound {
+			overflowCount.Add(1)
+		}
 		for _, k := range near {
 			if k.load <= bound {
 				return k
@@ -275,19 +307,23 @@
 		}
 		return least
 	}
-	return slices.MinFunc(available, byLoad)
+	return b.least(available, isCrowded || hasReports)
 }
 
 // prefixCandidate returns the candidate with the ID, and false if there is none or if it
 // is overloaded.
-func prefixCandidate(available []candidate, id string) (candidate, bool) {
+func (b *Balancer) prefixCandidate(available []candidate, id string, isHeard bool) (candidate, bool) {
 	sum := 0.0
 	for _, k := range available {
 		sum += k.load
 	}
 	for _, k := range available {
 		if id != "" && k.target.ID == id {
-			return k, k.load <= loadSlack+loadFactor*sum/float64(len(available))
+			isWithin := k.load <= b.affinityBound(sum/float64(len(available)), isHeard)
+			if !isWithin {
+				overflowCount.Add(1)
+			}
+			return k, isWithin
 		}
 	}
 	return candidate{}, false
@@ -321,8 +357,12 @@
 	slices.Sort(times)
 	median := float64(times[len(times)/2])
 	for i := range available {
+		if available[i].hasSlowdown {
+			continue // the target's own report says it better
+		}
 		if f := float64(available[i].health.firstByte) / median; f > 2 {
-			available[i].load *= min(f, maxSlowFactor)
+			f = min(f, maxSlowFactor)
+			available[i].load, available[i].rank = f*available[i].load, f*available[i].rank
 		}
 	}
 }
