loads: log that no other host is heard of only after 10 s

Cause: at a low load hosts without requests send nothing, so the line came and went each second or two in a soak of 20 hosts. Change: the loss is logged after 10 s.

--- a/entry/internal/loads/controller.go
+++ b/entry/internal/loads/controller.go
@@ -26,6 +26,9 @@
 	// fanout is the number of hosts that receive a datagram. In the model of 62 hosts with one
 	// datagram in twenty lost, a host knows 13 of 20 others of its region at 0.9 KB/s.
 	fanout = 3
+	// silenceLogged is how long nothing is known of other hosts before this is logged. At a low
+	// load it is usual for a second or two, since hosts without requests send nothing.
+	silenceLogged = 10 * time.Second
 )
 
 // Gossip sends datagrams to other hosts.
@@ -44,7 +47,9 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	wasIdle  bool // the last record had no counts
-	isHeard  bool // other hosts were heard of in the last round, for the log
+	// lastHeard is when records of other hosts were last known; isHeard is what was logged of it.
+	lastHeard time.Time
+	isHeard   bool
 }
 
 // New returns a Controller that keeps board up to date. inFlight returns this host's requests
@@ -84,7 +89,10 @@
 		return
 	}
 	c.wasIdle = len(inFlight) == 0
-	if isHeard := n > 0; isHeard != c.isHeard {
+	if n > 0 {
+		c.lastHeard = now
+	}
+	if isHeard := now.Sub(c.lastHeard) < silenceLogged; isHeard != c.isHeard {
 		c.isHeard = isHeard
 		c.logger.Info("loads of other hosts", "known", isHeard, "hosts", n, "age", age.String())
 	}
