Follow the home's placement whatever was heard of other hosts' requests

The figures that hosts tell each other are older than the home's view of prompts still to be read, and count requests whatever their size. They would undo a placement where many short streams run. For a placed request only this host's own requests bound the choice.

--- a/entry/internal/batch/job.go
+++ b/entry/internal/batch/job.go
@@ -129,6 +129,7 @@
 	DataCentre   string          `cbor:"near,omitempty"`   // where the request should run; empty: anywhere
 	Region       string          `cbor:"region,omitempty"` // region to hand the order to, with ReasonMoved
 	PrefixTarget string          `cbor:"prefer,omitempty"` // target that has the prefix cached; empty: none
+	IsPlaced     bool            `cbor:"placed,omitempty"` // PrefixTarget was chosen by the prompts of the region
 	Runs         int             `cbor:"runs,omitempty"`   // how often the stages of an order were started
 	Wait         time.Duration   `cbor:"wait,omitempty"`   // before the first call; of an order, over all stages
 }
--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -439,7 +439,7 @@
 		}
 	}
 	r := Result{Handles: out}
-	r.DataCentre, r.PrefixTarget = sc.placeRequest(o)
+	r.DataCentre, r.PrefixTarget, r.IsPlaced = sc.placeRequest(o)
 	o.end(r)
 	return true
 }
--- a/entry/internal/batch/session.go
+++ b/entry/internal/batch/session.go
@@ -41,7 +41,7 @@
 
 // placeRequest returns where the request of an order should run: the preferred data centre
 // and, if the region has its own home, the target that has read the prompt first.
-func (sc *Scheduler) placeRequest(o *order) (dataCentre, target string) {
+func (sc *Scheduler) placeRequest(o *order) (dataCentre, target string, isPlaced bool) {
 	dataCentre, target = sc.preferredTarget(o)
 	in := cmp.Or(dataCentre, o.DataCentre)
 	var near []place.Target
@@ -52,9 +52,9 @@
 	}
 	r := place.Request{ID: o.ID, Session: o.Session, CachedAt: target, SessionTokens: o.SessionTokens, OwnTokens: o.OwnTokens}
 	if placed := sc.board.Choose(r, near, sc.now); placed != "" {
-		return in, placed
+		return in, placed, true
 	}
-	return dataCentre, target
+	return dataCentre, target, false
 }
 
 // SetModels sets the targets of a model service on which requests are placed. Without any,
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -107,7 +107,7 @@
 			ColdLimit: c.service.ColdPerSecond, Slots: c.targetSlots(view.Config),
 		}
 		if c.results != nil {
-			query.DataCentre, query.PrefixTarget = c.results.DataCentre, c.results.PrefixTarget
+			query.DataCentre, query.PrefixTarget, query.IsPlaced = c.results.DataCentre, c.results.PrefixTarget, c.results.IsPlaced
 		}
 		chosen, refusal := c.h.balancer.Choose(query, now)
 		if chosen != nil && c.sends > 0 && !c.h.balancer.TakeRetry(c.service.Name, now) {
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -97,6 +97,7 @@
 	Runs         int           // how often the stages were started at the last home
 	DataCentre   string        // where the request should run; empty: anywhere
 	PrefixTarget string        // target that has the prefix cached; empty: none known
+	IsPlaced     bool          // the home chose PrefixTarget by the prompts of its region
 	onFree       func(batch.SessionTarget)
 }
 
@@ -142,7 +143,7 @@
 			}
 		case result.Reason == batch.ReasonNone:
 			return &Results{
-				Handles: result.Handles, Waited: result.Wait, Runs: result.Runs, DataCentre: result.DataCentre, PrefixTarget: result.PrefixTarget,
+				Handles: result.Handles, Waited: result.Wait, Runs: result.Runs, DataCentre: result.DataCentre, PrefixTarget: result.PrefixTarget, IsPlaced: result.IsPlaced,
 				onFree: func(session batch.SessionTarget) {
 					r.freeResults(home, order.Region, orderRef{ID: order.ID, Session: session}, result.Handles)
 				},
--- a/entry/internal/pick/load_test.go
+++ b/entry/internal/pick/load_test.go
@@ -177,6 +177,25 @@
 	}
 }
 
+// Guards against old figures of other hosts that undo a choice which the home of the region
+// made by newer ones. This host's own requests still bound it.
+func TestPlacedRequestIgnoresFiguresOfOthers(t *testing.T) {
+	q := Query{Targets: targets("a", "a", "a", "a"), Slots: 24, PrefixTarget: "a0", IsPlaced: true}
+	b := crowd(fromHosts{"a0": 14, "a1": 9, "a2": 9.5, "a3": 9.5})
+	if got := choose(t, b, q); got != "a0" {
+		t.Errorf("placed at a0, sent to %s", got)
+	}
+	atTarget := 1
+	for range 11 {
+		if choose(t, b, q) == "a0" {
+			atTarget++
+		}
+	}
+	if atTarget > 9 {
+		t.Errorf("%d of 12 requests of this host go to one target", atTarget)
+	}
+}
+
 // Guards against reports that are out of date or that lie: the host's own requests in flight
 // are the least load, and count alone once the reports are old.
 func TestLyingAndStaleReports(t *testing.T) {
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -84,6 +84,7 @@
 	Slots        int             // requests that a target runs at once; 0: unknown
 	DataCentre   string          // nearest data centre; empty: this host's
 	PrefixTarget string          // target that has the prompt prefix cached, chosen unless overloaded; empty: none
+	IsPlaced     bool            // PrefixTarget was chosen by the load of all hosts of the region
 }
 
 // Chosen is the target chosen for a request. The request counts towards the target's load
@@ -268,7 +269,7 @@
 	hasReports := b.applyReports(available, now)
 	penalizeSlow(available)
 	isHeard := slices.ContainsFunc(available, func(k candidate) bool { return k.isHeard })
-	if k, ok := b.prefixCandidate(available, q.PrefixTarget, isHeard); ok {
+	if k, ok := b.prefixCandidate(available, q, isHeard); ok {
 		return k
 	}
 	for distance := range 3 {
@@ -310,16 +311,23 @@
 	return b.least(available, isCrowded || hasReports)
 }
 
-// prefixCandidate returns the candidate with the ID, and false if there is none or if it
-// is overloaded.
-func (b *Balancer) prefixCandidate(available []candidate, id string, isHeard bool) (candidate, bool) {
+// prefixCandidate returns the candidate that is the prefix target of the query, and false if
+// there is none or if it is overloaded. For a target that was chosen by the load of all hosts,
+// only the requests of this host count: the older figures of the others would undo the choice.
+func (b *Balancer) prefixCandidate(available []candidate, q Query, isHeard bool) (candidate, bool) {
+	load := func(k candidate) float64 {
+		if q.IsPlaced {
+			return k.own
+		}
+		return k.load
+	}
 	sum := 0.0
 	for _, k := range available {
-		sum += k.load
+		sum += load(k)
 	}
 	for _, k := range available {
-		if id != "" && k.target.ID == id {
-			isWithin := k.load <= b.affinityBound(sum/float64(len(available)), isHeard)
+		if q.PrefixTarget != "" && k.target.ID == q.PrefixTarget {
+			isWithin := load(k) <= b.affinityBound(sum/float64(len(available)), isHeard && !q.IsPlaced)
 			if !isWithin {
 				overflowCount.Add(1)
 			}
