table: read the store anew when it was restored from a copy, and keep what is known

Cause: after a restore the offsets go back. A host went on reading at its offset of the earlier era: it skipped the records at offsets that were given out again, or got 410, ignored the older end offset of the full read and read again without a pause. A full read brought back a data centre whose record the copy lacks.

Change: when the era rises, or an offset lies beyond the end, a host drops its offsets, cancels its reads and reads both topics anew. The configuration and the data centres that are out stay in force; a data centre that the new records don't name is held out for 16 s from the first read of operators' records, twice SkewMaxMs. Targets that the copy lacks are held as after an outage.

--- a/entry/internal/table/controller.go
+++ b/entry/internal/table/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"sync"
 	"sync/atomic"
@@ -62,10 +63,17 @@
 	// maintainInterval is how often expired targets are dropped and the store's
 	// availability is checked.
 	maintainInterval = 250 * time.Millisecond
+	// anyPeerTicks is every how many fetches a host that can't read the store asks any peer, also
+	// one that has read less: after a restore of the store its offsets are the lower ones.
+	anyPeerTicks = 4
+	// staleFetchPause is the pause after a fetch from a peer that doesn't know yet that the store
+	// was restored.
+	staleFetchPause = 2 * time.Second
 )
 
 // Reader reads one feed of the store. Newest returns the newest change of each key, Next
-// the changes from an offset on; both return the offset that follows.
+// the changes from an offset on; both return the offset that follows. A Reader may also have a
+// method Era, which returns the store's era in the answer to the last call, or 0.
 type Reader[C any] interface {
 	Newest(ctx context.Context) ([]C, int64, error)
 	Next(ctx context.Context, from int64, wait time.Duration) ([]C, int64, error)
@@ -108,6 +116,7 @@
 	operatorFailedSince time.Time     // zero: the last read of operators' records succeeded
 	targetsFailedSince  time.Time     // the same for targets
 	targetsBack         chan struct{} // wakes the reads of operators' records, which wait for targets
+	reads               readSet       // in progress
 }
 
 // New returns a controller that runs until Close.
@@ -120,9 +129,7 @@
 	c.view.Store(c.state.View())
 	keep := func(task string, f func()) { c.wait.Go(func() { guard.Keep(ctx, logger, task, f) }) }
 	keep("operators' records", func() {
-		follow(ctx, operator, 0, operatorReadWait, c.waitWhileSynced, c.OperatorOffset, func(changes []feed.OperatorChange, next int64, isFull bool) int64 {
-			return c.applyOperator(changes, next, isFull)
-		}, func(err error) time.Duration {
+		follow(ctx, c, operator, 0, operatorReadWait, c.OperatorOffset, c.applyOperator, func(err error) time.Duration {
 			pause := c.recordFailure(&c.operatorFailedSince, "operators' records", err)
 			if !c.areTargetsLost() {
 				return pause
@@ -136,9 +143,7 @@
 		})
 	})
 	keep("targets", func() {
-		follow(ctx, targets, targetsInterval, 0, c.waitWhileSynced, c.targetsOffset, func(changes []feed.TargetChange, next int64, isFull bool) int64 {
-			return c.applyTargets(changes, next, isFull)
-		}, func(err error) time.Duration { return c.recordFailure(&c.targetsFailedSince, "targets", err) })
+		follow(ctx, c, targets, targetsInterval, 0, c.targetsOffset, c.applyTargets, func(err error) time.Duration { return c.recordFailure(&c.targetsFailedSince, "targets", err) })
 	})
 	keep("table", func() { c.maintain(ctx) })
 	keep("sync", func() { c.syncWithPeer(ctx) })
@@ -146,18 +151,23 @@
 }
 
 // follow reads a feed until ctx ends: first the newest change of each key, then all that
-// follow. waitWhileSynced returns when this host must read the store itself, and reports
-// whether it waited; offset then returns where to go on. apply takes the changes and
-// returns the offset to read next. onFailure returns the pause before the next read.
-func follow[C any](ctx context.Context, r Reader[C], interval, wait time.Duration, waitWhileSynced func(context.Context) bool, offset func() int64,
-	apply func(changes []C, next int64, isFull bool) int64, onFailure func(error) time.Duration,
+// follow. It reads them anew when the store was restored from a copy. offset returns where to
+// go on after a peer has read the store. apply takes the changes of a read that began after the
+// given number of restores and returns the offset to read next, or -1 if another restore came
+// between. onFailure returns the pause before the next read.
+func follow[C any](ctx context.Context, c *Controller, r Reader[C], interval, wait time.Duration, offset func() int64,
+	apply func(changes []C, next int64, isFull bool, restores int) int64, onFailure func(error) time.Duration,
 ) {
-	next, isFull := int64(0), true
+	next, isFull, readRestores := int64(0), true, 0
+	var trimmedAt time.Time
 	for ctx.Err() == nil {
-		if !isFull && waitWhileSynced(ctx) {
-			next = offset()
+		if !isFull && c.waitWhileSynced(ctx) {
+			readRestores, next = c.restores(), offset()
 		}
+		restores := c.restores()
+		isFull = isFull || next < 0 || readRestores != restores
 		callCtx, cancel := context.WithTimeout(ctx, wait+readSlack)
+		endRead := c.beginRead(cancel)
 		var changes []C
 		var end int64
 		var err error
@@ -166,15 +176,31 @@
 		} else {
 			changes, end, err = r.Next(callCtx, next, wait)
 		}
+		endRead()
 		cancel()
 		storeReads.Add(1)
+		var stale error
+		if e, ok := r.(interface{ Era() feed.Era }); ok {
+			stale = c.learnEra(e.Era())
+		}
+		if stale == nil && !isFull && feed.IsBeyondEnd(err) {
+			c.restart(restores)
+		}
+		err = errors.Join(err, stale)
 		pause := interval
 		switch {
+		case c.restores() != restores: // also if the read itself failed
+			isFull, pause = true, 0
+			discardedReads.Add(1)
 		case err == nil:
-			next = apply(changes, end, isFull)
+			next, readRestores = apply(changes, end, isFull, restores), restores
 			isFull = false
 		case feed.IsTrimmed(err):
 			isFull, pause = true, 0
+			if time.Since(trimmedAt) < time.Second {
+				pause = retryPause // reading anew doesn't help
+			}
+			trimmedAt = time.Now()
 		default:
 			storeFailures.Add(1)
 			pause = onFailure(err)
@@ -265,11 +291,11 @@
 			c.mark = Mark{}
 		}
 		req := SnapshotRequest{Offset: c.state.OperatorOffset(), Version: c.version(), Mark: c.mark, IsFirst: c.syncedAt.IsZero()}
-		ready := req.Offset >= 0 && c.state.TargetsOffset() >= 0
+		req.Era = c.state.Era()
+		ready := req.Offset >= 0 && c.state.TargetsOffset() >= 0 || c.state.restarts > 0
 		c.mu.Unlock()
 		if ready {
-			if s, ok := c.peers.Sync(ctx, req); ok && s.Age < syncValidity {
-				c.applySync(s)
+			if s, ok := c.peers.Sync(ctx, req); ok && s.Age < syncValidity && c.applySync(s) {
 				continue
 			}
 			c.endSync()
@@ -288,11 +314,16 @@
 	c.syncedAt = time.Time{}
 }
 
-// applySync merges the table of the peer that reads the store for this host.
-func (c *Controller) applySync(s Snapshot) {
+// applySync merges the table of the peer that reads the store for this host. It returns false
+// if the peer doesn't know yet that the store was restored.
+func (c *Controller) applySync(s Snapshot) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.learnEraLocked(s.Era)
+	if c.state.isOutdated(s.Era) {
+		return false
+	}
 	if c.syncedAt.IsZero() || now.Sub(c.syncedAt) > syncValidity {
 		c.logger.Info("a peer reads the store for this host", "offset", s.OpOffset)
 	}
@@ -306,9 +337,11 @@
 			c.fullSyncAt = now
 		}
 	}
-	if c.state.Merge(s, now) {
+	isChanged := c.state.Merge(s, now)
+	if s.OpOffset >= c.state.OperatorOffset() && c.state.EndHold(now) || isChanged {
 		c.publish("peer")
 	}
+	return true
 }
 
 // AwaitSnapshot returns the table for a peer for which this host reads the store: at once if the
@@ -317,9 +350,10 @@
 // new as this host's own.
 func (c *Controller) AwaitSnapshot(ctx context.Context, req SnapshotRequest) Snapshot {
 	c.mu.Lock()
-	changed, targetsRead, known := c.changed, c.targetsRead, c.state.OperatorOffset()
+	c.learnEraLocked(req.Era)
+	changed, targetsRead, known, era := c.changed, c.targetsRead, c.state.OperatorOffset(), c.state.Era()
 	c.mu.Unlock()
-	if known <= req.Offset && !req.IsFirst {
+	if known <= req.Offset && !req.IsFirst && !era.IsAfter(req.Era) {
 		timer := time.NewTimer(syncWait)
 		defer timer.Stop()
 		select {
@@ -350,9 +384,12 @@
 	return c.state.TargetsOffset()
 }
 
-func (c *Controller) applyOperator(changes []feed.OperatorChange, next int64, isFull bool) int64 {
+func (c *Controller) applyOperator(changes []feed.OperatorChange, next int64, isFull bool, restores int) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state.restarts != restores {
+		return -1
+	}
 	c.operatorReadAt = time.Now()
 	select {
 	case <-c.targetsBack: // nothing is left to wake
@@ -360,15 +397,18 @@
 	}
 	c.recordSuccess(&c.operatorFailedSince, "operators' records")
 	c.logRejected(c.state.ApplyOperator(changes, next, isFull, time.Now()))
-	if len(changes) > 0 || isFull {
+	if c.state.EndHold(time.Now()) || len(changes) > 0 || isFull {
 		c.publish("store")
 	}
 	return max(next, c.state.OperatorOffset())
 }
 
-func (c *Controller) applyTargets(changes []feed.TargetChange, next int64, isFull bool) int64 {
+func (c *Controller) applyTargets(changes []feed.TargetChange, next int64, isFull bool, restores int) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state.restarts != restores {
+		return -1
+	}
 	c.targetsReadAt, c.mark = time.Now(), Mark{}
 	c.wakeOperatorReads()
 	c.recordSuccess(&c.targetsFailedSince, "targets")
@@ -413,10 +453,13 @@
 }
 
 // maintain drops expired targets, and fetches the table of a peer while the store can't be
-// read or a peer has read further.
+// read, a peer has read further, or this host has just started and reads the store itself: the
+// records that the store has may be older than what the peer knows.
 func (c *Controller) maintain(ctx context.Context) {
 	tick := time.NewTicker(maintainInterval)
 	defer tick.Stop()
+	var pauseUntil time.Time
+	isStarting, lostTicks := true, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -425,14 +468,25 @@
 		}
 		now := time.Now()
 		offset, version, lost := c.expire(now)
-		if !lost && c.peers.NewestOffset() <= offset {
+		isStarting = isStarting && now.Sub(c.startedAt) < startWait
+		needsStart := isStarting && offset >= 0 && !c.peers.HasReader()
+		if !lost && !needsStart && c.peers.NewestOffset() <= offset || now.Before(pauseUntil) {
 			continue
 		}
+		if lost {
+			lostTicks++
+		}
+		if needsStart || lostTicks%anyPeerTicks == anyPeerTicks-1 {
+			offset = -1
+		}
 		snapshot, ok := c.peers.Fetch(ctx, offset, version)
 		if !ok {
 			continue
 		}
-		c.mergeFetched(snapshot, now)
+		isStarting = false
+		if !c.mergeFetched(snapshot, now) {
+			pauseUntil = now.Add(staleFetchPause)
+		}
 	}
 }
 
@@ -448,10 +502,12 @@
 }
 
 // mergeFetched merges the table of a peer that has read further. now is when the store's
-// availability was checked.
-func (c *Controller) mergeFetched(snapshot Snapshot, now time.Time) {
+// availability was checked. It returns false if the peer doesn't know yet that the store was
+// restored, so that its offsets mean nothing.
+func (c *Controller) mergeFetched(snapshot Snapshot, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.learnEraLocked(snapshot.Era)
 	if !isLost(c.targetsFailedSince, now) {
 		snapshot.TargetsOffset = -1 // the store has newer targets
 	}
@@ -460,6 +516,7 @@
 		peerMerges.Add(1)
 		c.publish("peer")
 	}
+	return !c.state.isOutdated(snapshot.Era)
 }
 
 // isLost reports whether reads have failed for longer than peerFetchDelay.
@@ -479,6 +536,7 @@
 func (c *Controller) Snapshot(req SnapshotRequest) Snapshot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.learnEraLocked(req.Era)
 	return c.state.Snapshot(req, time.Now())
 }
 
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -78,6 +78,7 @@
 	revision       int64     // incremented with each change of a target
 	departures     []departure
 	departuresFrom int64 // revision after which departures is complete
+	restoreState
 }
 
 // contender is the last of a series of entries that seem older than the known one.
@@ -98,7 +99,7 @@
 	return &State{
 		out: map[string]bool{}, restored: map[string]time.Time{}, targets: map[string]*Target{},
 		lastEntries: map[string]fleet.Target{}, contenders: map[string]contender{}, displacing: map[string]bool{}, expiring: map[string]time.Time{}, operatorOffset: -1, targetsOffset: -1,
-		instance: rand.Int64(),
+		instance: rand.Int64(), restoreState: restoreState{held: map[string]bool{}},
 	}
 }
 
@@ -129,18 +130,20 @@
 		case c.IsOut:
 			seen[c.DataCentre] = true
 			s.out[c.DataCentre] = true
+			delete(s.held, c.DataCentre)
 		default:
 			s.restore(c.DataCentre, now)
 		}
 	}
 	if isFull {
 		for dc := range s.out {
-			if !seen[dc] {
+			if !seen[dc] && !s.held[dc] {
 				s.restore(dc, now)
 			}
 		}
 	}
 	s.operatorOffset = next
+	s.startHold(now)
 	return rejected
 }
 
@@ -154,6 +157,7 @@
 
 // restore brings back a data centre that is out.
 func (s *State) restore(dc string, now time.Time) {
+	delete(s.held, dc)
 	if s.out[dc] {
 		delete(s.out, dc)
 		s.restored[dc] = now
@@ -170,6 +174,10 @@
 
 func (s *State) applyTargets(changes []feed.TargetChange, next int64, isFull bool, now time.Time) []error {
 	s.targetsOffset, s.targetsLoaded = next, true
+	if s.awaitsTargets {
+		// The copy may lack the entry of a target that runs.
+		s.awaitsTargets, s.storeBackAt = false, now
+	}
 	var rejected []error
 	seen := map[string]bool{}
 	for _, c := range changes {
@@ -391,6 +399,8 @@
 	IsDelta       bool           `cbor:"is_delta,omitempty"`   // holds only targets changed since the requested mark
 	Departed      []fleet.Target `cbor:"left,omitempty"`       // last entries of targets departed since then
 	Displacing    []string       `cbor:"displacing,omitempty"` // of Targets, those that displaced entries that seem newer
+	Era           feed.Era       `cbor:"era,omitempty"`        // to which both offsets belong; 0 if unknown
+	Held          []string       `cbor:"held,omitempty"`       // of Out, those that the records of the era don't name
 }
 
 // Mark identifies a revision of the targets in one State.
@@ -405,7 +415,8 @@
 	Version int64 `cbor:"version"` // of the configuration
 	Mark    Mark  `cbor:"mark"`    // of the last snapshot that it got from this host
 	// IsFirst says that the host doesn't follow the peer yet, which answers at once.
-	IsFirst bool `cbor:"first,omitempty"`
+	IsFirst bool     `cbor:"first,omitempty"`
+	Era     feed.Era `cbor:"era,omitempty"` // of the offset
 }
 
 // Snapshot returns the state for a peer. The configuration is left out if the peer has it,
@@ -414,6 +425,7 @@
 	out := Snapshot{
 		Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.operatorOffset, TargetsOffset: s.targetsOffset,
 		TargetsAge: now.Sub(s.targetsReadAt), Mark: Mark{Instance: s.instance, Revision: s.revision},
+		Era: s.era, Held: slices.Collect(maps.Keys(s.held)),
 	}
 	if s.config != nil && s.config.Version > req.Version {
 		out.Config = s.config
@@ -461,23 +473,31 @@
 // Merge applies those parts of a peer's snapshot that are newer, and reports whether
 // anything changed.
 func (s *State) Merge(p Snapshot, now time.Time) bool {
-	changed := false
+	changed := s.LearnEra(p.Era)
 	if p.Config != nil && (s.config == nil || p.Config.Version > s.config.Version) {
 		p.Config.Index()
 		s.config = p.Config
 		changed = true
 	}
+	if s.isOutdated(p.Era) {
+		return s.holdOut(p.Out, now) || changed
+	}
+	if p.OpOffset == s.operatorOffset {
+		changed = s.holdOut(p.Held, now) || changed
+	}
 	if p.OpOffset > s.operatorOffset {
 		out := map[string]bool{}
 		for _, dc := range p.Out {
 			out[dc] = true
 		}
+		s.mergeHeld(out, p.Held, now)
 		for dc := range s.out {
 			if !out[dc] {
 				s.restore(dc, now)
 			}
 		}
 		s.out, s.operatorOffset = out, p.OpOffset
+		s.startHold(now)
 		changed = true
 	}
 	if p.TargetsOffset >= s.targetsOffset {
