soak: restores of the store from copies, beside kills and operators' orders

Cause: the stand-in of the store knew no eras, so no run met a restore.

At the end a key is revoked, and hosts must obey. The other selections draw as before.

--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -105,6 +106,35 @@
 	}},
 }
 
+// restoreFaults are restores of the store from copies beside kills of hosts and operators' orders.
+var restoreFaults = slices.Concat([]fault{
+	{"store restored", false, func(r *runner, d time.Duration) func() {
+		age, delay := upTo(r.rand, maxCopyAge), upTo(r.rand, maxRewriteDelay)
+		end := r.trace.recordOutage(storeOutage)
+		for _, h := range r.hosts {
+			h.storeProxy.setFault(linkReset)
+		}
+		return func() {
+			r.store.restore(d + age)
+			for _, h := range r.hosts {
+				h.storeProxy.setFault(linkHealthy)
+			}
+			time.Sleep(delay)
+			r.store.rewrite()
+			end()
+		}
+	}},
+}, slices.DeleteFunc(slices.Clone(faultKinds), func(f fault) bool {
+	return !slices.Contains([]string{"kill", "kill many", "data centre out", "configuration", "key revoked"}, f.name)
+}))
+
+const (
+	// maxCopyAge is the age of the oldest copy that the store is restored from.
+	maxCopyAge = 4 * time.Second
+	// maxRewriteDelay is the longest time until operators and targets write lost records again.
+	maxRewriteDelay = 3 * time.Second
+)
+
 func (r *runner) randomHost() *host { return r.hosts[r.rand.IntN(len(r.hosts))] }
 
 func (r *runner) randomLinkFault() linkFault { return linkDelayed + linkFault(r.rand.IntN(4)) }
--- a/stand/internal/soak/planned.go
+++ b/stand/internal/soak/planned.go
@@ -24,6 +24,8 @@
 	FaultsAnnounced Faults = "announced"
 	// FaultsResumed are streams that break off and targets that fail to go on with them.
 	FaultsResumed Faults = "resumed"
+	// FaultsRestored are restores of the store from copies, beside kills and operators' orders.
+	FaultsRestored Faults = "restored"
 )
 
 const (
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -258,6 +258,11 @@
 	sent, answered := r.requestCounts()
 	time.Sleep(finalLoadTime - recoveryTime)
 	sentAfter, answeredAfter := r.requestCounts()
+	if r.opts.Faults == FaultsRestored {
+		// Hosts that still read at an offset of an earlier era don't learn of this.
+		r.revoke(1)
+		time.Sleep(2 * configApplyTime)
+	}
 	stopLoad()
 	callers.Wait()
 	out := Result{Faults: faults, AnsweredRatio: float64(answeredAfter-answered) / float64(max(sentAfter-sent, 1))}
@@ -313,6 +318,8 @@
 		add(func() map[string]int { return r.inject(ctx, announcedFaults) })
 	case FaultsResumed:
 		add(func() map[string]int { return r.inject(ctx, resumeFaults) })
+	case FaultsRestored:
+		add(func() map[string]int { return r.inject(ctx, restoreFaults) })
 	}
 	switch kind {
 	case FaultsPlanned, FaultsAll:
