Contact: silent connections to the store and between hosts are found by one, and all replaced

Ruled out: connections that still work beside silent ones; all were silent. The bound of 3 s for an outage, which is as it was.

Change: reads are hedged onto a new connection after a fourteenth of ContactMs. If it is answered first, all earlier connections are dropped, and calls that wait on them, also polls, are made again. Writes get a new connection after half of ContactMs without a response. The same client serves both fronts. Links between hosts are probed after 0.3 s without a frame, and replaced without an answer.

Tests: newPlatformClient takes a bound in its test; the check is as it was.

The tests were seen to fail without the mechanisms, but for the part on a slow server that gets a write once: a second write fails by itself, since its body is used up.

--- a/entry/cmd/endless_test.go
+++ b/entry/cmd/endless_test.go
@@ -79,7 +79,7 @@
 		return bus.Call(ctx, hosts.Host{PeerAddress: address}, "x", nil, nil)
 	}),
 	Entry("from the platform's services", func(ctx context.Context, address string) error {
-		_, err := hosts.New("http://"+address, newPlatformClient()).Hosts(ctx)
+		_, err := hosts.New("http://"+address, newPlatformClient(1<<20)).Hosts(ctx)
 		return err
 	}),
 )
--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -23,6 +23,7 @@
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/blame"
+	"chivepost/entry/internal/contact"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/edge"
@@ -160,16 +161,22 @@
 }
 
 func newStore(s boot.Settings) *store.Client {
-	return store.New(s.StoreAddress, &http.Client{Transport: &http.Transport{
-		DialContext: netDialer().DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}})
+	return store.New(s.StoreAddress, &http.Client{Transport: contact.New(contact.Options{
+		Bound: s.ContactBound, MaxResponseBytes: store.MaxAnswerBytes + 1,
+		NewPool: func() *http.Transport {
+			return &http.Transport{
+				DialContext: netDialer().DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 20 * time.Second, DisableCompression: true,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+			}
+		},
+	})})
 }
 
 func newBus(s boot.Settings, c *fleetCmd, log logr.Logger) *peers.Transport {
 	return peers.New(peers.Options{
 		Host: s.HostName, Incarnation: uint64(time.Now().UnixNano()), Key: c.PeerKey, MaxHandlers: 1024, RatePerSecond: 5000,
-		Client: &http.Client{Transport: &http.Transport{DialContext: netDialer().DialContext, MaxResponseHeaderBytes: maxHeaderBytes}},
+		Repeatable: []string{kindTable, kindSync, graph.KindRun, graph.KindWait},
+		Client:     &http.Client{Transport: &http.Transport{DialContext: netDialer().DialContext, MaxResponseHeaderBytes: maxHeaderBytes}},
 	}, log.WithName("peers"))
 }
 
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -16,6 +16,7 @@
 	"golang.org/x/net/netutil"
 
 	"chivepost/entry/internal/conf"
+	"chivepost/entry/internal/contact"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/front"
 	"chivepost/entry/internal/node"
@@ -108,20 +109,24 @@
 // it holds up to 4 configurations in base64.
 const framesPerPage = 8
 
-// newPlatformClient returns the HTTP client for the platform's services.
-func newPlatformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}}
+// newPlatformClient returns the HTTP client for a service of the platform.
+func newPlatformClient(maxResponseBytes int64) *http.Client {
+	return &http.Client{Transport: contact.New(contact.Options{
+		MaxResponseBytes: maxResponseBytes,
+		NewPool: func() *http.Transport {
+			return &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
+		},
+	})}
 }
 
 func newNode(s conf.Settings, inc incarnation, bus *peers.Transport, targets target.Caller, recorder *events.Recorder,
 	log logr.Logger,
 ) (*node.Node, error) {
-	platform := newPlatformClient()
+	maxPage := max(logsvc.DefaultMaxPageBytes, framesPerPage*int64(s.Limits.MaxFrame))
 	return node.New(node.Deps{
 		Settings: s, Incarnation: uint64(inc), Seed: rand.Uint64(),
-		Log: logsvc.New(s.Platform.LogURL, platform, logsvc.WithDataCentre(s.Host.DataCentre),
-			logsvc.WithMaxPageBytes(max(logsvc.DefaultMaxPageBytes, framesPerPage*int64(s.Limits.MaxFrame)))),
-		HostList: hosts.New(s.Platform.HostsURL, platform, hosts.WithDataCentre(s.Host.DataCentre)),
+		Log:      logsvc.New(s.Platform.LogURL, newPlatformClient(maxPage), logsvc.WithDataCentre(s.Host.DataCentre), logsvc.WithMaxPageBytes(maxPage)),
+		HostList: hosts.New(s.Platform.HostsURL, newPlatformClient(logsvc.DefaultMaxPageBytes), hosts.WithDataCentre(s.Host.DataCentre)),
 		Bus:      bus, Targets: targets, Recorder: recorder, Logger: log,
 	})
 }
--- a/entry/internal/peers/link.go
+++ b/entry/internal/peers/link.go
@@ -12,7 +12,10 @@
 	"github.com/coder/websocket"
 )
 
-var errClosed = errors.New("the transport is closed")
+var (
+	errClosed = errors.New("the transport is closed")
+	errSilent = errors.New("the connection is silent")
+)
 
 // link is the connection to one peer address, dialled on demand.
 type link struct {
@@ -26,6 +29,7 @@
 	dialErr      error                  // of the last dial
 	dialErrUntil time.Time              // until then calls fail with dialErr
 	pending      map[uint64]pendingCall // by Seq
+	probed       *websocket.Conn        // the connection that is being probed; nil: none
 }
 
 // pendingCall is a call that waits for its reply.
@@ -113,6 +117,11 @@
 	if l.conn == conn {
 		l.conn = nil
 	}
+	l.failPending(conn, err)
+}
+
+// failPending fails the calls that wait on a connection. The caller holds l.mu.
+func (l *link) failPending(conn *websocket.Conn, err error) {
 	for seq, p := range l.pending {
 		if p.conn == conn {
 			delete(l.pending, seq)
@@ -121,6 +130,34 @@
 	}
 }
 
+// probe replaces a connection on which the peer doesn't answer: it may have gone silent while new
+// ones work. No other call probes it meanwhile.
+func (l *link) probe(conn *websocket.Conn) {
+	l.mu.Lock()
+	if l.probed == conn || l.conn != conn {
+		l.mu.Unlock()
+		return
+	}
+	l.probed = conn
+	l.mu.Unlock()
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.opts.ProbeTimeout)
+	err := conn.Ping(ctx)
+	cancel()
+	l.mu.Lock()
+	l.probed = nil
+	isSilent := err != nil && l.conn == conn && l.lastFrameAt.Load() < began.UnixNano()
+	if isSilent {
+		l.conn = nil
+		l.failPending(conn, errSilent)
+	}
+	l.mu.Unlock()
+	if isSilent {
+		silentLinks.Add(1)
+		_ = conn.CloseNow()
+	}
+}
+
 // deliverReply passes a reply to its call; false if the call no longer waits.
 func (l *link) deliverReply(e envelope) bool {
 	l.mu.Lock()
@@ -155,9 +192,16 @@
 	if connEnded {
 		return fmt.Errorf("connection to peer %s ended", l.address)
 	}
+	sentAt := time.Now()
 	if err := l.transport.writeFrame(ctx, conn, envelope{Kind: kind, Seq: seq}, body); err != nil {
 		return err
 	}
+	probe := time.AfterFunc(l.transport.opts.ProbeAfter, func() {
+		if l.lastFrameAt.Load() < sentAt.UnixNano() {
+			l.transport.start(func() { l.probe(conn) })
+		}
+	})
+	defer probe.Stop()
 	select {
 	case r := <-replyCh:
 		return l.decodeReply(r, name, kind, reply)
--- a/entry/internal/peers/transport.go
+++ b/entry/internal/peers/transport.go
@@ -26,6 +26,7 @@
 var (
 	bytesByKind   = expvar.NewMap("peer_bytes")
 	lateReplies   = expvar.NewInt("peer_late_replies_count")
+	silentLinks   = expvar.NewInt("peer_connections_silent_count")
 	badFrames     = expvar.NewInt("peer_bad_frames_count")
 	delayedFrames = expvar.NewInt("peer_held_frames_count")
 )
@@ -56,6 +57,13 @@
 	// SilenceTimeout is the time without a frame after which a call that times out ends
 	// the connection, since the other end may have vanished (3 s).
 	SilenceTimeout time.Duration
+	// ProbeAfter is the time without a frame after which a waiting call probes the connection, and
+	// ProbeTimeout the time for the answer (300 ms, 500 ms): both together are less than a call
+	// usually may take, and within a quarter of the shortest ContactMs.
+	ProbeAfter, ProbeTimeout time.Duration
+	// Repeatable are the kinds of calls that are made once more if their connection turns out to be
+	// silent. They have the same effect if the peer gets them twice.
+	Repeatable []string
 	// RedialDelay is the time after a failed dial during which calls fail at once (100 ms).
 	RedialDelay time.Duration
 	// Client dials the connections.
@@ -81,6 +89,12 @@
 	if o.SilenceTimeout == 0 {
 		o.SilenceTimeout = 3 * time.Second
 	}
+	if o.ProbeAfter == 0 {
+		o.ProbeAfter = 300 * time.Millisecond
+	}
+	if o.ProbeTimeout == 0 {
+		o.ProbeTimeout = 500 * time.Millisecond
+	}
 	if o.RedialDelay == 0 {
 		o.RedialDelay = 100 * time.Millisecond
 	}
@@ -330,7 +344,11 @@
 // Call sends body to a peer and decodes its reply into reply, unless that is nil.
 // An error of the peer's handler is returned as a *RemoteError.
 func (t *Transport) Call(ctx context.Context, to hosts.Host, kind string, body, reply any) error {
-	return t.linkTo(to.PeerAddress).call(ctx, to.Name, kind, body, reply)
+	err := t.linkTo(to.PeerAddress).call(ctx, to.Name, kind, body, reply)
+	if errors.Is(err, errSilent) && slices.Contains(t.opts.Repeatable, kind) && ctx.Err() == nil {
+		err = t.linkTo(to.PeerAddress).call(ctx, to.Name, kind, body, reply)
+	}
+	return err
 }
 
 // Send sends body to a peer without waiting for a reply.
--- a/share/logsvc/logsvc.go
+++ b/share/logsvc/logsvc.go
@@ -14,6 +14,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"chivepost/share/longpoll"
 )
 
 // Names of the streams in use.
@@ -131,7 +133,7 @@
 		"max":  {strconv.Itoa(limit)},
 		"wait": {wait.String()},
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url(stream)+"?"+q.Encode(), http.NoBody)
+	req, err := http.NewRequestWithContext(longpoll.WithWait(ctx, wait), http.MethodGet, c.url(stream)+"?"+q.Encode(), http.NoBody)
 	if err != nil {
 		return Page{}, fmt.Errorf("build read: %w", err)
 	}
