Table, wire: an entry of another writer doesn't take the place of a target's own

Ruled out: another source of a target's service; the table has it from entries only.

An entry of another service than the known one counts as another writer's if both have the same start, or if only the known one's service is configured.

--- a/entry/internal/table/odd_test.go
+++ b/entry/internal/table/odd_test.go
@@ -52,6 +52,39 @@
 	}
 }
 
+// A whole entry of another writer, under the ID of a target that serves, once made that one a target
+// of another service. It must not end it either.
+func TestEntryOfAnotherServiceChangesNothing(t *testing.T) {
+	for name, odd := range map[string]*fleet.Target{
+		"of the same start":                        {Service: "other", StartMillis: 1000, Sequence: 99},
+		"of the same start, draining":              {Service: "other", StartMillis: 1000, Sequence: 99, Draining: true},
+		"of a service that isn't configured":       {Service: "unknown", StartMillis: 2000, Sequence: 1},
+		"of an earlier start, not configured":      {Service: "unknown", StartMillis: 0, Sequence: 99},
+		"of an earlier start, draining, not known": {Service: "unknown", StartMillis: 0, Sequence: 99, Draining: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := NewState()
+			c := config(1)
+			c.Services = map[string]fleet.Service{"s": {Name: "s"}, "other": {Name: "other"}}
+			s.ApplyOperator([]feed.OperatorChange{{Config: c}}, 1, true, start)
+			s.ApplyTargets([]feed.TargetChange{numbered("x", 1000, 1)}, 1, true, start)
+			odd.ID, odd.Address, odd.DataCentre = "x", "10.0.0.1:80", "a"
+			s.ApplyTargets([]feed.TargetChange{{ID: "x", Entry: odd}}, 2, false, start.Add(time.Second))
+			if v := s.View(); ids(v) != "x " || len(v.Targets) != 1 {
+				t.Errorf("targets %v, want x of s only", v.Targets)
+			}
+		})
+	}
+	s := NewState()
+	s.ApplyTargets([]feed.TargetChange{numbered("x", 1000, 1)}, 1, true, start)
+	next := numbered("x", 2000, 1)
+	next.Entry.Service = "other"
+	s.ApplyTargets([]feed.TargetChange{next}, 2, false, start)
+	if v := s.View(); ids(v) != "" || len(v.Targets["other"]) != 1 {
+		t.Errorf("targets %v, want x of the service of its next start", v.Targets)
+	}
+}
+
 // A late write of the process before must not displace that of the target's next start, also
 // if several of them come.
 func TestLateWritesOfAnEarlierProcessChangeNothing(t *testing.T) {
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -213,8 +213,8 @@
 // putTarget stores an entry unless it is older than the known one. The store may carry out
 // a write seconds late.
 func (s *State) putTarget(e fleet.Target, now time.Time) {
-	if old, ok := s.targets[e.ID]; ok && isOlder(e, old.Target) && !s.displaces(e, now) {
-		if e.Draining && e.StartMillis == old.StartMillis {
+	if old, ok := s.targets[e.ID]; ok && (isOlder(e, old.Target) || s.isForeign(e, old.Target)) && !s.displaces(e, now) {
+		if e.Draining && e.StartMillis == old.StartMillis && !s.isForeign(e, old.Target) {
 			s.setDraining(old) // a process that leaves never returns to service
 		}
 		return
@@ -314,6 +314,24 @@
 	return e.Sequence < than.Sequence
 }
 
+// isForeign reports whether an entry comes from another writer than the known one: a process
+// serves one service from its start to its end, and no target is of a service that isn't
+// configured, while the known one is.
+func (s *State) isForeign(e, known fleet.Target) bool {
+	if e.Service == known.Service {
+		return false
+	}
+	if e.StartMillis == known.StartMillis && e.StartMillis != 0 {
+		return true
+	}
+	return s.config != nil && !s.isConfigured(e.Service) && s.isConfigured(known.Service)
+}
+
+func (s *State) isConfigured(service string) bool {
+	_, ok := s.config.Services[service]
+	return ok
+}
+
 // remove drops a target. Just after an outage of the store a missing entry may only have
 // expired, so the target is then kept until expiryHold is over.
 func (s *State) remove(id string, now time.Time) {
