Edge: a silent stream goes on elsewhere only once its target has stopped

Ruled out: a connection that stays open; it is closed at once, but a target that only writes learns of it with its second write.

Change: the host closes the sending side, which asks the target to stop, and reads on. The end of the connection shows that it has stopped; if it works on, its events are relayed. A target that writes often without an event is cut off as before, since it notices at once. Routes that may always be repeated are as they were.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -46,6 +46,7 @@
 	used      bool          // it has carried a complete request before
 	roundTrip time.Duration // of its handshake
 	closed    atomic.Bool
+	writing   atomic.Bool // the body of a request is being written
 }
 
 // headLimit reads from a connection, up to a limit while the head of an answer is due.
@@ -125,6 +126,13 @@
 	}
 }
 
+// askToStop closes the sending side, unless that would cut off the body of the request.
+func (c *conn) askToStop() {
+	if tcp, ok := c.net.(*net.TCPConn); ok && !c.writing.Load() {
+		_ = tcp.CloseWrite() // fails only if the connection is closed
+	}
+}
+
 // Answer is the answer of a target. The caller must close it; its connection is reused only
 // if the body was read to the end.
 type Answer struct {
--- a/entry/internal/dialer/pool.go
+++ b/entry/internal/dialer/pool.go
@@ -74,6 +74,10 @@
 	// Check, unless nil, is called immediately before the request is sent, which it prevents
 	// with an error.
 	Check func() error
+	// Stop, unless nil, asks the target to stop when it ends: the sending side of the connection is
+	// closed, and what the target still sends is read. The end of the answer, or of the
+	// connection, then shows that it has stopped.
+	Stop context.Context
 	// Heard, unless nil, is called with the head of the answer and of interim answers before
 	// it.
 	Heard func(status int, h http.Header)
@@ -270,6 +274,13 @@
 		return nil, &SendError{Err: err}
 	}
 	stop := context.AfterFunc(ctx, c.close)
+	if req.Stop != nil {
+		detach, detachStop := stop, context.AfterFunc(req.Stop, c.askToStop)
+		stop = func() bool {
+			wasNotAsked := detachStop()
+			return detach() && wasNotAsked
+		}
+	}
 	a, failure := p.exchange(c, target, req, stop)
 	if failure != nil {
 		stop()
@@ -297,8 +308,10 @@
 		written, writeFailed := a.written, a.writeFailed
 		// This doesn't outlive the connection, because a connection whose write is
 		// unfinished is closed and never reused.
+		c.writing.Store(true)
 		go func() {
 			defer close(written)
+			defer c.writing.Store(false)
 			if _, err := c.write(head, req.Body); err != nil {
 				writeFailed.Store(true)
 			}
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"chivepost/entry/internal/batch"
@@ -250,9 +251,21 @@
 	if !c.route.MayRetry() {
 		req.MaxIdle = onceMaxIdle
 	}
+	stop, askToStop := context.WithCancel(context.Background())
+	defer askToStop() // without effect once the answer is closed
+	req.Stop = stop
+	wasAsked := new(atomic.Bool)
+	c.wasAsked, c.askToStop = wasAsked, func() { wasAsked.Store(true); askToStop() }
+	ask := c.askToStop // of this attempt
 	var firstByteTimer *time.Timer
 	if c.route.MayRetry() && c.sends+1 < c.route.MaxAttempts {
-		firstByteTimer = time.AfterFunc(c.firstByteTimeout(t.ID, left), func() { cancel(errTargetSilent) })
+		firstByteTimer = time.AfterFunc(c.firstByteTimeout(t.ID, left), func() {
+			if c.route.Retry == fleet.RetryStream {
+				ask()
+			} else {
+				cancel(errTargetSilent)
+			}
+		})
 		defer firstByteTimer.Stop()
 	}
 	c.target, c.targetDataCentre, c.answerBegan = t.ID, t.DataCentre, time.Time{}
--- a/entry/internal/edge/blame.go
+++ b/entry/internal/edge/blame.go
@@ -58,7 +58,7 @@
 // target seems to have crashed when it began the answer.
 func (c *call) blameParts(ctx context.Context, t *pick.Chosen, err error) {
 	parts := c.sharedParts()
-	if len(parts) == 0 || context.Cause(ctx) != nil || !isConnectionEnd(err) {
+	if len(parts) == 0 || context.Cause(ctx) != nil || c.wasAsked.Load() || !isConnectionEnd(err) {
 		return
 	}
 	if !c.answerBegan.IsZero() && time.Since(c.answerBegan) > maxBegun {
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -53,9 +53,12 @@
 	// minAfterStages is the time that is kept free between the last stage and the
 	// deadline, and the estimate for routes without measurements.
 	minAfterStages = 150 * time.Millisecond
-	// minStreamSilence is the shortest silence within a resumable stream after which it
-	// is resumed at another target.
+	// minStreamSilence is the shortest silence within a resumable stream after which its target is
+	// asked to stop, so that it can be resumed at another one.
 	minStreamSilence = 2 * time.Second
+	// maxDripGap is the longest time between two writes of a target that notices within 400 ms that
+	// its connection is closed: by the second write after that.
+	maxDripGap = 200 * time.Millisecond
 	// minPrefixTokens is the number of shared prompt tokens from which on the home is
 	// asked which target has them cached, even if the request has no pieces for stages.
 	// prefixLookupTimeout bounds that call.
@@ -164,6 +167,8 @@
 	firstSend     time.Time
 	tried         map[string]bool // targets chosen since the stages ran
 	sentTo        map[string]bool // targets that may have got this attempt
+	askToStop     func()          // asks the target of the attempt to stop
+	wasAsked      *atomic.Bool    // that was done
 	isTrial       bool            // shows whether a quarantined part still crashes targets
 	answerBegan   time.Time       // at the current target; zero: not yet
 
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"chivepost/entry/internal/dialer"
@@ -289,13 +290,42 @@
 	return x > y
 }
 
+// timedReader records when something was read last.
+type timedReader struct {
+	io.Reader
+	readAt atomic.Int64 // Unix nanoseconds
+}
+
+func (r *timedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.readAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // relayStream relays a stream event by event. Events that the caller has already, from
 // before a resume, are left out.
 func (c *call) relayStream(ctx context.Context, cancel context.CancelCauseFunc, t *pick.Chosen, a *dialer.Answer, firstByteTimer *time.Timer) result {
-	reader := bufio.NewReaderSize(a, eventBuffer)
+	source := &timedReader{Reader: a}
+	reader := bufio.NewReaderSize(source, eventBuffer)
 	var silenceTimer *time.Timer
+	silence := max(minStreamSilence, 4*c.route.MaxGap)
 	if c.route.Resumable && c.sends < c.route.MaxAttempts && c.hasUntriedTarget() {
-		silenceTimer = time.AfterFunc(time.Hour, func() { cancel(errTargetSilent) })
+		ask := c.askToStop
+		silenceTimer = time.AfterFunc(time.Hour, func() {
+			if ctx.Err() != nil {
+				return
+			}
+			// A slow target works on, and also after its connection is closed, until it notices. It
+			// is only known to have stopped once it ends the connection, or if it writes often.
+			if time.Since(time.Unix(0, source.readAt.Load())) < maxDripGap {
+				cancel(errTargetSilent)
+				return
+			}
+			ask()
+			silenceTimer.Reset(silence)
+		})
 		defer silenceTimer.Stop()
 	}
 	n := 0
@@ -356,7 +386,7 @@
 			e.raw = append(early, e.raw...)
 		}
 		if silenceTimer != nil {
-			silenceTimer.Reset(max(minStreamSilence, 4*c.route.MaxGap))
+			silenceTimer.Reset(silence)
 		}
 		if !c.writeStream(t, e.raw, true) {
 			return result{verdict: verdictDone}
--- a/entry/internal/edge/slow_test.go
+++ b/entry/internal/edge/slow_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +107,56 @@
 		})
 	}
 }
+
+// A request once went on at another target after a silence, while the first one still worked on it:
+// it only noticed that its connection was closed when it wrote its next event.
+func TestSilentStreamGoesOnElsewhereOnlyOnceItsTargetHasStopped(t *testing.T) {
+	const pause = minStreamSilence + 600*time.Millisecond
+	stops := func(head bool) targetScript { // as most targets do when their connection is closed
+		return func(w net.Conn, r *http.Request) {
+			if head {
+				streamHead(w, r)
+				chunk(w, one)
+			}
+			_, _ = w.Read(make([]byte, 1))
+			_ = w.Close()
+		}
+	}
+	late := func(w net.Conn, r *http.Request) {
+		time.Sleep(800 * time.Millisecond) // more than the share of the route's objective
+		slowStream(0, one, two+three)(w, r)
+	}
+	for _, test := range []struct {
+		name   string
+		script targetScript
+		runs   int32
+	}{
+		{"slow between events", slowStream(pause, one, two+three), 1},
+		{"slow before the first event", late, 1},
+		{"stops between events", stops(true), 2},
+		{"stops before the first event", stops(false), 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var requests atomic.Int32
+			first := func(w net.Conn, r *http.Request) {
+				switch {
+				case requests.Add(1) == 1:
+					test.script(w, r)
+				case r.Header.Get(wire.HeaderLastEvent) != "":
+					slowStream(0, two, three)(w, r)
+				default:
+					slowStream(0, one, two+three)(w, r)
+				}
+			}
+			h := startHost(t, fakeStages{}, first, first)
+			h.view.Config.Routes[2].Timeout = 6 * time.Second
+			got := h.send(t, "/stream/x", func(r *http.Request) { withTime("6000")(r); prompt("5a:1,1:1")(r) })
+			if got.err != nil || got.body != one+two+three || h.runs.Load() != test.runs {
+				t.Errorf("got %+v from %d targets, want all events from %d", got, h.runs.Load(), test.runs)
+			}
+			if n := len(h.handler.blame.(*fakeBlame).broken); n > 0 {
+				t.Errorf("%d crashes recorded of a target that was asked to stop, want none", n)
+			}
+		})
+	}
+}
