Rollout: orders, versions, gate, decider and controller

Versions of targets were decoded and dropped, orders of roll-outs ignored, and a new version got its full share of requests at once. Nothing changes without rollout in Contracts.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -32,6 +32,7 @@
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/pick"
+	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/roster"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/boot"
@@ -85,7 +86,7 @@
 		fx.Provide(
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newEdgeHandler, newFleetServers,
-			newBalancer, newBlame, newNotices,
+			newBalancer, newBlame, newNotices, newRolloutGate, newRollouts,
 			newFleetRefs, dialer.New,
 		),
 		fx.Invoke(func(*fleetServers) {}),
@@ -301,9 +302,11 @@
 	Runner *graph.Runner
 }
 
-func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, notices *notice.Board, log logr.Logger) stageParts {
-	catalog := maker.NewCatalog(t, notices, s.DataCentres)
-	home := batch.New(maker.New(d, notices), catalog, log.WithName("batch"))
+func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, notices *notice.Board, gate *rollout.Gate, log logr.Logger) stageParts {
+	catalog, client := maker.NewCatalog(t, notices, s.DataCentres), maker.New(d, notices)
+	catalog.UseRollouts(gate)
+	client.UseRollouts(gate, t)
+	home := batch.New(client, catalog, log.WithName("batch"))
 	graph.RegisterHandlers(bus, home)
 	runner := graph.New(s.HostName, s.Region, r, bus, home, catalog)
 	home.SetReporter(runner.SendReport)
@@ -314,8 +317,29 @@
 	return blame.New(r, log.WithName("blame"))
 }
 
-func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, log logr.Logger) *edge.Handler {
-	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, b, notices, log.WithName("edge"))
+func rolloutOptions(s boot.Settings, refs *fleetRefs) rollout.Options {
+	return rollout.Options{Share: s.ExposureShare, Slack: s.ExposureSlack, Regions: s.DataCentres, Hosts: refs.Count}
+}
+
+// newRolloutGate returns nil, which lets all versions get requests, where roll-outs aren't in
+// force.
+func newRolloutGate(s boot.Settings, refs *fleetRefs) *rollout.Gate {
+	if !s.HasRollouts() {
+		return nil
+	}
+	return rollout.NewGate(rolloutOptions(s, refs))
+}
+
+// newRollouts returns nil where roll-outs aren't in force.
+func newRollouts(s boot.Settings, refs *fleetRefs, gate *rollout.Gate, r *roster.Controller, bus *peers.Transport, t *table.Controller, client *store.Client, log logr.Logger) *rollout.Controller {
+	if gate == nil {
+		return nil
+	}
+	return rollout.New(s.HostName, time.Now().UnixMilli(), gate, rolloutOptions(s, refs), r, bus, t, feed.Rollouts(client), log.WithName("rollout"))
+}
+
+func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, gate *rollout.Gate, log logr.Logger) *edge.Handler {
+	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Rollouts: gate}, t, runner, balancer, d, b, notices, log.WithName("edge"))
 	return refs.handler
 }
 
@@ -328,7 +352,7 @@
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
-	home *batch.Home, d *dialer.Pool, b *blame.Controller, log logr.Logger, lc fx.Lifecycle,
+	home *batch.Home, d *dialer.Pool, b *blame.Controller, rollouts *rollout.Controller, log logr.Logger, lc fx.Lifecycle,
 ) *fleetServers {
 	isReady := func() bool {
 		view := t.View()
@@ -366,6 +390,7 @@
 			err = errors.Join(err, fs.directory.Shutdown(lookupCtx), fs.ready.Shutdown(lookupCtx))
 			log.Info("stopped", "active", handler.Active(), "err", fmt.Sprint(err))
 			b.Close()
+			rollouts.Close()
 			r.Close()
 			t.Close()
 			home.Close()
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -11,6 +11,7 @@
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
+	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -83,15 +84,16 @@
 		}
 		view := c.h.tables.View()
 		query := pick.Query{
-			Targets: view.Targets[c.service.Name], Regions: c.regions, Tried: tried, Affinity: c.prefixID(),
+			Regions: c.regions, Tried: tried, Affinity: c.prefixID(),
 			ColdLimit: c.service.ColdPerSecond, Slots: c.targetSlots(view.Config),
 		}
 		if c.results != nil {
 			query.DataCentre, query.PrefixTarget = c.results.DataCentre, c.results.PrefixTarget
 		}
-		chosen, refusal := c.h.balancer.Choose(query, now)
+		chosen, use, refusal := c.choose(view, query, now)
 		if chosen != nil && c.sends > 0 && !c.h.balancer.TakeRetry(c.service.Name, now) {
 			chosen.Done(pick.Cancelled)
+			use.Done(rollout.Outcome{Kind: rollout.NotSent}, now)
 			chosen, refusal = nil, pick.Refusal{Reason: "the retry budget is exhausted"}
 		}
 		if chosen == nil {
@@ -103,7 +105,7 @@
 			return nil
 		}
 		tried[chosen.ID] = true
-		res := c.attempt(ctx, chosen)
+		res := c.attemptFor(ctx, chosen, use)
 		c.h.logger.V(1).Info("attempt", "id", c.req.ID, "target", chosen.ID, "verdict", int(res.verdict), "reason", res.reason)
 		reason = res.reason
 		switch res.verdict {
@@ -194,12 +196,14 @@
 	verdict    verdict
 	reason     string
 	heldAnswer *heldAnswer // the target's own error response, if it is complete
+	isStale    bool        // an idle connection turned out to be closed
 }
 
 // attempt sends the request to one target.
-func (c *call) attempt(ctx context.Context, t *pick.Chosen) result {
+func (c *call) attempt(ctx context.Context, t *pick.Chosen, use *rollout.Use) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() { c.wasSilent = errors.Is(context.Cause(ctx), errTargetSilent) }()
 	now := time.Now()
 	if c.firstSend.IsZero() {
 		c.firstSend = now
@@ -217,7 +221,13 @@
 	req := dialer.Request{
 		Method: c.r.Method, URI: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body, ID: c.req.ID,
 		ResponseID: wire.AnswerID, KeepAlive: wire.KeepAlive, NewConn: c.sentTo[t.ID],
-		Check: func() error { return c.h.notices.Check(t.Announcer(), time.Now()) },
+		Check: func() error {
+			now := time.Now()
+			if err := c.h.notices.Check(t.Announcer(), now); err != nil {
+				return err
+			}
+			return use.Check(c.h.tables.View(), now)
+		},
 		Heard: func(status int, h http.Header) {
 			head := wire.DecodeAnswer(status, h)
 			c.h.notices.Record(t.Announcer(), notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
@@ -286,6 +296,9 @@
 		if errors.Is(send.Err, dialer.ErrConnectionLimit) || errors.Is(send.Err, notice.ErrBusy) || errors.Is(send.Err, notice.ErrLeaving) {
 			o = pick.Refused
 		}
+		if errors.Is(send.Err, rollout.ErrNotGranted) {
+			o = pick.Cancelled
+		}
 		t.Done(o)
 		return result{verdict: verdictNotSent, reason: reason}
 	}
@@ -300,5 +313,5 @@
 		t.Done(pick.Failed)
 		c.recordBroken(t, false, reason)
 	}
-	return result{verdict: verdictMayHaveRun, reason: reason}
+	return result{verdict: verdictMayHaveRun, reason: reason, isStale: send.Stale}
 }
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -22,6 +22,7 @@
 	"chivepost/entry/internal/guard"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
+	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -104,6 +105,8 @@
 	Region     string
 	// HasPeers reports whether another host can take requests; nil means that none can.
 	HasPeers func() bool
+	// Rollouts decides which versions of targets may get requests; nil means that all may.
+	Rollouts *rollout.Gate
 }
 
 // Handler is the HTTP handler for requests of callers.
@@ -165,6 +168,9 @@
 	tried         map[string]bool // targets chosen since the stages ran
 	sentTo        map[string]bool // targets that may have got this attempt
 	isTrial       bool            // shows whether a quarantined part still crashes targets
+	triedNew      bool            // it was sent to a version on trial
+	brokeOff      bool            // the current target broke off its answer
+	wasSilent     bool            // the current target was silent for too long
 	answerBegan   time.Time       // at the current target; zero: not yet
 
 	// The fields below are mostly for the log line and the counters.
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -76,6 +76,7 @@
 // makes targets fail.
 func (c *call) recordBroken(t *pick.Chosen, begun bool, reason string) {
 	brokenAnswers.Add(1)
+	c.brokeOff = true
 	c.h.logger.Info("target broke off", "id", c.req.ID, "target", t.ID, "started_at", t.StartMillis, "service", c.service.Name, "shared_parts", c.sharedParts(),
 		"head_received", begun, "events", c.events, "reason", reason)
 }
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -141,7 +141,7 @@
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
 	c.w.WriteHeader(h.status)
 	if _, err := c.w.Write(h.body); err != nil {
-		c.reason = "caller disconnected"
+		c.reason = disconnectedReason
 		return
 	}
 	c.isComplete = true
@@ -175,7 +175,7 @@
 		var op *net.OpError
 		if c.isCallerGone() || errors.As(err, &op) && op.Op == "write" {
 			t.Done(pick.Cancelled)
-			c.abort("caller disconnected")
+			c.abort(disconnectedReason)
 		}
 		t.Done(pick.Failed)
 		c.recordBroken(t, true, err.Error())
@@ -381,7 +381,7 @@
 	}
 	if err != nil {
 		t.Done(pick.Cancelled)
-		c.reason = "caller disconnected"
+		c.reason = disconnectedReason
 	}
 	return err == nil
 }
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -15,6 +15,7 @@
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
+	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -44,9 +45,10 @@
 
 // Client calls stage targets over HTTP. It implements batch.TargetClient.
 type Client struct {
-	dialer  Dialer
-	notices Notices
-	recent  *recentAnswers
+	dialer   Dialer
+	notices  Notices
+	recent   *recentAnswers
+	rollouts rollouts
 }
 
 // New returns a client that sends over d, as far as the announcements of targets allow.
@@ -70,16 +72,29 @@
 		return nil, batch.FailureBroken, err
 	}
 	target := batch.Target{ID: call.Target, Address: call.Address, StartMillis: call.Start}
+	use, ok := c.rollouts.begin(target, time.Now())
+	if !ok {
+		return nil, batch.FailureRefused, rollout.ErrNotGranted
+	}
+	began := time.Now()
+	out, failure, err := c.run(ctx, target, use, body, len(pieces))
+	use.Done(outcomeOf(out, failure, err, time.Since(began)), time.Now())
+	return out, failure, err
+}
+
+// run sends a call and returns what Run does.
+func (c *Client) run(ctx context.Context, target batch.Target, use *rollout.Use, body []byte, n int) ([]batch.Outcome, batch.Failure, error) {
+	check := func() error { return use.Check(c.rollouts.view(), time.Now()) }
 	var results []wire.Result
-	status, header, err := c.post(ctx, target, wire.PathStageRun, body, func(answer []byte) error {
+	status, header, err := c.post(ctx, target, wire.PathStageRun, body, check, func(answer []byte) error {
 		var err error
-		if results, err = wire.DecodeResults(answer, len(pieces)); err != nil {
+		if results, err = wire.DecodeResults(answer, n); err != nil {
 			return err
 		}
 		return c.recent.add(target.ID, results)
 	})
 	switch {
-	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving):
+	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving), errors.Is(err, rollout.ErrNotGranted):
 		return nil, batch.FailureRefused, err
 	case status == 0:
 		return nil, failureOf(ctx, err), err
@@ -123,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	status, _, err := c.post(ctx, target, wire.PathStageFree, body, func(answer []byte) error {
+	status, _, err := c.post(ctx, target, wire.PathStageFree, body, nil, func(answer []byte) error {
 		if wire.HasResults(answer) {
 			return errors.New("free results: the answer is that to another call")
 		}
@@ -135,18 +150,24 @@
 	return err
 }
 
-// post sends a request to a target and reads the answer. accept checks the body of an answer
+// post sends a request to a target and reads the answer. check, unless nil, is called
+// immediately before the request is sent, which it prevents by an error. accept checks the body of an answer
 // with status 200. Stage calls have no ID in their answers, so the connection of an answer
 // that isn't accepted is closed: it may be a copy of an earlier one, and the right one may
 // follow. So is that of a failure. Refusals are frequent, so that of a refusal is only held
 // for as long as the call might take if it runs after all. The returned status is 0 if there
 // is no whole answer; the error is then of type *dialer.SendError.
-func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, accept func(answer []byte) error) (int, http.Header, error) {
+func (c *Client) post(ctx context.Context, target batch.Target, path string, body []byte, check func() error, accept func(answer []byte) error) (int, http.Header, error) {
 	announcer := noticeOf(target)
 	a, err := c.dialer.Do(ctx, target.ID, target.Address, maxConnections, dialer.Request{
 		Method: http.MethodPost, URI: path, Host: target.Address, Header: wire.StageHeader(target.ID), Body: body,
 		KeepAlive: wire.KeepAlive,
-		Check:     func() error { return c.notices.Check(announcer, time.Now()) },
+		Check: func() error {
+			if err := c.notices.Check(announcer, time.Now()); err != nil || check == nil {
+				return err
+			}
+			return check()
+		},
 		Heard: func(status int, h http.Header) {
 			head := wire.DecodeAnswer(status, h)
 			c.notices.Record(announcer, notice.Notice{Leaving: head.Leaving, Pause: head.RetryAfter}, time.Now())
@@ -199,9 +220,10 @@
 // Catalog lists stage services and their targets from the tables. It implements
 // batch.Catalog.
 type Catalog struct {
-	tables  Tables
-	notices Notices
-	regions map[string]string // data centre to region
+	tables   Tables
+	notices  Notices
+	regions  map[string]string // data centre to region
+	rollouts rollouts
 }
 
 // NewCatalog returns a catalog. regions maps each data centre to its region.
@@ -217,14 +239,22 @@
 	if v.Config == nil || v.Config.Services[service].Stage == nil {
 		return fleet.Batching{}, nil, false
 	}
-	var out, leaving []batch.Target
+	var out, leaving, held []batch.Target
 	now := time.Now()
+	mayTake := c.rollouts.selected(v, service, now)
 	for _, t := range v.Targets[service] {
 		r := c.regions[t.DataCentre]
 		if region != "" && r != region {
 			continue
 		}
 		listed := batch.Target{ID: t.ID, Address: t.Address, DataCentre: t.DataCentre, Region: r, StartMillis: t.StartMillis}
+		if !mayTake(t) {
+			if c.rollouts.gate.IsKept(v, t, now) {
+				listed.BusyUntil = now.Add(heldPause)
+				held = append(held, listed)
+			}
+			continue
+		}
 		switch s := c.notices.Status(noticeOf(listed), now); {
 		case s.Closed && s.Until.IsZero():
 		case s.Leaving:
@@ -238,6 +268,7 @@
 	if len(out) == 0 {
 		out = leaving // they serve on for a while
 	}
+	out = append(out, held...)
 	return *v.Config.Services[service].Stage, out, true
 }
 
--- /dev/null
+++ b/entry/internal/maker/rollout.go
@@ -0,0 +1,84 @@
+package maker
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/rollout"
+	"chivepost/entry/internal/table"
+)
+
+// heldPause is how long a target that gets no calls by its version is listed as busy. The
+// home asks again before.
+const heldPause = 150 * time.Millisecond
+
+// rollouts asks a gate which versions of stage targets may get calls. The zero value lets all
+// of them.
+type rollouts struct {
+	gate   *rollout.Gate
+	tables Tables
+}
+
+// UseRollouts makes the client send only what the gate allows.
+func (c *Client) UseRollouts(gate *rollout.Gate, tables Tables) { c.rollouts = rollouts{gate, tables} }
+
+// UseRollouts makes the catalog list targets that may get no calls by their version as busy.
+func (c *Catalog) UseRollouts(gate *rollout.Gate) { c.rollouts = rollouts{gate, c.tables} }
+
+func (r rollouts) view() *table.View {
+	if r.gate == nil {
+		return nil
+	}
+	return r.tables.View()
+}
+
+// begin records a call of a target, and returns false if that may not get it.
+func (r rollouts) begin(target batch.Target, now time.Time) (*rollout.Use, bool) {
+	if r.gate == nil {
+		return &rollout.Use{}, true
+	}
+	v := r.tables.View()
+	for _, list := range v.Targets {
+		for _, t := range list {
+			if t.ID == target.ID && t.StartMillis == target.StartMillis {
+				return r.gate.Begin(v, t, t.Service, true, now)
+			}
+		}
+	}
+	return &rollout.Use{}, true // not known any more, so nothing tells its version
+}
+
+// selected returns a function that reports whether a target of a service may get a call now.
+func (r rollouts) selected(v *table.View, service string, now time.Time) func(*table.Target) bool {
+	if r.gate == nil {
+		return func(*table.Target) bool { return true }
+	}
+	s := r.gate.Select(v, service, service, false, now)
+	return func(t *table.Target) bool { return slices.Contains(s.Targets, t) || slices.Contains(s.Others, t) }
+}
+
+// outcomeOf returns what a call shows of the target's version. Calls are compared by their
+// time and by that of a piece.
+func outcomeOf(out []batch.Outcome, failure batch.Failure, err error, took time.Duration) rollout.Outcome {
+	var send *dialer.SendError
+	switch {
+	case failure == batch.FailureUnreachable, errors.As(err, &send) && !send.Sent:
+		return rollout.Outcome{Kind: rollout.NotSent}
+	case failure == batch.FailureRefused:
+		return rollout.Outcome{Kind: rollout.Neutral}
+	case failure == batch.FailureBroken && errors.As(err, &send):
+		if send.Stale {
+			return rollout.Outcome{Kind: rollout.Neutral}
+		}
+		return rollout.Outcome{Kind: rollout.Broken}
+	case failure != batch.FailureNone:
+		return rollout.Outcome{Kind: rollout.Failed}
+	}
+	if slices.ContainsFunc(out, func(o batch.Outcome) bool { return o.Fault == batch.FaultError }) {
+		return rollout.Outcome{Kind: rollout.Failed}
+	}
+	return rollout.Outcome{Kind: rollout.Answered, FirstByte: took, Gap: took / time.Duration(max(len(out), 1))}
+}
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -54,8 +54,9 @@
 type View struct {
 	Config        *fleet.Config // nil before the first one is known
 	Out           map[string]bool
-	Targets       map[string][]*Target // by service; without draining ones and data centres that are out
-	TargetsLoaded bool                 // the targets were read at least once
+	Targets       map[string][]*Target   // by service; without draining ones and data centres that are out
+	TargetsLoaded bool                   // the targets were read at least once
+	Orders        map[string]fleet.Order // roll-outs by service
 }
 
 // State is the table without its I/O. It isn't safe for concurrent use.
@@ -63,7 +64,8 @@
 	logger         logr.Logger // the zero value discards
 	config         *fleet.Config
 	out            map[string]bool
-	restored       map[string]time.Time // when a data centre was brought back, while its targets count as cold
+	restored       map[string]time.Time   // when a data centre was brought back, while its targets count as cold
+	orders         map[string]fleet.Order // roll-outs by service
 	operatorOffset int64
 	targets        map[string]*Target
 	lastEntries    map[string]fleet.Target // last entry of each departed target
@@ -96,7 +98,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		out: map[string]bool{}, restored: map[string]time.Time{}, targets: map[string]*Target{},
+		out: map[string]bool{}, orders: map[string]fleet.Order{}, restored: map[string]time.Time{}, targets: map[string]*Target{},
 		lastEntries: map[string]fleet.Target{}, contenders: map[string]contender{}, displacing: map[string]bool{}, expiring: map[string]time.Time{}, operatorOffset: -1, targetsOffset: -1,
 		instance: rand.Int64(),
 	}
@@ -119,11 +121,17 @@
 		return nil // a merged snapshot of a peer is newer
 	}
 	var rejected []error
-	seen := map[string]bool{}
+	seen, ordered := map[string]bool{}, map[string]bool{}
 	for _, c := range changes {
 		switch {
 		case c.Err != nil:
 			rejected = append(rejected, c.Err)
+			ordered[c.Rollout] = true // the order that is known stays in force
+		case c.Order != nil:
+			ordered[c.Rollout] = true
+			s.orders[c.Rollout] = *c.Order
+		case c.Rollout != "":
+			delete(s.orders, c.Rollout)
 		case c.Config != nil:
 			s.adoptConfig(c.Config)
 		case c.IsOut:
@@ -139,6 +147,7 @@
 				s.restore(dc, now)
 			}
 		}
+		maps.DeleteFunc(s.orders, func(service string, _ fleet.Order) bool { return !ordered[service] })
 	}
 	s.operatorOffset = next
 	return rejected
@@ -356,6 +365,7 @@
 func (s *State) View() *View {
 	v := &View{
 		Config: s.config, Out: maps.Clone(s.out), Targets: map[string][]*Target{}, TargetsLoaded: s.targetsLoaded,
+		Orders: maps.Clone(s.orders),
 	}
 	for _, t := range s.targets {
 		if at, ok := s.restored[t.DataCentre]; ok && t.ColdUntil.Before(at.Add(coldAfterRestore)) {
@@ -382,6 +392,7 @@
 type Snapshot struct {
 	Config        *fleet.Config  `cbor:"config"`
 	Out           []string       `cbor:"out"`
+	Orders        []fleet.Order  `cbor:"orders,omitempty"` // of roll-outs
 	OpOffset      int64          `cbor:"op_offset"`
 	Targets       []fleet.Target `cbor:"targets"`
 	TargetsOffset int64          `cbor:"targets_next"`
@@ -412,7 +423,7 @@
 // and the targets are a delta if the peer's mark is recent enough.
 func (s *State) Snapshot(req SnapshotRequest, now time.Time) Snapshot {
 	out := Snapshot{
-		Out: slices.Collect(maps.Keys(s.out)), OpOffset: s.operatorOffset, TargetsOffset: s.targetsOffset,
+		Out: slices.Collect(maps.Keys(s.out)), Orders: slices.Collect(maps.Values(s.orders)), OpOffset: s.operatorOffset, TargetsOffset: s.targetsOffset,
 		TargetsAge: now.Sub(s.targetsReadAt), Mark: Mark{Instance: s.instance, Revision: s.revision},
 	}
 	if s.config != nil && s.config.Version > req.Version {
@@ -477,6 +488,10 @@
 				s.restore(dc, now)
 			}
 		}
+		s.orders = map[string]fleet.Order{}
+		for _, o := range p.Orders {
+			s.orders[o.Service] = o
+		}
 		s.out, s.operatorOffset = out, p.OpOffset
 		changed = true
 	}
--- a/share/fleet/fleet.go
+++ b/share/fleet/fleet.go
@@ -151,6 +151,7 @@
 	Service       string
 	Address       string
 	DataCentre    string
+	Version       string `cbor:",omitempty"` // of the software that it runs, such as v1
 	Slots         int
 	Draining      bool
 	ColdRemaining time.Duration `cbor:"Cold"` // remaining cold start when the entry was read
