--- a/entry/internal/rollout/decider.go
+++ b/entry/internal/rollout/decider.go
@@ -145,10 +145,7 @@
 	if h.report.IsStopped || f.newTargets == 0 || h.report.Sent < h.granted {
 		return 0
 	}
-	var requests uint32
-	for _, other := range s.hosts {
-		requests += other.report.Requests
-	}
+	requests := s.requests()
 	trial := cutoverAt(f.order.Duration)
 	pace := min(slackAtStart+(1-slackAtStart)*float64(now.Sub(s.startedAt))/float64(max(trial, 1)), 1)
 	limit := shareUsed*d.share*float64(requests) + slackUsed*d.slack*pace
@@ -163,6 +160,14 @@
 	return uint32(max(math.Floor(left*part), 1))
 }
 
+// requests returns the requests that reached the service.
+func (s *decision) requests() (n uint32) {
+	for _, h := range s.hosts {
+		n += h.report.Requests
+	}
+	return n
+}
+
 // collect merges the evidence of all hosts.
 func (s *decision) collect() {
 	s.evidence = Evidence{}
@@ -290,7 +295,7 @@
 		return "the version has no targets"
 	case float64(f.newTargets) < minTargetShare*float64(f.oldTargets):
 		return fmt.Sprintf("the version has %d targets, the old one %d", f.newTargets, f.oldTargets)
-	case done < minResponses:
+	case done < min(minResponses, max(minBadCount, s.requests()/4)):
 		return fmt.Sprintf("the version has only %d responses", done)
 	}
 	return ""
--- a/entry/internal/rollout/evidence.go
+++ b/entry/internal/rollout/evidence.go
@@ -27,7 +27,7 @@
 	// lookLevel is the probability by chance below which a version is bad at one of the many
 	// looks, finalLevel that at the end of the trial.
 	lookLevel  = 1e-4
-	finalLevel = 5e-3
+	finalLevel = 1e-3
 )
 
 // quantiles of the old version's times above which the slow ones are counted.
@@ -148,7 +148,7 @@
 // compare returns the comparisons of a route, by kind.
 func (r *RouteEvidence) compare() map[string]comparison {
 	out := map[string]comparison{
-		"failures": {r.New.Failed, r.New.Done, max(minFailureRate, (float64(r.Old.Failed)+0.5)/(float64(r.Old.Done)+20))},
+		"failures": {r.New.Failed, r.New.Done, max(minFailureRate, (float64(r.Old.Failed)+math.Sqrt(float64(r.Old.Failed))+0.5)/(float64(r.Old.Done)+20))},
 	}
 	for kind, pair := range map[string][2]Hist{"first byte": {r.Old.First, r.New.First}, "time per event": {r.Old.Gap, r.New.Gap}} {
 		n := pair[0].count()
@@ -158,13 +158,20 @@
 		for _, q := range quantiles {
 			limit := pair[0].quantile(q) + slowBuckets
 			out[fmt.Sprintf("%s above the usual %g", kind, q)] = comparison{
-				pair[1].above(limit), pair[1].count(), max(minSlowRate, (float64(pair[0].above(limit))+1)/(float64(n)+2)),
+				pair[1].above(limit), pair[1].count(), max(minSlowRate, upperRate(pair[0].above(limit), n)),
 			}
 		}
 	}
 	return out
 }
 
+// upperRate returns a rate that k of n events suggest, raised by its standard error since the
+// sample may be small.
+func upperRate(k, n uint32) float64 {
+	mean := float64(k) + 1
+	return min((mean+math.Sqrt(mean))/(float64(n)+2), 1)
+}
+
 // isBad reports whether the new version is bad, at a level of probability, and why.
 func (e Evidence) isBad(level float64) (reason string, ok bool) {
 	total := map[string]comparison{}
--- a/entry/internal/rollout/rollout.go
+++ b/entry/internal/rollout/rollout.go
@@ -21,7 +21,7 @@
 	// orderDelay is the time within which an operator's record is in force everywhere.
 	orderDelay = 4 * time.Second
 	// wantedFor is how long a new grant is kept for the routes that the decider names.
-	wantedFor = 400 * time.Millisecond
+	wantedFor = time.Second
 	// crashTime is the time within which the connections of a target that crashes break.
 	crashTime = time.Second
 	// shareUsed and slackUsed are the parts of the exposure that grants may use. The rest
@@ -33,7 +33,8 @@
 	badLimit = 50
 	// minStopBad is the least number of bad responses after which a host stops by itself.
 	minStopBad = 3
-	// minResponses is the least number of responses that show that a version is good.
+	// minResponses is the least number of responses that show that a version is good. If the
+	// service has few requests, a quarter of them suffices.
 	minResponses = 12
 	// minTargetShare is the least number of new targets at the cutover, relative to the old
 	// ones.
--- a/entry/internal/rollout/service.go
+++ b/entry/internal/rollout/service.go
@@ -173,7 +173,7 @@
 		s.setBase(free[0], counts)
 	case len(free) > 1:
 		s.setBase("", counts)
-	case s.isActive() || len(counts) > 1:
+	case len(counts) > 1 || counts[s.order.Target] > 0: // as long as its order stands, its verdict does
 	case s.aloneFrom.IsZero():
 		s.aloneFrom = now
 	case now.Sub(s.aloneFrom) >= orderDelay:
