--- a/entry/internal/edge/rollout.go
+++ b/entry/internal/edge/rollout.go
@@ -15,7 +15,7 @@
 // choose chooses a target among those that a roll-out lets the request use.
 func (c *call) choose(view *table.View, query pick.Query, now time.Time) (*pick.Chosen, *rollout.Use, pick.Refusal) {
 	gate := c.h.opts.Rollouts
-	selection := gate.Select(view, c.service.Name, c.route.Name, c.triedNew, now)
+	selection := gate.Select(view, c.service.Name, c.route.Name, c.triedNew || c.sends > 0, now)
 	var refusal pick.Refusal
 	for _, targets := range [][]*table.Target{selection.Targets, selection.Others} {
 		if targets == nil && refusal.Reason != "" {
--- a/entry/internal/rollout/cases_test.go
+++ b/entry/internal/rollout/cases_test.go
@@ -160,6 +160,97 @@
 	}
 }
 
+// A version that turns bad when it gets the whole traffic must still be rolled back, while the
+// old targets run.
+func TestBadInTheCutover(t *testing.T) {
+	inFleet(t, "bad", func(f *simFleet) {
+		f.serveBy(slowOrFailing(0.5, true, func(f *simFleet, _ *table.Target, _ string) bool { return time.Since(f.start) > 8500*time.Millisecond }))
+		f.runRollout(nil)
+		f.checkStatus(rolledBack)
+		if last := f.sent[len(f.sent)-1].Sub(f.bad[badLimit-1]); last > testRollback {
+			f.t.Errorf("the last request was sent %s after the 50th bad response", last)
+		}
+	})
+}
+
+// A new decider must count the grants of the one before it, which not all hosts have heard
+// of, and give none before that one has lost its majority.
+func TestNewDeciderCountsEarlierGrants(t *testing.T) {
+	now := time.Now()
+	d := NewDecider("b", testShare, testSlack)
+	f := facts{order: fleet.Order{Service: "s", Target: "v2", Duration: testDuration}, status: fleet.RolloutStatus{Target: "v2", State: fleet.RolloutInProgress}, oldTargets: 10, newTargets: 10}
+	size := fleetSize{all: 3, alive: 3}
+	report := func(host string, at time.Time, total uint32) Reply {
+		r := Report{Service: "s", Version: "v2", Age: testDuration / 2, Requests: 10, Total: total, TotalBy: "a"}
+		d.tick(map[string]facts{"s": f}, size, at)
+		return d.handle(host, 1, r, f, size, at)
+	}
+	report("h1", now, 5)
+	report("h2", now, 30)
+	if got := report("h3", now.Add(takeoverDelay/2), 0); got.Cap > 0 {
+		t.Errorf("%d granted before the decider before it has lost its majority", got.Cap)
+	}
+	at := now.Add(takeoverDelay)
+	report("h1", at, 5)
+	for range 100 {
+		report("h2", at, 30)
+		report("h3", at, 0)
+	}
+	got := report("h3", at, 0)
+	if limit := uint32(slackUsed*testSlack + testShare*30); got.Total > limit || got.Total < 30 {
+		t.Errorf("%d granted in all, want 30 of the decider before and at most %d", got.Total, limit)
+	}
+}
+
+// A host that starts after a version was rolled back must not use its targets, which drain
+// later; and a grant that ends between the choice and the send must hold the request.
+func TestGateKnowsTheVerdict(t *testing.T) {
+	now := time.Now()
+	a, b := &table.Target{Target: fleet.Target{ID: "a", Service: "s", Version: "v1"}}, &table.Target{Target: fleet.Target{ID: "b", Service: "s", Version: "v2"}}
+	view := &table.View{Targets: map[string][]*table.Target{"s": {a, b}}, Orders: map[string]fleet.Order{}}
+	opts := Options{Share: testShare, Hosts: func() int { return 1 }}
+	g := NewGate(opts)
+	g.SetStatuses(map[string]fleet.RolloutStatus{"s": rolledBack})
+	other := &table.Target{Target: fleet.Target{ID: "c", Service: "s", Version: "v1.1"}}
+	mixed := &table.View{Targets: map[string][]*table.Target{"s": {a, other, b}}}
+	if got := g.Select(mixed, "s", "r", false, now).Targets; !slices.Equal(got, []*table.Target{a, other}) {
+		t.Errorf("targets %+v, want all but that of v2", got)
+	}
+	g = NewGate(opts)
+	view.Orders["s"] = fleet.Order{Service: "s", Target: "v2", Duration: testDuration}
+	g.Select(view, "s", "r", false, now)
+	g.Apply(Reply{Service: "s", Version: "v2", Phase: PhaseTrial, Cap: 1}, now, now)
+	use, ok := g.Begin(view, b, "r", true, now)
+	if !ok || use.Check(view, now) != nil {
+		t.Fatal("a granted request is held")
+	}
+	g.Apply(Reply{Service: "s", Version: "v2"}, now, now)
+	if use.Check(view, now) == nil {
+		t.Error("a request is sent after its grant has ended")
+	}
+}
+
+// A sample of the old version without slow responses must not make a few of the new one look
+// bad.
+func TestSmallSamplesShowNothing(t *testing.T) {
+	e := Evidence{}
+	r := e.route("r")
+	for range 40 {
+		r.Old.Done++
+		r.Old.First.add(50 * time.Millisecond)
+	}
+	for i := range 15 {
+		r.New.Done++
+		r.New.First.add(50 * time.Millisecond)
+		if i < 3 {
+			r.New.First.add(500 * time.Millisecond)
+		}
+	}
+	if reason, ok := e.isBad(finalLevel); ok {
+		t.Errorf("bad: %s", reason)
+	}
+}
+
 // Without the decider, a host that gets many failures stops by itself.
 func TestHostStopsByItself(t *testing.T) {
 	now := time.Now()
--- a/entry/internal/rollout/fleet_test.go
+++ b/entry/internal/rollout/fleet_test.go
@@ -471,12 +471,16 @@
 	for _, test := range []struct {
 		hosts int
 		rate  float64
-	}{{9, 3}, {9, 15}, {9, 100}, {62, 300}} {
+		took  time.Duration // longer than the shortest cutover: requests at old targets are waited for
+	}{{9, 3, 0}, {9, 15, 0}, {9, 100, 0}, {62, 300, 0}, {9, 100, 1500 * time.Millisecond}} {
 		for seed := range uint64(4) {
-			t.Run(fmt.Sprintf("%d hosts, %g per s, seed %d", test.hosts, test.rate, seed), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d hosts, %g per s, taking %s, seed %d", test.hosts, test.rate, test.took, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := newFleet(t, seed, test.hosts, test.rate)
 					defer f.close()
+					if test.took > 0 {
+						f.serveBy(func(*simFleet, *table.Target, string, *rand.Rand) response { return response{took: test.took} })
+					}
 					atEnd := -1
 					go func() {
 						for !f.status().IsFinal() {
--- a/entry/internal/rollout/gate.go
+++ b/entry/internal/rollout/gate.go
@@ -58,7 +58,7 @@
 }
 
 // Select returns the targets of a service that a request on a route may use. avoidNew says
-// that it must not use a version on trial, such as after that has failed.
+// that it must not use a version on trial, such as after it has failed elsewhere.
 func (g *Gate) Select(view *table.View, name, route string, avoidNew bool, now time.Time) Selection {
 	targets := view.Targets[name]
 	if g == nil {
--- a/entry/internal/rollout/service.go
+++ b/entry/internal/rollout/service.go
@@ -20,8 +20,14 @@
 	aloneFrom time.Time            // since when all targets have a version that may get nothing
 	inFlight  map[string]int       // requests in progress, by version
 	run       *run                 // nil without an order
+
+	observed   []*table.Target // the targets last observed
+	observedAt time.Time
 }
 
+// observeInterval is how often the same targets are observed again, for what depends on time.
+const observeInterval = 50 * time.Millisecond
+
 func newService() *service {
 	return &service{newcomers: map[string]time.Time{}, retired: map[string]bool{}, inFlight: map[string]int{}}
 }
@@ -95,6 +101,10 @@
 
 // observe updates what is known of the versions from the order in force and the targets.
 func (s *service) observe(order fleet.Order, targets []*table.Target, now time.Time) {
+	if order == s.order && !s.isNewBase && len(targets) == len(s.observed) && (len(targets) == 0 || &targets[0] == &s.observed[0]) && now.Sub(s.observedAt) < observeInterval {
+		return
+	}
+	s.observed, s.observedAt = targets, now
 	if order.Target != s.order.Target {
 		s.run = nil
 		if order.Target != "" {
@@ -127,6 +137,11 @@
 
 // observeNewcomers updates the versions that appear beside the one in use without an order.
 func (s *service) observeNewcomers(counts map[string]int, now time.Time) {
+	for version := range s.retired {
+		if counts[version] == 0 {
+			delete(s.retired, version) // what comes later is a release of its own
+		}
+	}
 	if len(s.newcomers) == 0 {
 		s.baseMax = 0
 	}
