--- a/entry/internal/rollout/cases_test.go
+++ b/entry/internal/rollout/cases_test.go
@@ -202,6 +202,38 @@
 	}
 }
 
+// A decider that takes over shortly before the time limit must not roll a version back for
+// lack of evidence before the hosts have reported theirs, and must count what they sent in a
+// cutover that was broken off.
+func TestLateTakeover(t *testing.T) {
+	now := time.Now()
+	d := NewDecider("b", testShare, testSlack)
+	f := facts{order: fleet.Order{Service: "s", Target: "v2", Duration: testDuration}, status: fleet.RolloutStatus{Target: "v2", State: fleet.RolloutInProgress}, oldTargets: 10, newTargets: 10}
+	all, size := map[string]facts{"s": f}, fleetSize{all: 2, alive: 2}
+	r := Report{Service: "s", Version: "v2", Age: testDuration, Requests: 100, Sent: 80, Total: 20, TotalBy: "a"}
+	if got := d.handle("h1", 1, r, f, size, now); got.Cap != r.Sent {
+		t.Errorf("reply %+v, want no grants", got)
+	}
+	for range 2 {
+		if got := d.tick(all, size, now); len(got) > 0 {
+			t.Errorf("wrote %+v before the hosts have reported", got)
+		}
+	}
+	now = now.Add(takeoverDelay)
+	r.Evidence = Evidence{"r": {New: Tally{Done: 20}, Old: Tally{Done: 20}}}
+	for _, host := range []string{"h1", "h2"} {
+		if got := d.handle(host, 1, r, f, size, now); got.Cap != r.Sent {
+			t.Errorf("%s got a grant of %d after %d requests, of 200 in all", host, got.Cap, r.Sent)
+		}
+	}
+	if got := d.tick(all, size, now); len(got) > 0 {
+		t.Errorf("wrote %+v, want a cutover", got)
+	}
+	if got := d.handle("h1", 1, r, f, size, now); got.Phase != PhaseCutover {
+		t.Errorf("reply %+v, want a cutover", got)
+	}
+}
+
 // A host that starts after a version was rolled back must not use its targets, which drain
 // later; and a grant that ends between the choice and the send must hold the request.
 func TestGateKnowsTheVerdict(t *testing.T) {
@@ -410,6 +442,23 @@
 			f.t.Errorf("%d requests refused, the first target of v2 got %d, statuses %+v", f.refused, f.reached["v2-0"], f.records)
 		}
 	})
+	inFleet(t, "back, one after the other, after a roll-out", func(f *simFleet) {
+		f.runRollout(nil)
+		f.setTargets("v1", 0)
+		time.Sleep(5 * time.Second)
+		f.mu.Lock()
+		f.refused, f.reached = 0, map[string]int{}
+		f.mu.Unlock()
+		for i := 9; i >= 0; i-- {
+			f.setTargets("v2", i)
+			f.setTargets("v1", 10-i)
+			time.Sleep(time.Second)
+		}
+		f.close()
+		if f.refused > 0 || f.reached["v1-0"] < 100 {
+			f.t.Errorf("%d requests refused, the first target of v1 got %d", f.refused, f.reached["v1-0"])
+		}
+	})
 	inFleet(t, "both when the hosts start", func(f *simFleet) {
 		f.setTargets("v2", 10)
 		time.Sleep(3 * time.Second)
--- a/entry/internal/rollout/decider.go
+++ b/entry/internal/rollout/decider.go
@@ -149,7 +149,7 @@
 	trial := cutoverAt(f.order.Duration)
 	pace := min(slackAtStart+(1-slackAtStart)*float64(now.Sub(s.startedAt))/float64(max(trial, 1)), 1)
 	limit := shareUsed*d.share*float64(requests) + slackUsed*d.slack*pace
-	left := limit - float64(s.inherited+s.own)
+	left := limit - float64(max(s.inherited+s.own, s.given()))
 	if left < 1 {
 		return 0
 	}
@@ -160,6 +160,15 @@
 	return uint32(max(math.Floor(left*part), 1))
 }
 
+// given returns the requests that hosts may have sent to the version, as far as they report
+// them. Those of a cutover that was broken off are more than were granted.
+func (s *decision) given() (n uint32) {
+	for _, h := range s.hosts {
+		n += h.granted
+	}
+	return n
+}
+
 // requests returns the requests that reached the service.
 func (s *decision) requests() (n uint32) {
 	for _, h := range s.hosts {
@@ -248,6 +257,9 @@
 	case PhaseHold:
 		s.phase = PhaseTrial
 	case PhaseTrial:
+		if now.Sub(s.since) < takeoverDelay {
+			return // a decider that takes over hasn't heard of all evidence yet
+		}
 		isOldGone := !s.oldGoneAt.IsZero() && now.Sub(s.oldGoneAt) >= time.Second
 		if age < cutoverAt(f.order.Duration) && !isOldGone {
 			return
