Rollout: stage calls are compared by their expected time

Change: the time of a call counts in percent of what the configuration expects for its number of pieces. Measured: the new test fails without the number of pieces and passes with it.

--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -72,13 +72,13 @@
 		return nil, batch.FailureBroken, err
 	}
 	target := batch.Target{ID: call.Target, Address: call.Address, StartMillis: call.Start}
-	use, ok := c.rollouts.begin(target, time.Now())
+	use, expected, ok := c.rollouts.begin(target, len(pieces), time.Now())
 	if !ok {
 		return nil, batch.FailureRefused, rollout.ErrNotGranted
 	}
 	began := time.Now()
 	out, failure, err := c.run(ctx, target, use, body, len(pieces))
-	use.Done(outcomeOf(out, failure, err, time.Since(began)), time.Now())
+	use.Done(outcomeOf(out, failure, err, time.Since(began), expected), time.Now())
 	return out, failure, err
 }
 
--- a/entry/internal/maker/rollout.go
+++ b/entry/internal/maker/rollout.go
@@ -36,19 +36,25 @@
 }
 
 // begin records a call of a target, and returns false if that may not get it.
-func (r rollouts) begin(target batch.Target, now time.Time) (*rollout.Use, bool) {
+// It also returns how long the configuration expects a call with n pieces to take.
+func (r rollouts) begin(target batch.Target, n int, now time.Time) (*rollout.Use, time.Duration, bool) {
 	if r.gate == nil {
-		return &rollout.Use{}, true
+		return &rollout.Use{}, 0, true
 	}
 	v := r.tables.View()
 	for _, list := range v.Targets {
 		for _, t := range list {
 			if t.ID == target.ID && t.StartMillis == target.StartMillis {
-				return r.gate.Begin(v, t, t.Service, true, now)
+				var expected time.Duration
+				if s := v.Config.Services[t.Service].Stage; s != nil {
+					expected = s.CallOverhead + time.Duration(n)*s.ItemTime
+				}
+				use, ok := r.gate.Begin(v, t, t.Service, true, now)
+				return use, expected, ok
 			}
 		}
 	}
-	return &rollout.Use{}, true // not known any more, so nothing tells its version
+	return &rollout.Use{}, 0, true // not known any more, so nothing tells its version
 }
 
 // selected returns a function that reports whether a target of a service may get a call now.
@@ -60,9 +66,10 @@
 	return func(t *table.Target) bool { return slices.Contains(s.Targets, t) || slices.Contains(s.Others, t) }
 }
 
-// outcomeOf returns what a call shows of the target's version. Calls are compared by their
-// time and by that of a piece.
-func outcomeOf(out []batch.Outcome, failure batch.Failure, err error, took time.Duration) rollout.Outcome {
+// outcomeOf returns what a call shows of the target's version. Calls have different numbers
+// of pieces, so they are compared by their time in percent of the expected one, as
+// milliseconds.
+func outcomeOf(out []batch.Outcome, failure batch.Failure, err error, took, expected time.Duration) rollout.Outcome {
 	var send *dialer.SendError
 	switch {
 	case failure == batch.FailureUnreachable, errors.As(err, &send) && !send.Sent:
@@ -80,5 +87,9 @@
 	if slices.ContainsFunc(out, func(o batch.Outcome) bool { return o.Fault == batch.FaultError }) {
 		return rollout.Outcome{Kind: rollout.Failed}
 	}
-	return rollout.Outcome{Kind: rollout.Answered, FirstByte: took, Gap: took / time.Duration(max(len(out), 1))}
+	o := rollout.Outcome{Kind: rollout.Answered}
+	if expected > 0 {
+		o.FirstByte = time.Duration(100 * float64(took) / float64(expected) * float64(time.Millisecond))
+	}
+	return o
 }
--- a/entry/internal/maker/rollout_test.go
+++ b/entry/internal/maker/rollout_test.go
@@ -31,6 +31,23 @@
 	return nil, &dialer.SendError{Sent: true, Err: errors.New("broken")}
 }
 
+// Two calls that take as long as expected must look alike whatever their numbers of pieces: in a
+// trial of the soak a good version with small calls was rolled back for its time per piece.
+func TestCallsOfDifferentSizesAreComparable(t *testing.T) {
+	view := &table.View{
+		Config:  &fleet.Config{Services: map[string]fleet.Service{"s": {Stage: &fleet.Batching{CallOverhead: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond}}}},
+		Targets: map[string][]*table.Target{"s": {{Target: fleet.Target{ID: "old", Service: "s"}}}},
+	}
+	r := rollouts{rollout.NewGate(rollout.Options{}), fixedTables{view}}
+	for _, n := range []int{1, 40} {
+		_, expected, _ := r.begin(batch.Target{ID: "old"}, n, time.Now())
+		took := 200*time.Millisecond + time.Duration(n)*10*time.Millisecond
+		if got := outcomeOf(nil, batch.FailureNone, nil, took, expected); got.FirstByte != 100*time.Millisecond || got.Gap != 0 {
+			t.Errorf("%d pieces: got %+v, want 100%%", n, got)
+		}
+	}
+}
+
 // The home must send no stage call to a version without a grant, though it lists it, and at
 // most as many as are granted.
 func TestStageCallsByVersion(t *testing.T) {
