Entry: bodies of requests reserve memory before they are read

Cause: readBody allocated an announced length before a byte had arrived, read chunked bodies with io.ReadAll, and nothing bounded the sum of all bodies.

Change: one account of bytes for each process, drawn from MemoryMb. A body reserves in steps as bytes arrive; what doesn't fit gets 503 with Retry-After, at once if the announced length tells. A tenth is kept for reservations of at most 64 KiB, and one client holds at most 0.8. Holders that stall are ended in the order of bytes times idleness when their bytes are needed. The limit of the garbage collector rises from 0.6 to 0.75 of MemoryMb, since the account now bounds what is live. A caller that doesn't send the rest of a refused body no longer keeps its connection open without end.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -29,6 +29,7 @@
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/lines"
 	"chivepost/entry/internal/maker"
+	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/pick"
@@ -51,7 +52,15 @@
 const (
 	// memoryLimitRatio is the part of the host's memory above which the garbage collector
 	// works harder.
-	memoryLimitRatio = 0.6
+	memoryLimitRatio = 0.75
+	// idleBytes is what a host needs when no client is there: 18 MB were measured, and the
+	// tables of 370 hosts and 1,300 targets add to them.
+	idleBytes = 24 << 20
+	// accountRatio is the part of the rest that clients may hold. The rest of that is the
+	// garbage collector's headroom, copies of bodies that grow, and connections.
+	accountRatio = 0.8
+	// minAccountBytes lets a single body of the largest size be served by any host.
+	minAccountBytes = 10 << 20
 	// Of the log lines with the same level and message in one second, the first
 	// logSampleInitial are written, then one in logSampleThereafter.
 	logSampleInitial    = 400
@@ -86,7 +95,7 @@
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newEdgeHandler, newFleetServers,
 			newBalancer, newBlame, newNotices,
-			newFleetRefs, dialer.New,
+			newFleetRefs, newMemoryAccount, dialer.New,
 		),
 		fx.Invoke(func(*fleetServers) {}),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -110,6 +119,12 @@
 	return app.Stop(stop)
 }
 
+// newMemoryAccount returns the account of what clients may make the host hold.
+func newMemoryAccount(s boot.Settings) *memory.Account {
+	free := memoryLimitRatio*float64(s.MemoryBytes) - idleBytes
+	return memory.New(max(minAccountBytes, int64(accountRatio*free)))
+}
+
 func newFleetLogger(level string, out *lines.Writer) logr.Logger {
 	minLevel := map[string]zapcore.Level{"debug": zap.DebugLevel, "info": zap.InfoLevel, "error": zap.ErrorLevel}[level]
 	encoderConfig := zap.NewProductionEncoderConfig()
@@ -314,8 +329,8 @@
 	return blame.New(r, log.WithName("blame"))
 }
 
-func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, log logr.Logger) *edge.Handler {
-	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers}, t, runner, balancer, d, b, notices, log.WithName("edge"))
+func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, account *memory.Account, log logr.Logger) *edge.Handler {
+	refs.handler = edge.New(edge.Options{DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Memory: account}, t, runner, balancer, d, b, notices, log.WithName("edge"))
 	return refs.handler
 }
 
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -20,6 +21,7 @@
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/guard"
+	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
 	"chivepost/entry/internal/table"
@@ -104,6 +106,8 @@
 	Region     string
 	// HasPeers reports whether another host can take requests; nil means that none can.
 	HasPeers func() bool
+	// Memory accounts for what requests hold; nil means that nothing bounds it.
+	Memory *memory.Account
 }
 
 // Handler is the HTTP handler for requests of callers.
@@ -126,6 +130,9 @@
 
 // New returns a Handler that sends requests to the targets in tables.
 func New(opts Options, tables Tables, stages StageRunner, balancer Balancer, d Dialer, b Blame, notices Notices, logger logr.Logger) *Handler {
+	if opts.Memory == nil {
+		opts.Memory = memory.New(math.MaxInt64)
+	}
 	return &Handler{opts: opts, tables: tables, stages: stages, balancer: balancer, dialer: d, blame: b, notices: notices, logger: logger, pending: pending{calls: map[*call]struct{}{}}}
 }
 
@@ -146,6 +153,8 @@
 	config      *fleet.Config
 	service     fleet.Service
 	body        []byte
+	isBodyRead  bool                // to its end, or there is none
+	memory      *memory.Reservation // for the body and a held answer; nil before the head is checked
 	start       time.Time
 	deadline    time.Time
 	priority    int
@@ -184,6 +193,7 @@
 	retryAfter       time.Duration
 	resumesStream    bool // the caller resumes a stream that broke
 	isRefusedLeaving bool
+	isRefusedMemory  bool
 	quarantinedPart  string // for which the request was refused
 }
 
@@ -204,7 +214,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer c.finish()
-	if c.checkHead() && c.readBody() && c.admit() {
+	if !c.checkHead() {
+		return
+	}
+	c.memory = h.opts.Memory.Open(c.memoryClient())
+	defer c.memory.Close()
+	if c.readBody() && c.admit() {
 		c.run()
 	}
 }
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -100,6 +100,8 @@
 	switch {
 	case c.isRefusedLeaving:
 		return "leaving"
+	case c.isRefusedMemory:
+		return "memory"
 	case c.config == nil:
 		return "no_configuration"
 	case c.quarantinedPart != "":
--- a/entry/internal/edge/respond.go
+++ b/entry/internal/edge/respond.go
@@ -43,6 +43,9 @@
 		c.abort(reason) // it is too late for another status
 	}
 	c.status, c.reason = status, reason
+	if !c.isBodyRead && c.r.ContentLength != 0 {
+		c.setReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	wire.SetID(c.w.Header(), c.req.ID)
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
--- /dev/null
+++ b/entry/internal/memory/account.go
@@ -0,0 +1,244 @@
+// Package memory accounts for the bytes that a process holds for its clients, so that the
+// clients together can't exceed the memory of the machine.
+package memory
+
+import (
+	"errors"
+	"expvar"
+	"slices"
+	"sync"
+	"time"
+
+	"chivepost/entry/internal/invar"
+)
+
+const (
+	// SmallBytes is the largest reservation that may use the part of the account that is kept
+	// for small ones.
+	SmallBytes = 64 << 10
+	// smallRatio is the part of the account that is kept for small reservations, so that a few
+	// large ones can't starve them.
+	smallRatio = 0.1
+	// clientRatio is the part of the account that one client may hold. Much of a host's traffic
+	// may come from one account; the rest still takes a body of the largest size.
+	clientRatio = 0.8
+	// StallTime is how long a holder may make no progress before it is ended in favour of
+	// others. A link that carries less than ProgressBytes in this time is of no use for bodies
+	// of the usual size.
+	StallTime = 2 * time.Second
+	// ProgressBytes is how much a holder must transfer to count as moving, so that single
+	// bytes don't keep it alive.
+	ProgressBytes = 16 << 10
+)
+
+// The errors of reservations that don't fit name the limit that refused.
+var (
+	ErrAccount = errors.New("the host has no memory left for requests of this size")
+	ErrClient  = errors.New("the client holds its share of the host's memory")
+)
+
+var (
+	usedBytes  = expvar.NewInt("memory_account_used_bytes")
+	limitBytes = expvar.NewInt("memory_account_limit_bytes")
+	peakBytes  = expvar.NewInt("memory_account_peak_bytes")
+	holders    = expvar.NewInt("memory_account_holders_count")
+	refusals   = expvar.NewMap("memory_account_refusals_by_limit_count")
+	endedCount = expvar.NewInt("memory_account_stalled_ended_count")
+)
+
+// Account is an account of the bytes held for clients. It is safe for concurrent use.
+type Account struct {
+	limit int64
+	now   func() time.Time
+
+	mu       sync.Mutex
+	used     int64
+	byClient map[string]int64
+	open     map[*Reservation]struct{}
+}
+
+// New returns an account of limit bytes.
+func New(limit int64) *Account {
+	limitBytes.Set(limit)
+	return &Account{limit: limit, now: time.Now, byClient: map[string]int64{}, open: map[*Reservation]struct{}{}}
+}
+
+// Reservation is what one request holds.
+type Reservation struct {
+	account *Account
+	client  string
+
+	// The fields below are guarded by account.mu.
+	bytes    int64
+	pending  int64 // transferred since the last progress
+	progress time.Time
+	end      func() // ends the holder if it stalls; nil: it must not be ended
+	isEnded  bool   // end was called
+}
+
+// Open returns a reservation of no bytes for a client. It must be closed.
+func (a *Account) Open(client string) *Reservation {
+	r := &Reservation{account: a, client: client}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.open[r] = struct{}{}
+	holders.Set(int64(len(a.open)))
+	return r
+}
+
+// Used returns the bytes that are reserved.
+func (a *Account) Used() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.used
+}
+
+// EndStalled ends the holders that have stalled, for a host that runs out of something else
+// than memory.
+func (a *Account) EndStalled() {
+	a.mu.Lock()
+	ends := a.takeStalled(func(*Reservation) bool { return true }, a.limit)
+	a.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+}
+
+// check returns an error if a client's reservation can't grow from one size to another.
+// The caller holds the lock.
+func (a *Account) check(client string, from, to int64) error {
+	limit := a.limit
+	if to > SmallBytes {
+		limit -= int64(smallRatio * float64(a.limit))
+	}
+	switch {
+	case a.used+to-from > limit:
+		return ErrAccount
+	case a.byClient[client]+to-from > int64(clientRatio*float64(a.limit)):
+		return ErrClient
+	}
+	return nil
+}
+
+// takeStalled returns the functions that end the stalled holders that match, in the order of
+// bytes times idleness, until they free the bytes needed. The caller holds the lock and calls
+// the functions without it.
+func (a *Account) takeStalled(matches func(*Reservation) bool, needed int64) []func() {
+	now := a.now()
+	var stalled []*Reservation
+	for r := range a.open {
+		if r.end != nil && now.Sub(r.progress) >= StallTime && matches(r) {
+			stalled = append(stalled, r)
+		}
+	}
+	weight := func(r *Reservation) float64 { return float64(r.bytes) * now.Sub(r.progress).Seconds() }
+	slices.SortFunc(stalled, func(x, y *Reservation) int {
+		switch wx, wy := weight(x), weight(y); {
+		case wx > wy:
+			return -1
+		case wx < wy:
+			return 1
+		}
+		return 0
+	})
+	var ends []func()
+	for _, r := range stalled {
+		if needed <= 0 {
+			break
+		}
+		needed -= r.bytes
+		ends = append(ends, r.end)
+		r.end, r.isEnded = nil, true
+		endedCount.Add(1)
+	}
+	return ends
+}
+
+// Check returns an error if the reservation can't grow to a number of bytes now. It ends
+// stalled holders that are in the way, so that a later request may fit.
+func (r *Reservation) Check(bytes int64) error { return r.resize(bytes, false) }
+
+// Grow makes the reservation one of that many bytes. If it returns an error, the reservation is
+// as before.
+func (r *Reservation) Grow(bytes int64) error { return r.resize(bytes, true) }
+
+func (r *Reservation) resize(bytes int64, reserve bool) error {
+	a := r.account
+	a.mu.Lock()
+	err := a.check(r.client, r.bytes, bytes)
+	var ends []func()
+	switch {
+	case err != nil:
+		if reason := "account"; err == ErrClient { //nolint:errorlint // check returns it unwrapped
+			reason = "client"
+			refusals.Add(reason, 1)
+			ends = a.takeStalled(func(o *Reservation) bool { return o != r && o.client == r.client }, bytes-r.bytes)
+		} else {
+			refusals.Add(reason, 1)
+			ends = a.takeStalled(func(o *Reservation) bool { return o != r }, bytes-r.bytes)
+		}
+	case reserve:
+		r.set(bytes)
+	}
+	a.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+	return err
+}
+
+// set changes the size of the reservation. The caller holds the lock.
+func (r *Reservation) set(bytes int64) {
+	a := r.account
+	a.used += bytes - r.bytes
+	a.byClient[r.client] += bytes - r.bytes
+	invar.Check(a.used >= 0 && a.byClient[r.client] >= 0 && bytes >= 0, "memory account: %d bytes in use, %d by one client, %d in one reservation", a.used, a.byClient[r.client], bytes)
+	if a.byClient[r.client] == 0 {
+		delete(a.byClient, r.client)
+	}
+	r.bytes = bytes
+	usedBytes.Set(a.used)
+	peakBytes.Set(max(peakBytes.Value(), a.used))
+}
+
+// Begin lets the account call end, at most once, if the holder stalls while its bytes are
+// needed.
+func (r *Reservation) Begin(end func()) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.end, r.isEnded, r.progress, r.pending = end, false, r.account.now(), 0
+}
+
+// Moved records that bytes were transferred.
+func (r *Reservation) Moved(bytes int) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	if r.pending += int64(bytes); r.pending >= ProgressBytes {
+		r.pending, r.progress = 0, r.account.now()
+	}
+}
+
+// Finish keeps the account from ending the holder, and reports whether it has done so since
+// Begin.
+func (r *Reservation) Finish() (wasEnded bool) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	wasEnded = r.isEnded
+	r.end, r.isEnded = nil, false
+	return wasEnded
+}
+
+// Close returns all bytes to the account. A second call does nothing.
+func (r *Reservation) Close() {
+	a := r.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, ok := a.open[r]; !ok {
+		return
+	}
+	r.set(0)
+	delete(a.open, r)
+	r.end = nil
+	invar.Check(len(a.open) > 0 || a.used == 0 && len(a.byClient) == 0, "memory account: %d bytes in use by nobody", a.used)
+	holders.Set(int64(len(a.open)))
+}
--- a/stand/internal/soak/crowd_test.go
+++ b/stand/internal/soak/crowd_test.go
@@ -51,9 +51,6 @@
 
 // knownRed holds the crowds that KNOWN-RED.txt lists.
 var knownRed = map[string]bool{
-	"bodies in large chunks that stop short":    true,
-	"announced bodies that stop short":          true,
-	"chunked bodies far above the limit":        true,
 	"long responses that nobody reads":          true,
 	"idle connections":                          true,
 	"connections that are idle after a request": true,
