Entry: answers held for slow readers count in the memory account

Cause: answers of up to 256 KiB were held whole for each caller that doesn't read, with nothing to bound their sum.

Change: held answers reserve in steps, beside the body and an error response that is kept. An answer without room is relayed at the caller's pace instead.

The tests: an answer of 200 KB beside a full account arrives whole, and a caller that reads nothing gives its bytes back.

--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -121,7 +121,7 @@
 		case verdictMayHaveRun:
 			c.mayHaveRun = true
 			if res.heldAnswer != nil {
-				failure = res.heldAnswer
+				failure, c.heldBytes = res.heldAnswer, int64(cap(res.heldAnswer.body))
 			}
 			if !c.route.MayRetry() {
 				c.giveUp(failure, reason)
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -147,6 +147,7 @@
 	ctx         context.Context // ends with the request or when the host ends the request
 	cancel      context.CancelCauseFunc
 	bodyRead    bodyRead
+	isWriting   bool // a held answer is written; guarded by bodyRead.mu
 	req         wire.Request
 	route       *fleet.Route
 	account     *fleet.Account
@@ -154,7 +155,8 @@
 	service     fleet.Service
 	body        []byte
 	isBodyRead  bool                // to its end, or there is none
-	memory      *memory.Reservation // for the body and a held answer; nil before the head is checked
+	memory      *memory.Reservation // for the body and held answers; nil before the head is checked
+	heldBytes   int64               // of an error response that is held while other targets are tried
 	start       time.Time
 	deadline    time.Time
 	priority    int
--- a/entry/internal/edge/memory_test.go
+++ b/entry/internal/edge/memory_test.go
@@ -104,3 +104,65 @@
 		t.Errorf("the connection stays open: %v", err)
 	}
 }
+
+// Guards against answers that are lost, cut short or held without limit if the host has no
+// memory for them.
+func TestAnswersWithoutMemoryAreRelayed(t *testing.T) {
+	long := strings.Repeat("x", 200_000)
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) { reply(w, r, 200, long) })
+	account := memory.New(1 << 20)
+	h.handler.opts.Memory = account
+	other := account.Open("other")
+	defer other.Close()
+	if err := other.Grow(800_000); err != nil {
+		t.Fatal(err)
+	}
+	before := heldShortCount.Value()
+	if got := h.send(t, "/once/x", nil); got.status != http.StatusOK || got.body != long || got.err != nil {
+		t.Errorf("status %d with %d bytes, error %v, want the whole answer", got.status, len(got.body), got.err)
+	}
+	if heldShortCount.Value() == before {
+		t.Error("the answer was held although there is no memory for it")
+	}
+}
+
+// Guards against callers that don't read their answers and keep the memory from others.
+func TestStalledReaderMakesRoom(t *testing.T) {
+	long := strings.Repeat("x", 250_000)
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) { reply(w, r, 200, long) })
+	for i := range h.view.Config.Routes {
+		h.view.Config.Routes[i].Timeout = 30 * time.Second
+	}
+	account := memory.New(1 << 20)
+	h.handler.opts.Memory = account
+	// Several answers on one connection fill the buffers of the kernel.
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	request := "GET /open/x HTTP/1.1\r\nHost: svc\r\nAttempt-Id: 1\r\n\r\n"
+	if _, err := io.WriteString(c, strings.Repeat(request, 100)); err != nil {
+		t.Fatal(err)
+	}
+	awaitUsed := func(what string, isDue func(used int64) bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !isDue(account.Used()); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: %d bytes are in use", what, account.Used())
+			}
+		}
+	}
+	isStalled := func(used int64) bool {
+		time.Sleep(memory.StallTime + 500*time.Millisecond)
+		return used >= 250_000 && account.Used() == used
+	}
+	awaitUsed("a caller that doesn't read", isStalled)
+	other := account.Open("other")
+	defer other.Close()
+	if err := other.Grow(800_000); err == nil {
+		t.Fatal("there is room beside the held answer")
+	}
+	awaitUsed("after its memory was needed", func(used int64) bool { return used == 0 })
+}
--- a/entry/internal/edge/record.go
+++ b/entry/internal/edge/record.go
@@ -22,6 +22,8 @@
 	resumeCount    = expvar.NewInt("edge_resumes_count")
 	// failedResumeCount counts answers that don't go on with the stream that they were to resume.
 	failedResumeCount = expvar.NewInt("edge_resumes_failed_count")
+	// heldShortCount counts answers that were relayed at the caller's pace for lack of memory.
+	heldShortCount = expvar.NewInt("edge_answers_not_held_count")
 )
 
 // firstByteBuckets are the upper bounds of the histogram's buckets.
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -10,11 +10,13 @@
 	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"chivepost/entry/internal/dialer"
+	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/pick"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -23,6 +25,11 @@
 const (
 	// maxHeldAnswer is the largest answer, in bytes, that is read whole before it is relayed.
 	maxHeldAnswer = 256 << 10
+	// firstAnswerBytes is the first reservation for an answer of unknown length.
+	firstAnswerBytes = 4 << 10
+	// answerBlock is how much of a held answer is written at once, so that a caller that reads
+	// can be told from one that doesn't.
+	answerBlock = 16 << 10
 	// maxEvent is the largest event of a stream in bytes.
 	maxEvent = 256 << 10
 	// eventBuffer is the size of the read buffer in bytes; it holds several events.
@@ -69,12 +76,12 @@
 	}
 	t.FirstByte()
 	c.answerBegan = time.Now()
-	body, err := io.ReadAll(io.LimitReader(a, maxHeldAnswer+1))
-	if err == nil && len(body) > maxHeldAnswer {
+	body, isWhole, err := c.holdAnswer(a)
+	if err == nil && !isWhole {
 		if a.Status >= http.StatusInternalServerError {
 			// Relaying it would rule out another target.
 			t.Done(pick.Failed)
-			reason := fmt.Sprintf("the target failed with status %d and more than %d bytes", a.Status, maxHeldAnswer)
+			reason := fmt.Sprintf("the target failed with status %d and more bytes than the host can hold", a.Status)
 			c.recordBroken(t, true, reason)
 			return result{verdict: verdictMayHaveRun, reason: reason}
 		}
@@ -111,6 +118,39 @@
 	return result{verdict: verdictDone}
 }
 
+// holdAnswer reads the body of an answer. It stops, and reports that the body isn't whole, at
+// maxHeldAnswer or if the host has no memory for more of it.
+func (c *call) holdAnswer(a *dialer.Answer) (body []byte, isWhole bool, err error) {
+	size, most := int64(firstAnswerBytes), int64(maxHeldAnswer+1)
+	if a.Length > 0 {
+		size = min(a.Length+1, memory.SmallBytes) // one more for the read that finds the end
+	}
+	others := int64(cap(c.body)) + c.heldBytes
+	for size = min(size, most); ; size = min(2*size, most) {
+		if c.memory.Grow(others+size) != nil {
+			if body != nil {
+				heldShortCount.Add(1)
+				return body, false, nil
+			}
+			size = firstAnswerBytes // to relay an answer takes as much in any case
+		}
+		body = append(make([]byte, 0, size), body...)
+		for len(body) < cap(body) {
+			n, err := a.Read(body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if errors.Is(err, io.EOF) {
+				return body, true, nil
+			}
+			if err != nil {
+				return body, false, err
+			}
+		}
+		if int64(len(body)) == most {
+			return body, false, nil
+		}
+	}
+}
+
 // isEventStream reports whether an answer may be a stream of events by its type, which targets
 // need not name.
 func isEventStream(h http.Header) bool {
@@ -140,13 +180,48 @@
 	copyHeader(c.w.Header(), h.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
 	c.w.WriteHeader(h.status)
-	if _, err := c.w.Write(h.body); err != nil {
+	c.beginWrite()
+	err := c.writeBlocks(h.body)
+	c.endWrite()
+	if err != nil {
 		c.reason = "caller disconnected"
 		return
 	}
 	c.isComplete = true
 }
 
+// writeBlocks writes a held answer and records what the caller has taken of it.
+func (c *call) writeBlocks(body []byte) error {
+	for block := range slices.Chunk(body, answerBlock) {
+		if _, err := c.w.Write(block); err != nil {
+			return err
+		}
+		c.memory.Moved(len(block))
+	}
+	return nil
+}
+
+// beginWrite lets the host end a caller that doesn't read its answer while memory is needed.
+func (c *call) beginWrite() {
+	c.bodyRead.mu.Lock()
+	c.isWriting = true
+	c.bodyRead.mu.Unlock()
+	c.memory.Begin(func() {
+		c.bodyRead.mu.Lock()
+		defer c.bodyRead.mu.Unlock()
+		if c.isWriting {
+			_ = http.NewResponseController(c.w).SetWriteDeadline(c.start) // not every connection supports deadlines
+		}
+	})
+}
+
+func (c *call) endWrite() {
+	c.memory.Finish()
+	c.bodyRead.mu.Lock()
+	defer c.bodyRead.mu.Unlock()
+	c.isWriting = false
+}
+
 func copyHeader(to, from http.Header) {
 	if _, ok := from["Date"]; !ok {
 		to["Date"] = nil // keeps the server from adding its own date to the target's answer
--- a/entry/internal/memory/account.go
+++ b/entry/internal/memory/account.go
@@ -107,6 +107,9 @@
 // check returns an error if a client's reservation can't grow from one size to another.
 // The caller holds the lock.
 func (a *Account) check(client string, from, to int64) error {
+	if to <= from {
+		return nil
+	}
 	limit := a.limit
 	if to > SmallBytes {
 		limit -= int64(smallRatio * float64(a.limit))
