Entry: the product's own front bounds the sum of bodies, too

Cause: chive-entry serve read each body with io.ReadAll; with 4,096 connections and bodies of 1 MiB nothing kept them within the memory.

Change: the front uses the memory account, of the new setting body_memory (256 MiB). What doesn't fit gets 503 with the problem overload, which says that the request has not run. The reading of bodies moves from edge to the memory package, for both fronts.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -18,6 +18,7 @@
 	"chivepost/entry/internal/conf"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/front"
+	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/node"
 	"chivepost/entry/internal/peers"
 	"chivepost/share/events"
@@ -136,7 +137,7 @@
 	lc fx.Lifecycle,
 ) (*servers, error) {
 	caller := front.NewCallerHandler(front.Options{
-		Host: s.Host.Name, MaxBody: int64(s.Limits.MaxBody),
+		Host: s.Host.Name, MaxBody: int64(s.Limits.MaxBody), Memory: memory.New(int64(s.Limits.BodyMemory)),
 	}, n.Config(), n, n.Drain(), n.Burn(), n.Run)
 	operator := front.NewOperatorHandler(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	srv := &servers{
--- a/entry/internal/conf/conf.go
+++ b/entry/internal/conf/conf.go
@@ -65,6 +65,7 @@
 type Limits struct {
 	MaxBody        inicfg.Size   `key:"max_body" default:"1MiB" check:"min=1KiB,max=64MiB" doc:"largest body of a request"`
 	MaxHeader      inicfg.Size   `key:"max_header" default:"16KiB" check:"min=4KiB,max=1MiB" doc:"largest header of a request"`
+	BodyMemory     inicfg.Size   `key:"body_memory" default:"256MiB" check:"min=1MiB" doc:"most bytes of request bodies held at once; one account holds at most 0.8 of it"`
 	MaxFrame       inicfg.Size   `key:"max_frame" default:"4MiB" check:"min=64KiB,max=64MiB" doc:"largest message of a peer"`
 	PeerRate       int           `key:"peer_rate" default:"2000" check:"min=10" doc:"most messages a second from one peer"`
 	MaxConnections int           `key:"max_connections" default:"4096" check:"min=16" doc:"most connections of callers open at once"`
@@ -107,6 +108,9 @@
 	if s.Timing.Margin >= s.Timing.Lease {
 		report("timing", "margin", "less than lease")
 	}
+	if 10*s.Limits.MaxBody > 7*s.Limits.BodyMemory {
+		report("limits", "body_memory", "at least 1.5 times max_body")
+	}
 	if s.Host.Address == s.Host.PeerAddress || s.Host.Address == s.Host.OperatorAddress {
 		report("host", "address", "an address other than peer_address and operator_address")
 	}
--- a/entry/internal/edge/body.go
+++ b/entry/internal/edge/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -11,16 +10,9 @@
 	"chivepost/entry/internal/memory"
 )
 
-const (
-	// firstBodyBytes is the first reservation for a body of unknown length. Announced bodies
-	// begin with up to memory.SmallBytes. Later steps double it.
-	firstBodyBytes = 4 << 10
-	// unreadBodyTimeout limits how long a caller may take to send the rest of a body that was
-	// refused, which the server reads up to a limit of its own.
-	unreadBodyTimeout = 3 * time.Second
-)
-
-var errBodyTooLarge = errors.New("the body is too large")
+// unreadBodyTimeout limits how long a caller may take to send the rest of a body that was
+// refused, which the server reads up to a limit of its own.
+const unreadBodyTimeout = 3 * time.Second
 
 // readBody reads the whole body within the size limit, the memory of the host and the
 // deadline. It writes the response and returns false if it can't.
@@ -31,7 +23,7 @@
 	}
 	length := c.r.ContentLength
 	if length > limit {
-		return c.rejectBody(http.StatusRequestEntityTooLarge, errBodyTooLarge.Error())
+		return c.rejectBody(http.StatusRequestEntityTooLarge, memory.ErrTooLarge.Error())
 	}
 	if length == 0 {
 		c.isBodyRead = true
@@ -44,7 +36,8 @@
 	}
 	c.beginRead()
 	c.memory.Begin(c.endStalledRead)
-	err := c.receiveBody(limit)
+	var err error
+	c.body, err = c.memory.ReadBody(c.r.Body, length, limit)
 	wasEnded := c.memory.Finish()
 	c.endRead()
 	switch {
@@ -53,7 +46,7 @@
 		return true
 	case c.isAborted():
 		return c.refuseLeaving()
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		return c.rejectBody(http.StatusRequestEntityTooLarge, err.Error())
 	case errors.Is(err, memory.ErrAccount), errors.Is(err, memory.ErrClient):
 		return c.refuseMemory(err)
@@ -65,41 +58,6 @@
 
 var errStalled = errors.New("the body stalled while the host's memory was needed")
 
-// receiveBody reads the body. Its reservation grows in steps as bytes arrive, so that an
-// announced length alone takes no memory.
-func (c *call) receiveBody(limit int64) error {
-	size, most := int64(firstBodyBytes), limit+1
-	if length := c.r.ContentLength; length > 0 {
-		size, most = min(length, memory.SmallBytes), length
-	}
-	for c.body = nil; ; size = min(2*size, most) {
-		if err := c.memory.Grow(size); err != nil {
-			return err
-		}
-		c.body = append(make([]byte, 0, size), c.body...)
-		for len(c.body) < cap(c.body) {
-			n, err := c.r.Body.Read(c.body[len(c.body):cap(c.body)])
-			c.body = c.body[:len(c.body)+n]
-			c.memory.Moved(n)
-			if errors.Is(err, io.EOF) {
-				return nil
-			}
-			if err != nil {
-				return err
-			}
-		}
-		switch {
-		case int64(len(c.body)) > limit:
-			return errBodyTooLarge
-		case int64(len(c.body)) == c.r.ContentLength:
-			// Reads io.EOF, after which the server detects that the caller disconnects.
-			var one [1]byte
-			_, _ = c.r.Body.Read(one[:])
-			return nil
-		}
-	}
-}
-
 // rejectBody writes an error response to a request whose body isn't read to its end, and
 // closes the connection.
 func (c *call) rejectBody(status int, reason string) bool {
--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -7,7 +7,7 @@
 	"errors"
 	"expvar"
 	"fmt"
-	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,8 +17,10 @@
 
 	"chivepost/entry/internal/chain"
 	"chivepost/entry/internal/invar"
+	"chivepost/entry/internal/memory"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
+	"chivepost/share/units"
 )
 
 // Config returns the configuration in force and its version; the configuration is
@@ -47,6 +49,8 @@
 type Options struct {
 	Host    string
 	MaxBody int64 // in bytes; 1 MiB if zero
+	// Memory accounts for the bodies of requests; nil means that nothing bounds their sum.
+	Memory *memory.Account
 }
 
 // CallerHandler serves the HTTP API for callers.
@@ -66,6 +70,9 @@
 	if opts.MaxBody == 0 {
 		opts.MaxBody = 1 << 20
 	}
+	if opts.Memory == nil {
+		opts.Memory = memory.New(math.MaxInt64)
+	}
 	return &CallerHandler{
 		opts: opts, config: config, resolver: resolver, leaveStatus: leaveStatus, budget: budget, run: run,
 		runIDs: newRunIDs(opts.Host), counts: newRequestCounts(),
@@ -106,7 +113,13 @@
 }
 
 func (c *CallerHandler) request(w http.ResponseWriter, r *http.Request) {
-	req, out := c.parse(w, r)
+	var reserved *memory.Reservation
+	defer func() {
+		if reserved != nil {
+			reserved.Close()
+		}
+	}()
+	req, out := c.parse(w, r, &reserved)
 	if req == nil {
 		writeProblem(w, out.Problem)
 		return
@@ -128,9 +141,13 @@
 	writeProblem(w, out.Problem)
 }
 
+// memoryRetryAfter is the Retry-After of a request for which there is no memory: a whole
+// second, the shortest time that can be told.
+const memoryRetryAfter = time.Second
+
 // parse reads and validates a request. It returns nil and the refusal if the request
-// is invalid.
-func (c *CallerHandler) parse(w http.ResponseWriter, r *http.Request) (*chain.Request, chain.Outcome) {
+// is invalid. It sets reserved to the memory that the request holds until it ends.
+func (c *CallerHandler) parse(w http.ResponseWriter, r *http.Request, reserved **memory.Reservation) (*chain.Request, chain.Outcome) {
 	arrived := time.Now()
 	cfg, version := c.config.Current()
 	if cfg == nil {
@@ -140,11 +157,19 @@
 	if !ok {
 		return nil, chain.Refused("", apiv1.ProblemUnauthorized, http.StatusUnauthorized, "")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.opts.MaxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, chain.Refused("", apiv1.ProblemTooLarge, http.StatusRequestEntityTooLarge,
-			fmt.Sprintf("at most %d bytes are accepted", tooLarge.Limit))
+	if r.ContentLength > c.opts.MaxBody {
+		return nil, c.tooLarge(w)
+	}
+	*reserved = c.opts.Memory.Open(account.Name)
+	if err := (*reserved).Check(r.ContentLength); err != nil {
+		return nil, noMemory(w, err)
+	}
+	body, err := (*reserved).ReadBody(r.Body, r.ContentLength, c.opts.MaxBody)
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, c.tooLarge(w)
+	case errors.Is(err, memory.ErrAccount), errors.Is(err, memory.ErrClient):
+		return nil, noMemory(w, err)
 	}
 	if err != nil {
 		return nil, chain.Refused("", apiv1.ProblemBadRequest, http.StatusBadRequest, "the request body is incomplete")
@@ -165,6 +190,21 @@
 	return req, chain.Outcome{}
 }
 
+// tooLarge refuses a body above the limit and closes the connection, on which the rest of it
+// may come.
+func (c *CallerHandler) tooLarge(w http.ResponseWriter) chain.Outcome {
+	w.Header().Set("Connection", "close")
+	return chain.Refused("", apiv1.ProblemTooLarge, http.StatusRequestEntityTooLarge, fmt.Sprintf("at most %d bytes are accepted", c.opts.MaxBody))
+}
+
+// noMemory refuses a body for which there is no memory. The error names the limit.
+func noMemory(w http.ResponseWriter, err error) chain.Outcome {
+	w.Header().Set("Connection", "close")
+	out := chain.Refused("", apiv1.ProblemOverload, http.StatusServiceUnavailable, err.Error())
+	out.Problem.RetryAfter = units.Duration(memoryRetryAfter)
+	return out
+}
+
 // writeGrace is how long after the deadline a caller may still read its answer.
 const writeGrace = 2 * time.Second
 
--- a/entry/internal/front/front_test.go
+++ b/entry/internal/front/front_test.go
@@ -12,6 +12,7 @@
 
 	"chivepost/entry/internal/chain"
 	"chivepost/entry/internal/front"
+	"chivepost/entry/internal/memory"
 	"chivepost/share/apiv1"
 	"chivepost/share/bundle"
 	"chivepost/share/events"
@@ -245,3 +246,32 @@
 	f.post(askPath, "secret", goodBody)
 	Expect(f.badOutcomes).To(Equal(1))
 })
+
+// Guards against bodies that together take more memory than there is, and against a refusal
+// of them that isn't true or keeps its bytes.
+var _ = It("refuses bodies for which there is no memory", func() {
+	f := newFake()
+	account := memory.New(1 << 20)
+	router := front.NewCallerHandler(front.Options{Host: "h", MaxBody: 1 << 20, Memory: account}, f, f, f, outcomeCounter{f},
+		func(_ context.Context, req *chain.Request) chain.Outcome { return f.answer(req) }).Router()
+	post := func(length int64, size int) *httptest.ResponseRecorder {
+		body := `{"id":"5-abcdefgh","deadline":"2s","input":"` + strings.Repeat("x", size) + `"}`
+		req := httptest.NewRequest(http.MethodPost, askPath, strings.NewReader(body))
+		req.Header.Set("Authorization", "Bearer secret")
+		if req.ContentLength = length; length == 0 {
+			req.ContentLength = int64(len(body))
+		}
+		rec := httptest.NewRecorder()
+		router.ServeHTTP(rec, req)
+		return rec
+	}
+	Expect(post(0, 500_000).Code).To(Equal(http.StatusOK))
+	for _, length := range []int64{0, -1} { // announced and chunked
+		rec := post(length, 900_000)
+		Expect(rec.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(rec.Header().Get("Retry-After")).To(Equal("1"))
+		Expect(rec.Body.String()).To(ContainSubstring(`"outcome":"refused"`))
+	}
+	Expect(post(-1, 1<<20).Code).To(BeElementOf(http.StatusServiceUnavailable, http.StatusRequestEntityTooLarge))
+	Expect(account.Used()).To(BeZero())
+})
--- a/stand/internal/soak/crowd_test.go
+++ b/stand/internal/soak/crowd_test.go
@@ -39,13 +39,14 @@
 	crowdTimeout  = 8 * time.Second // TimeoutMs of the route
 )
 
-// crowdHost is a chive-entry fleet process on free ports, with a store and a target.
+// crowdHost is a chive-entry process on free ports.
 type crowdHost struct {
 	t                     *testing.T
 	cmd                   *exec.Cmd
 	exited                chan struct{}
 	log                   string
 	front, peers, metrics string
+	ordinary              func() (*http.Request, error) // returns an ordinary request
 }
 
 // freeAddress returns a loopback address whose port is free.
@@ -73,6 +74,7 @@
 	_, _ = w.Write(bytes.Repeat([]byte("x"), size)) // the host may have disconnected
 }
 
+// startCrowdHost starts a chive-entry fleet process with a store and a target.
 func startCrowdHost(t *testing.T, binary string) *crowdHost {
 	t.Helper()
 	h := &crowdHost{t: t, exited: make(chan struct{}), front: freeAddress(t), peers: freeAddress(t), metrics: freeAddress(t)}
@@ -123,13 +125,32 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	h.ordinary = func() (*http.Request, error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+h.front+"/ordinary", strings.NewReader("hello"))
+		if err != nil {
+			return nil, err
+		}
+		req.Host = "crowd.example"
+		req.Header.Set(wire.HeaderID, "ordinary")
+		return req, nil
+	}
+	cmd := exec.Command(binary, "fleet", "--metrics-port", metricsPort)
+	cmd.Env = append(os.Environ(), boot.EnvPath+"="+path)
+	h.launch(cmd, dir)
+	return h
+}
+
+// launch starts the process with crowdFds as its limit on descriptors and waits until it
+// serves.
+func (h *crowdHost) launch(cmd *exec.Cmd, dir string) {
+	h.t.Helper()
+	t := h.t
 	h.log = filepath.Join(dir, "log")
 	out, err := os.Create(h.log)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.cmd = exec.Command(binary, "fleet", "--metrics-port", metricsPort)
-	h.cmd.Env = append(os.Environ(), boot.EnvPath+"="+path)
+	h.cmd = cmd
 	h.cmd.Stdout, h.cmd.Stderr = out, out
 	if err := h.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -148,7 +169,6 @@
 		t.Fatal(errno)
 	}
 	h.awaitOrdinary()
-	return h
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -166,12 +186,10 @@
 	last := ""
 	for deadline := time.Now().Add(crowdPatience); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		req, err := http.NewRequest(http.MethodPost, "http://"+h.front+"/ordinary", strings.NewReader("hello"))
+		req, err := h.ordinary()
 		if err != nil {
 			h.t.Fatal(err)
 		}
-		req.Host = "crowd.example"
-		req.Header.Set(wire.HeaderID, "ordinary")
 		resp, err := client.Do(req)
 		if err != nil {
 			last = err.Error()
