Entry: MaxHeaderBytes is obeyed, and a body that is late gets 408

Cause: headers of up to 64 KiB were read whatever MaxHeaderBytes was, which is more than the limit on connections reckons with. A body that had not arrived by its deadline got 400, after which callers don't try again.

Change: a connection counts the bytes of a header and answers 431 above MaxHeaderBytes and 4 KiB. A late body gets 408; nothing has run.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -407,6 +407,11 @@
 	}
 	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: account.EndStalled, Timeouts: func() (header, idle time.Duration) {
 		return callerTimeouts(t.View().Config)
+	}, HeaderBytes: func() int {
+		if config := t.View().Config; config != nil {
+			return config.Limits.MaxHeaderBytes
+		}
+		return 0
 	}})
 	fs.callers.ConnContext = edge.ConnContext
 	lc.Append(fx.Hook{
--- a/entry/internal/drain/limits_test.go
+++ b/entry/internal/drain/limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -132,4 +133,29 @@
 		Expect(roundTrip(c, r, "idle")).To(Equal("idle"))
 		Expect(isClosed(c, r, 1500*time.Millisecond)).To(BeTrue(), "idle for longer than the limit")
 	})
+
+	// Guards against headers above the limit that are held, and against a limit that counts bodies
+	// or earlier requests.
+	It("cuts off headers that are too long", func() {
+		s := startLimited(drain.Limits{HeaderBytes: func() int { return 8 << 10 }}, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body) // all of it before the response begins
+			_, _ = w.Write(body)
+		})
+		c, r := s.dial()
+		long := strings.Repeat("x", 100_000)
+		for range 3 {
+			Expect(roundTrip(c, r, long)).To(Equal(long))
+		}
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", 8000)+"\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.ReadResponse(r, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("b", 13<<10))
+		Expect(err).NotTo(HaveOccurred())
+		resp, err = http.ReadResponse(r, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		Expect(isClosed(c, r, 2*time.Second)).To(BeTrue())
+	})
 })
--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -46,6 +48,9 @@
 	// first byte on, and how long a connection may be idle. Zero sets no limit. It takes the
 	// place of the timeouts of the http.Server, which can't change; nil leaves those in force.
 	Timeouts func() (header, idle time.Duration)
+	// HeaderBytes returns how many bytes the header of a request may have; 0 sets no limit other
+	// than that of the http.Server, which can't change. nil is the same.
+	HeaderBytes func() int
 	// OnFull is called when there is no room for a connection, so that others can be ended.
 	OnFull func()
 }
@@ -64,6 +69,7 @@
 
 var (
 	idleClosed  = expvar.NewInt("drain_idle_connections_closed_count")
+	headersCut  = expvar.NewInt("drain_headers_too_long_count")
 	connRefused = expvar.NewInt("drain_connections_refused_count")
 )
 
@@ -299,6 +305,8 @@
 	state     atomic.Int32 // a connState
 	since     atomic.Int64 // when the state began, in Unix nanoseconds
 	isClosing atomic.Bool  // it is closed unless a request arrives
+	// headerBytes counts the bytes read in state connHeader.
+	headerBytes atomic.Int64
 
 	mu           sync.Mutex
 	readDeadline time.Time // as set by the server
@@ -313,11 +321,35 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && c.state.CompareAndSwap(int32(connIdle), int32(connHeader)) {
+		c.headerBytes.Store(0)
 		c.update()
 	}
+	if n > 0 && connState(c.state.Load()) == connHeader && c.isHeaderTooLong(n) {
+		headersCut.Add(1)
+		_, _ = io.WriteString(c.Conn, headerTooLong)              // the client may have disconnected
+		return 0, &net.OpError{Op: "read", Err: errHeaderTooLong} // which the server doesn't answer
+	}
 	return n, err
 }
 
+const (
+	// headerSlack is what the server may read with a header beyond its end.
+	headerSlack   = 4 << 10
+	headerTooLong = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+var errHeaderTooLong = errors.New("the header of a request is too long")
+
+// isHeaderTooLong counts bytes of a header and reports whether they are too many.
+func (c *conn) isHeaderTooLong(n int) bool {
+	sum := c.headerBytes.Add(int64(n))
+	if c.server.limits.HeaderBytes == nil {
+		return false
+	}
+	limit := c.server.limits.HeaderBytes()
+	return limit > 0 && sum > int64(limit)+headerSlack
+}
+
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/internal/edge/body.go
+++ b/entry/internal/edge/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -52,6 +53,9 @@
 		return c.refuseMemory(err)
 	case wasEnded:
 		return c.refuseMemory(errStalled)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// Nothing has run, and callers retry this status.
+		return c.rejectBody(http.StatusRequestTimeout, "the body didn't arrive before the deadline")
 	}
 	return c.rejectBody(http.StatusBadRequest, "the body is incomplete")
 }
--- a/entry/internal/edge/memory_test.go
+++ b/entry/internal/edge/memory_test.go
@@ -166,3 +166,44 @@
 	}
 	awaitUsed("after its memory was needed", func(used int64) bool { return used == 0 })
 }
+
+// Guards against requests in progress that take all descriptors for connections to targets,
+// and against a refusal without the promise to retry.
+func TestRequestsAboveNumberInProgressAreRefused(t *testing.T) {
+	release := make(chan struct{})
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		<-release
+		ok(w, r)
+	})
+	h.handler.opts.MaxActive = 2
+	var held []*bufio.Reader
+	for range 2 {
+		_, r := sendPart(t, h, "Content-Length: 1", "x")
+		held = append(held, r)
+	}
+	for deadline := time.Now().Add(5 * time.Second); h.runs.Load() < 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the target didn't get two requests")
+		}
+	}
+	_, r := sendPart(t, h, "Content-Length: 1", "x")
+	if code, header := status(t, r); code != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("the third one: status %d, Retry-After %q", code, header.Get("Retry-After"))
+	}
+	close(release)
+	for _, r := range held {
+		if code, _ := status(t, r); code != http.StatusOK {
+			t.Errorf("one of the first two: status %d", code)
+		}
+	}
+}
+
+// Guards against a slow body that ends with a status after which callers don't retry, although
+// nothing has run.
+func TestBodyAfterDeadlineMayBeRetried(t *testing.T) {
+	h, _ := newMemoryHost(t, 1<<20)
+	_, r := sendPart(t, h, "Content-Length: 1000", "x")
+	if code, _ := status(t, r); code != http.StatusRequestTimeout {
+		t.Errorf("status %d, want 408", code)
+	}
+}
