--- a/entry/internal/conf/conf.go
+++ b/entry/internal/conf/conf.go
@@ -109,7 +109,7 @@
 		report("timing", "margin", "less than lease")
 	}
 	if 10*s.Limits.MaxBody > 7*s.Limits.BodyMemory {
-		report("limits", "body_memory", "at least 1.5 times max_body")
+		report("limits", "body_memory", "at least 10/7 of max_body")
 	}
 	if s.Host.Address == s.Host.PeerAddress || s.Host.Address == s.Host.OperatorAddress {
 		report("host", "address", "an address other than peer_address and operator_address")
