Mend what the review of scheduling and placement found

- A stream that has begun and broke off gets its stages again until the deadline; the limit for callers without a first event made its second run negative (one event and an unexpected EOF before).
- Results of orders that are dropped after their last use are freed: the home forgot such orders at once and left the space of targets to expire (4 of 4 results held before).
- Requests without a session are spread over targets without waiting prompts (200 of 200 at one of 15).
- Claimed prompt tokens and reported requests are bounded; reports of each distance have their own mean (300 of 300 requests left idle near targets for one far false report).
- A stage without pieces of an unknown service no longer panics the plan.
- Targets of a version on trial don't change whether regions have homes of their own.

--- a/entry/internal/batch/scheduler.go
+++ b/entry/internal/batch/scheduler.go
@@ -272,8 +272,8 @@
 		}
 	}
 	for id, o := range sc.byID {
-		if o.ended && now.After(o.until) {
-			delete(sc.byID, id) // targets expire the results by themselves
+		if o.ended && now.After(o.until.Add(sc.resultTTL(o))) {
+			delete(sc.byID, id) // targets have expired the results by themselves
 		}
 	}
 	for _, name := range sc.Services() {
@@ -282,6 +282,15 @@
 	}
 }
 
+// resultTTL returns how long targets keep results of an order that aren't freed.
+func (sc *Scheduler) resultTTL(o *order) time.Duration {
+	ttl := time.Duration(0)
+	for service := range o.load {
+		ttl = max(ttl, sc.queues[service].spec.ResultTTL)
+	}
+	return ttl
+}
+
 // start releases an order and starts the stages that are ready.
 func (sc *Scheduler) start(o *order, now time.Time) {
 	o.releasedAt, o.stagesLeft = now, len(o.Stages)
@@ -342,7 +351,7 @@
 // them are short of space. It reports whether it did.
 func (sc *Scheduler) freeInputsIfShort(o *order, i int) bool {
 	for _, a := range o.Stages[i].After {
-		if sc.queues[o.Stages[a].Service].isSpaceShort() {
+		if q := sc.queues[o.Stages[a].Service]; q != nil && q.isSpaceShort() { // nil: a stage without pieces
 			sc.freeInputs(o, i)
 			return true
 		}
@@ -491,6 +500,7 @@
 // Release ends an order with which another home goes on. Its results stay for that home, which
 // reads and frees them; those of pieces that are being made now are freed when they are done.
 func (sc *Scheduler) Release(id string) {
+	sc.board.Done(id)
 	o := sc.byID[id]
 	if o == nil {
 		return
--- a/entry/internal/batch/timing.go
+++ b/entry/internal/batch/timing.go
@@ -80,8 +80,12 @@
 // over all jobs would take an urgent order for late because less urgent ones wait long, and
 // orders that seem late go last.
 func (q *Queue) stageTime(priority int, rankDelay time.Duration, now time.Time) time.Duration {
-	typical, rate := q.typicalTime(), q.rate(now)
-	if !q.isTight(now) || rate == 0 {
+	typical := q.typicalTime()
+	if !q.isTight(now) {
+		return typical
+	}
+	rate := q.rate(now)
+	if rate == 0 {
 		return typical
 	}
 	ahead, targets := q.piecesAhead(urgency{priority, rankDelay}, now), 0
--- a/entry/internal/edge/estimate.go
+++ b/entry/internal/edge/estimate.go
@@ -18,9 +18,10 @@
 )
 
 // lastFirstByte returns when the caller gives up if no byte of the response has arrived. A
-// request that can't be answered by then is refused instead of held.
+// request that can't be answered by then is refused instead of held. A caller that has got a
+// part of a stream waits for the rest until the deadline.
 func (c *call) lastFirstByte() time.Time {
-	if c.route.Retry != fleet.RetryStream || c.route.LatencyObjective <= 0 {
+	if c.headWritten || c.route.Retry != fleet.RetryStream || c.route.LatencyObjective <= 0 {
 		return c.deadline
 	}
 	patience := max(minStreamPatience, streamPatienceObjective*c.route.LatencyObjective, streamPatienceGaps*c.route.MaxGap)
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -316,9 +316,9 @@
 	for _, r := range c.regions {
 		regions[r] = true
 	}
-	v := c.tables.View()
+	v, now := c.tables.View(), time.Now()
 	for _, st := range stages {
-		if len(v.Targets[st.Service]) < minTargetsPerRegion*len(regions) {
+		if len(c.rollouts.settled(v, st.Service, now)) < minTargetsPerRegion*len(regions) {
 			return false
 		}
 	}
--- a/entry/internal/pick/load.go
+++ b/entry/internal/pick/load.go
@@ -25,6 +25,9 @@
 	// slowdownWindow is the time over which reported slowdowns are averaged. The figure
 	// changes many times a second, and a host may get a report only once in a second.
 	slowdownWindow = 3 * time.Second
+	// maxReportedSlots bounds the requests in a report, in slots of the target. A target refuses
+	// requests long before, so more is a false report, which must not make others seem full.
+	maxReportedSlots = 4
 	// firstSlowdownWeight is the weight of the first report against the usual time, since a
 	// single figure of many that change says little.
 	firstSlowdownWeight = 0.5
@@ -47,7 +50,7 @@
 		old = h.report.slowdown
 		weight = 1 - math.Exp(-float64(now.Sub(h.report.at))/float64(slowdownWindow))
 	}
-	h.report = report{at: now, others: max(float64(r.Running+r.Waiting-h.inFlight), 0), slowdown: old + weight*(r.Slowdown-old)}
+	h.report = report{at: now, others: min(max(float64(r.Running+r.Waiting-h.inFlight), 0), maxReportedSlots*float64(max(r.Slots, 1))), slowdown: old + weight*(r.Slowdown-old)}
 }
 
 // applyReports replaces what other hosts have in flight at the candidates by what the targets
@@ -58,18 +61,21 @@
 	if b.policy.ignoresReports {
 		return false
 	}
-	sum, n := 0.0, 0
+	// Busy targets far away say nothing of the near ones, so each distance has its own mean.
+	var sums, counts [3]float64
 	for i := range available {
 		if r := &available[i].health.report; r.isFresh(now) {
-			sum, n = sum+r.others, n+1
+			sums[available[i].distance] += r.others
+			counts[available[i].distance]++
 		}
 	}
-	if n == 0 {
+	if counts == [3]float64{} {
 		return false
 	}
-	mean := sum / float64(n)
 	for i := range available {
-		k, others, slowdown := &available[i], mean, 1.0
+		k, slowdown := &available[i], 1.0
+		mean := sums[k.distance] / max(counts[k.distance], 1)
+		others := mean
 		if r := &k.health.report; r.isFresh(now) {
 			trust := math.Exp(-float64(now.Sub(r.at)) / float64(reportDecay))
 			others, slowdown = mean+trust*(r.others-mean), r.slowdown
--- a/entry/internal/place/place.go
+++ b/entry/internal/place/place.go
@@ -29,6 +29,9 @@
 	// placementTTL is how long a request without a first event counts towards the load of its
 	// target. It bounds the effect of a lost message; a target that stalls is avoided meanwhile.
 	placementTTL = 4 * time.Second
+	// maxPromptTokens bounds the tokens of each part that a request counts for: several times the
+	// longest prompts. Callers state them, and a false figure would keep a target empty.
+	maxPromptTokens = 1 << 17
 	// maxPlacements bounds the placements that are kept; further ones aren't counted.
 	maxPlacements = 100_000
 )
@@ -74,6 +77,9 @@
 	if len(targets) == 0 {
 		return ""
 	}
+	r.OwnTokens = min(max(r.OwnTokens, 0), maxPromptTokens)
+	r.SessionTokens = min(max(r.SessionTokens, 0), maxPromptTokens)
+	key := cmp.Or(r.Session, r.ID) // spreads requests without a session over idle targets
 	type candidate struct {
 		id     string
 		tokens int // to be read for this request
@@ -82,7 +88,7 @@
 	}
 	candidates := make([]candidate, 0, len(targets))
 	for _, t := range targets {
-		c := candidate{id: t.ID, tokens: r.OwnTokens + requestTokens, rank: xxhash.Sum64String(r.Session + "\x00" + t.ID)}
+		c := candidate{id: t.ID, tokens: r.OwnTokens + requestTokens, rank: xxhash.Sum64String(key + "\x00" + t.ID)}
 		c.cost = float64(b.tokens[t.ID] + c.tokens)
 		if t.ID != r.CachedAt {
 			c.tokens += r.SessionTokens
--- a/entry/internal/place/place_test.go
+++ b/entry/internal/place/place_test.go
@@ -117,3 +117,31 @@
 		t.Errorf("wait in the slowest tenth %s, want under half of the %s of hosts on their own", home, alone)
 	}
 }
+
+// Requests without a session went to one target as long as no prompt waited anywhere.
+func TestRequestsWithoutSessionAreSpread(t *testing.T) {
+	b, got := New(), map[string]int{}
+	for i := range 200 {
+		id := strconv.Itoa(i)
+		got[b.Choose(Request{ID: id, OwnTokens: 100}, targets(10), start)]++
+		b.Done(id)
+	}
+	for id, n := range got {
+		if n > 60 {
+			t.Errorf("%d of 200 requests at %s", n, id)
+		}
+	}
+}
+
+// A caller that claims an enormous prompt must not keep a target empty for all others.
+func TestClaimedTokensAreBounded(t *testing.T) {
+	b := New()
+	claimed := b.Choose(Request{ID: "claim", Session: "s", OwnTokens: 1 << 30, SessionTokens: 1 << 30}, targets(2), start)
+	if n := b.Tokens(claimed); n > 2*maxPromptTokens+requestTokens {
+		t.Errorf("%d tokens count for one request", n)
+	}
+	b.Choose(Request{ID: "negative", OwnTokens: -1 << 30, SessionTokens: -5}, targets(2), start)
+	if n := b.Tokens(claimed); n < 0 {
+		t.Errorf("%d tokens at a target", n)
+	}
+}
