Mend what the reviews of limits and roll-outs found

Edge: a target's own long 429, 408 or 503 without the mark that it ran nothing is no promise; a caller that reads nothing no longer keeps its connection after a refusal, at any listener; requests whose bodies don't arrive make room when too many are in progress; a long response that nobody reads counts as a stalled holder; a slow caller isn't taken for a silent target; a target is asked to stop only if another one is left, and never within a response without a length, whose end would tell nothing. Dialer: an unreadable TCP state no longer fails a response without a length.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -74,6 +74,9 @@
 	// headerTimeout limits how long a client may take to send the headers of a request, if the
 	// configuration doesn't say.
 	headerTimeout = 10 * time.Second
+	// writeTimeout bounds the responses of all listeners but that of callers, so that a client
+	// that reads nothing doesn't keep its connection.
+	writeTimeout = 10 * time.Second
 	// lookupTimeout limits the end of requests to the directory and of readiness probes when
 	// the host stops.
 	lookupTimeout = 250 * time.Millisecond
@@ -441,7 +444,7 @@
 	// A request to these servers has no body that counts, so it is read within the time of its
 	// header. The timeout ends when the connection becomes one of a peer.
 	server := func(h http.Handler) *drain.Server {
-		out := drain.NewServer(&http.Server{Handler: h, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
+		out := drain.NewServer(&http.Server{Handler: h, ReadTimeout: headerTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes})
 		out.SetLimits(drain.Limits{MaxConns: limits.others})
 		return out
 	}
--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -214,9 +214,12 @@
 func (a *Answer) checkEnd() error {
 	for start := time.Now(); ; time.Sleep(uploadEndPoll) {
 		isReset, unacknowledged, err := a.conn.state()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			isReset, unacknowledged = false, 0 // the state isn't known: the write tells alone
+		}
 		isWritten := true
 		if a.written != nil {
 			select {
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -285,7 +285,7 @@
 	c.wasAsked, c.askToStop = wasAsked, func() { wasAsked.Store(true); askToStop() }
 	ask := c.askToStop // of this attempt
 	var firstByteTimer *time.Timer
-	if c.route.MayRetry() && c.sends+1 < c.route.MaxAttempts {
+	if c.route.MayRetry() && c.sends+1 < c.route.MaxAttempts && c.hasUntriedTarget() {
 		firstByteTimer = time.AfterFunc(c.firstByteTimeout(t.ID, left), func() {
 			if c.route.Retry == fleet.RetryStream {
 				ask()
--- a/entry/internal/edge/body.go
+++ b/entry/internal/edge/body.go
@@ -40,6 +40,7 @@
 	var err error
 	c.body, err = c.memory.ReadBody(c.r.Body, length, limit)
 	wasEnded := c.memory.Finish()
+	c.isReadEnded = wasEnded
 	c.endRead()
 	switch {
 	case err == nil:
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -216,6 +216,7 @@
 	isRefusedLeaving bool
 	isRefusedMemory  bool
 	isRefusedActive  bool
+	isReadEnded      bool   // the read of the body was ended for its memory
 	quarantinedPart  string // for which the request was refused
 }
 
@@ -226,6 +227,7 @@
 	c := &call{h: h, w: w, r: r, start: now, id: wire.AnswerID(r.Header), leavingFor: h.leavingFor(now)}
 	c.ctx, c.cancel = context.WithCancelCause(r.Context())
 	defer c.cancel(nil)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) // that of the request before
 	defer h.pending.add(c)()
 	if h.isAborting.Load() {
 		c.end(time.Time{})
@@ -305,6 +307,9 @@
 	}
 	if limit := c.h.opts.MaxActive; limit > 0 && c.h.Active() > limit {
 		c.isRefusedActive = true
+		if c.h.opts.Memory != nil {
+			c.h.opts.Memory.EndStalled() // requests whose bodies don't arrive are in progress, too
+		}
 		return c.refuse("the host has too many requests in progress", 0)
 	}
 	host, _, _ := strings.Cut(c.r.Host, ":")
@@ -380,8 +385,9 @@
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	rc := http.NewResponseController(c.w)
+	// The deadline holds for the last bytes, too, which the server writes after this returns. The
+	// next request on the connection sets its own.
 	_ = rc.SetWriteDeadline(c.deadline.Add(writeSlack)) // not every connection supports deadlines
-	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	for try := 1; ; try++ {
 		if c.isQuarantined(nil) {
 			return
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -78,6 +78,10 @@
 	t.FirstByte()
 	c.answerBegan = time.Now()
 	body, isWhole, err := c.holdAnswer(a)
+	if err == nil && !c.route.MayRetry() && promisesNotRun(a.Status) {
+		t.Done(pick.Failed)
+		return result{verdict: verdictMayHaveRun, reason: fmt.Sprintf("the target failed with status %d and may have run the request", a.Status)}
+	}
 	if err == nil && !isWhole {
 		if a.Status >= http.StatusInternalServerError {
 			// Relaying it would rule out another target.
@@ -101,10 +105,6 @@
 		}
 		return result{verdict: verdictMayHaveRun, reason: "the target's answer ended early: " + err.Error()}
 	}
-	if !c.route.MayRetry() && promisesNotRun(a.Status) {
-		t.Done(pick.Failed)
-		return result{verdict: verdictMayHaveRun, reason: fmt.Sprintf("the target failed with status %d and may have run the request", a.Status)}
-	}
 	h := &heldAnswer{status: a.Status, header: wire.ReturnedHeaders(a.Header), body: body}
 	if a.Status >= http.StatusInternalServerError {
 		t.Done(pick.Failed)
@@ -232,6 +232,30 @@
 	}
 }
 
+// copyAnswer writes the start of an answer and the rest of it as it comes. While the caller takes
+// a part, it counts as a holder of memory that may stall.
+func (c *call) copyAnswer(start []byte, rest io.Reader) error {
+	block := make([]byte, answerBlock)
+	for part := start; ; {
+		c.beginWrite()
+		err := c.writeBlocks(part)
+		c.endWrite()
+		if err != nil {
+			return err
+		}
+		n, err := rest.Read(block)
+		if part = block[:n]; n > 0 {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // writeLongAnswer relays an answer that is too long to be held; start is what was read
 // of its body.
 func (c *call) writeLongAnswer(t *pick.Chosen, a *dialer.Answer, start []byte) result {
@@ -243,10 +267,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	c.w.WriteHeader(a.Status)
-	_, err := c.w.Write(start)
-	if err == nil {
-		_, err = io.Copy(c.w, a)
-	}
+	err := c.copyAnswer(start, a)
 	if err != nil {
 		var op *net.OpError
 		if c.isCallerGone() || errors.As(err, &op) && op.Op == "write" {
@@ -386,7 +407,9 @@
 	reader := bufio.NewReaderSize(source, eventBuffer)
 	var silenceTimer *time.Timer
 	silence := max(minStreamSilence, 4*c.route.MaxGap)
-	if c.route.Resumable && c.sends < c.route.MaxAttempts && c.hasUntriedTarget() {
+	// Without a length, the end of an answer doesn't tell whether a target that was asked to stop
+	// has stopped or finished.
+	if c.route.Resumable && c.sends < c.route.MaxAttempts && !a.IsUnframed && c.hasUntriedTarget() {
 		ask := c.askToStop
 		silenceTimer = time.AfterFunc(time.Hour, func() {
 			if ctx.Err() != nil {
@@ -461,11 +484,14 @@
 			e.raw = append(early, e.raw...)
 		}
 		if silenceTimer != nil {
-			silenceTimer.Reset(silence)
+			silenceTimer.Stop() // while the caller takes the event, the target isn't silent
 		}
 		if !c.writeStream(t, e.raw, true) {
 			return result{verdict: verdictDone}
 		}
+		if silenceTimer != nil {
+			silenceTimer.Reset(silence)
+		}
 		c.events++
 		if c.endsWithoutID = e.id == ""; e.id != "" {
 			c.req.LastEvent = e.id
--- a/entry/internal/edge/respond.go
+++ b/entry/internal/edge/respond.go
@@ -43,9 +43,14 @@
 		c.abort(reason) // it is too late for another status
 	}
 	c.status, c.reason = status, reason
-	if !c.isBodyRead && c.r.ContentLength != 0 {
+	if !c.isBodyRead && !c.isReadEnded && c.r.ContentLength != 0 {
 		c.setReadDeadline(time.Now().Add(unreadBodyTimeout))
 	}
+	// A caller that reads nothing must not keep the connection. Requests that run have a later
+	// deadline already.
+	if c.phase.Load() == int32(phaseHead) {
+		_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeSlack)) // not every connection supports deadlines
+	}
 	wire.SetID(c.w.Header(), c.req.ID)
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -78,6 +78,7 @@
 		return nil, batch.FailureRefused, rollout.ErrNotGranted
 	}
 	began := time.Now()
+	defer use.Done(rollout.Outcome{Kind: rollout.Neutral}, began) // if run panics
 	out, failure, err := c.run(ctx, target, use, body, len(pieces))
 	use.Done(outcomeOf(out, failure, err, time.Since(began), expected), time.Now())
 	return out, failure, err
--- a/entry/internal/rollout/decider.go
+++ b/entry/internal/rollout/decider.go
@@ -17,11 +17,12 @@
 	share, slack float64
 	id           string // differs between deciders, also between two of one host
 	services     map[string]*decision
+	withdrawn    map[string]time.Time // since when a roll-out in progress has no order, by service
 }
 
 // NewDecider returns a decider that has heard of no host.
 func NewDecider(id string, share, slack float64) *Decider {
-	return &Decider{share: share, slack: slack, id: id, services: map[string]*decision{}}
+	return &Decider{share: share, slack: slack, id: id, services: map[string]*decision{}, withdrawn: map[string]time.Time{}}
 }
 
 // decision is the state of a roll-out at its decider.
@@ -218,6 +219,15 @@
 // advance advances the roll-out of a service and returns the status to write, if any.
 func (d *Decider) advance(name string, f facts, size fleetSize, now time.Time) (fleet.RolloutStatus, string) {
 	target := f.order.Target
+	isWithdrawn := f.status.State == fleet.RolloutInProgress && target == ""
+	if !isWithdrawn {
+		delete(d.withdrawn, name)
+	} else if at, ok := d.withdrawn[name]; !ok {
+		d.withdrawn[name] = now
+		return fleet.RolloutStatus{}, ""
+	} else if now.Sub(at) < orderDelay {
+		return fleet.RolloutStatus{}, "" // the status may have been read before the order
+	}
 	if f.status.State == fleet.RolloutInProgress && f.status.Target != target {
 		return fleet.RolloutStatus{Target: f.status.Target, State: fleet.RolloutRolledBack}, "the order was replaced or withdrawn"
 	}
@@ -244,6 +254,7 @@
 	if s.verdict == fleet.RolloutRolledBack {
 		return
 	}
+	s.verdict, s.reason = "", "" // completed holds only as long as hosts still send to the version
 	if reason, ok := e.isBad(lookLevel); ok {
 		s.rollBack(reason)
 		return
--- a/entry/internal/rollout/evidence.go
+++ b/entry/internal/rollout/evidence.go
@@ -210,7 +210,10 @@
 	lg := func(x uint32) float64 { v, _ := math.Lgamma(float64(x) + 1); return v }
 	sum := 0.0
 	for i := k; i <= n; i++ {
-		sum += math.Exp(lg(n) - lg(i) - lg(n-i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+		term := math.Exp(lg(n) - lg(i) - lg(n-i) + float64(i)*math.Log(p) + float64(n-i)*math.Log1p(-p))
+		if sum += term; float64(i) > float64(n)*p && term < 1e-9*sum {
+			break // the terms only fall from here on
+		}
 	}
 	return sum
 }
--- a/entry/internal/rollout/service.go
+++ b/entry/internal/rollout/service.go
@@ -94,6 +94,9 @@
 	if status == s.status || status.State == "" || status.Target == s.status.Target && s.status.IsFinal() && !status.IsFinal() {
 		return false
 	}
+	if s.order.Target != "" && s.status.Target == s.order.Target && status.Target != s.order.Target {
+		return false // an earlier status, such as from a restored copy
+	}
 	s.status = status
 	s.isNewBase = status.State == fleet.RolloutCompleted
 	return true
@@ -116,16 +119,20 @@
 	for _, t := range targets {
 		counts[t.Version]++
 	}
-	if s.isNewBase {
+	if s.isNewBase && len(counts) > 0 {
 		s.isNewBase = false
-		for version := range counts {
-			s.retired[version] = version != s.status.Target
-		}
-		if s.base != "" {
-			s.retired[s.base] = s.base != s.status.Target
+		// A record of a version without targets, at a host that has just started, is history:
+		// what runs now came by later releases.
+		if counts[s.status.Target] > 0 || s.base != "" {
+			for version := range counts {
+				s.retired[version] = version != s.status.Target
+			}
+			if s.base != "" {
+				s.retired[s.base] = s.base != s.status.Target
+			}
+			s.setBase(s.status.Target, counts)
+			delete(s.retired, s.base)
 		}
-		s.setBase(s.status.Target, counts)
-		delete(s.retired, s.base)
 	}
 	if counts[s.base] == 0 && len(counts) > 0 {
 		s.findBase(counts, now)
