Hold orders of roll-outs after a restore of the store, and write lost verdicts again

Cause: after the store came back from a copy, an order that the copy lacked seemed withdrawn, and the roll-out was rolled back, which stands when the operator writes the order again. A verdict that the copy lacked was written again by nobody.

Orders are held for 16 s from the first read in the new era, as data centres that are out are; what the operator writes meanwhile counts at once. The decider writes nothing for 6.5 s, since appends of the era before may take effect at offsets that were given out again, and then the verdicts that the store lacks.

--- a/entry/internal/rollout/controller.go
+++ b/entry/internal/rollout/controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"expvar"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -13,6 +15,7 @@
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/roster"
 	"chivepost/entry/internal/table"
+	"chivepost/platform/feed"
 	"chivepost/share/fleet"
 	"chivepost/share/hosts"
 )
@@ -38,6 +41,9 @@
 	// rereadInterval is the time between two reads of the statuses by a host that has no
 	// decider.
 	rereadInterval = grantTTL
+	// lateWrites is how long nothing is written after the store was restored: appends of the
+	// era before take effect up to 6 s late, at offsets that were given out again.
+	lateWrites = 6500 * time.Millisecond
 )
 
 // Roster finds the decider among the hosts.
@@ -57,6 +63,7 @@
 // Tables provides the current view of the deployment.
 type Tables interface {
 	View() *table.View
+	Era() feed.Era
 }
 
 // Statuses reads and writes the status of roll-outs in the store.
@@ -88,6 +95,9 @@
 	readAt      time.Time // of the last attempt to read the statuses
 	hasStatuses bool
 	isWriting   bool
+	era         feed.Era         // of the store, as last known
+	restoredAt  time.Time        // when a new era was learnt; zero: never
+	mustRewrite bool             // the store may lack verdicts that are known here
 	phases      map[string]Phase // as last logged
 }
 
@@ -127,6 +137,7 @@
 func (c *Controller) round(ctx context.Context) {
 	now := time.Now()
 	view := c.tables.View()
+	c.recordEra(c.tables.Era(), now)
 	if !view.TargetsLoaded || view.Config == nil {
 		return
 	}
@@ -250,9 +261,16 @@
 		return
 	}
 	writes := c.decider.tick(all, size, now)
+	if !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < lateWrites {
+		return
+	}
+	if c.mustRewrite {
+		writes = append(writes, rewrites(all)...)
+	}
 	if len(writes) == 0 || c.isWriting {
 		return
 	}
+	c.mustRewrite = false
 	c.isWriting = true
 	c.wait.Go(func() {
 		defer func() {
@@ -262,21 +280,47 @@
 		}()
 		_ = guard.Run(c.logger, "status write", func() { // Run logs the error
 			for _, w := range writes {
-				c.write(ctx, w)
+				if !c.write(ctx, w) && w.isRewrite {
+					c.mu.Lock()
+					c.mustRewrite = true
+					c.mu.Unlock()
+				}
 			}
 		})
 	})
 }
 
+// rewrites returns the verdicts that a restored store may lack.
+func rewrites(all map[string]facts) []write {
+	var out []write
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		if status := all[name].status; status.IsFinal() {
+			out = append(out, write{service: name, status: status, reason: "the store was restored from a copy", isRewrite: true})
+		}
+	}
+	return out
+}
+
+// recordEra notes that the store was restored from a copy.
+func (c *Controller) recordEra(era feed.Era, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.era != 0 && era.IsAfter(c.era) {
+		c.restoredAt, c.mustRewrite = now, true
+	}
+	c.era = era
+}
+
 // write writes a status, unless the store has a verdict on the version, which is then taken
 // over. If the outcome of the write isn't known, the next round reads before it writes again.
-func (c *Controller) write(ctx context.Context, w write) {
+// It returns false if it may have to be tried again.
+func (c *Controller) write(ctx context.Context, w write) bool {
 	statuses, end, err := c.read(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	if !w.holdsAfter(statuses[w.service]) {
-		return
+		return true
 	}
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	err = c.statuses.Write(callCtx, w.service, w.status, end)
@@ -287,6 +331,7 @@
 	}
 	c.logger.Info("roll-out status written", "service", w.service, "version", w.status.Target, "state", w.status.State, "reason", w.reason, "at", end, "failed", err != nil)
 	_, _, _ = c.read(ctx) // after an error, the next round reads
+	return err == nil
 }
 
 // Name returns "rollout".
--- a/entry/internal/rollout/decider.go
+++ b/entry/internal/rollout/decider.go
@@ -62,6 +62,8 @@
 	from    fleet.RolloutStatus // on which it was decided
 	status  fleet.RolloutStatus
 	reason  string
+	// isRewrite says that the status was in the store before it was restored from a copy.
+	isRewrite bool
 }
 
 // holdsAfter reports whether the status is to be written after the one that the store has.
@@ -210,7 +212,7 @@
 		f := all[name]
 		status, reason := d.advance(name, f, size, now)
 		if status.State != "" {
-			out = append(out, write{name, f.status, status, reason})
+			out = append(out, write{service: name, from: f.status, status: status, reason: reason})
 		}
 	}
 	return out
--- a/entry/internal/rollout/fleet_test.go
+++ b/entry/internal/rollout/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"chivepost/entry/internal/roster"
 	"chivepost/entry/internal/table"
+	"chivepost/platform/feed"
 	"chivepost/share/fleet"
 	"chivepost/share/hosts"
 )
@@ -104,6 +105,8 @@
 	})
 }
 
+func (h *simHost) Era() feed.Era { return 0 }
+
 func (h *simHost) View() *table.View {
 	h.await()
 	h.f.mu.Lock()
--- a/entry/internal/rollout/review_test.go
+++ b/entry/internal/rollout/review_test.go
@@ -57,3 +57,39 @@
 		t.Errorf("%d of 2 targets may be used", got)
 	}
 }
+
+// A verdict that a restored store had lost was written again by nobody, so a later decider would
+// have begun the roll-out anew.
+func TestVerdictsAreWrittenAgainAfterARestore(t *testing.T) {
+	now := time.Now()
+	c := &Controller{}
+	c.recordEra(0, now)
+	c.recordEra(3, now)
+	if c.mustRewrite {
+		t.Error("the first era that is known counts as a restore")
+	}
+	c.recordEra(4, now)
+	if !c.mustRewrite || !c.restoredAt.Equal(now) {
+		t.Error("a higher era doesn't count as a restore")
+	}
+	done := fleet.RolloutStatus{Target: "v2", State: fleet.RolloutCompleted}
+	writes := rewrites(map[string]facts{
+		"done": {status: done}, "open": {status: fleet.RolloutStatus{Target: "v2", State: fleet.RolloutInProgress}}, "none": {},
+	})
+	if len(writes) != 1 || writes[0].service != "done" || writes[0].status != done {
+		t.Fatalf("got %+v, want the completed status", writes)
+	}
+	for _, test := range []struct {
+		store fleet.RolloutStatus
+		want  bool
+	}{
+		{fleet.RolloutStatus{}, true},
+		{fleet.RolloutStatus{Target: "v2", State: fleet.RolloutInProgress}, true},
+		{done, false},
+		{fleet.RolloutStatus{Target: "v3", State: fleet.RolloutInProgress}, false},
+	} {
+		if got := writes[0].holdsAfter(test.store); got != test.want {
+			t.Errorf("store has %+v: written %v, want %v", test.store, got, test.want)
+		}
+	}
+}
--- a/entry/internal/table/restore.go
+++ b/entry/internal/table/restore.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chivepost/platform/feed"
+	"chivepost/share/fleet"
 )
 
 // restoreHold is how long a data centre that is out stays out after the operators' records were
@@ -17,11 +18,13 @@
 // one known; offsets of an earlier one mean nothing.
 type restoreState struct {
 	era           feed.Era
-	held          map[string]bool // data centres that are out, though the records of the era don't name them
-	holdUntil     time.Time       // zero: no operators' records of a new era were read
-	awaitsRecords bool            // no operators' records of the new era were read
-	awaitsTargets bool            // the same for targets
-	restarts      int             // how often the offsets were dropped
+	held          map[string]bool        // data centres that are out, though the records of the era don't name them
+	heldOrders    map[string]fleet.Order // orders of roll-outs known before the restore and not written since
+	copiedOrders  map[string]fleet.Order // those that the records of the era had when they were last read in full
+	holdUntil     time.Time              // zero: no operators' records of a new era were read
+	awaitsRecords bool                   // no operators' records of the new era were read
+	awaitsTargets bool                   // the same for targets
+	restarts      int                    // how often the offsets were dropped
 }
 
 // Era returns the highest era known, or 0.
@@ -42,12 +45,14 @@
 }
 
 // Restart drops the offsets, because the store was restored from a copy. What is known stays in
-// force: the copy may lack the newest records. Data centres that are out are held.
+// force: the copy may lack the newest records. Data centres that are out are held, and so are
+// orders of roll-outs: one that seems withdrawn would be rolled back for good.
 func (s *State) Restart() {
 	s.restarts++
 	s.operatorOffset, s.targetsOffset = -1, -1
 	s.awaitsRecords, s.awaitsTargets = true, true
 	s.held, s.holdUntil = maps.Clone(s.out), time.Time{}
+	s.heldOrders, s.copiedOrders = maps.Clone(s.orders), nil
 	s.logger.Info("store restored from a copy, reading it anew", "era", s.era.Number(), "data_centres_out", len(s.out))
 }
 
@@ -63,12 +68,34 @@
 	}
 }
 
-// EndHold brings back the data centres that are still held when the hold is over, and reports
-// whether there are any. It is called only when the operators' records have just been read.
+// holdOrders puts the held orders back into force after the records were read in full.
+func (s *State) holdOrders() {
+	if len(s.heldOrders) == 0 {
+		return
+	}
+	s.copiedOrders = maps.Clone(s.orders)
+	maps.Copy(s.orders, s.heldOrders)
+}
+
+// EndHold brings back the data centres that are still held when the hold is over, lets the
+// records decide on held orders, and reports whether there were any. It is called only when the
+// operators' records have just been read.
 func (s *State) EndHold(now time.Time) bool {
-	if len(s.held) == 0 || s.awaitsRecords || now.Before(s.holdUntil) {
+	if len(s.held) == 0 && len(s.heldOrders) == 0 || s.awaitsRecords || now.Before(s.holdUntil) {
 		return false
 	}
+	for service, held := range s.heldOrders {
+		order, isCopied := s.copiedOrders[service]
+		if isCopied {
+			s.orders[service] = order
+		} else {
+			delete(s.orders, service)
+		}
+		if !isCopied || order != held {
+			s.logger.Info("hold of an order over", "service", service, "version", held.Target, "era", s.era.Number())
+		}
+	}
+	s.heldOrders, s.copiedOrders = nil, nil
 	for dc := range maps.Clone(s.held) {
 		s.logger.Info("hold of a data centre over", "data_centre", dc, "era", s.era.Number())
 		s.restore(dc, now)
--- a/entry/internal/table/state.go
+++ b/entry/internal/table/state.go
@@ -133,8 +133,12 @@
 		case c.Order != nil:
 			ordered[c.Rollout] = true
 			s.orders[c.Rollout] = *c.Order
+			if !isFull {
+				delete(s.heldOrders, c.Rollout)
+			}
 		case c.Rollout != "":
 			delete(s.orders, c.Rollout)
+			delete(s.heldOrders, c.Rollout)
 		case c.Config != nil:
 			s.adoptConfig(c.Config)
 		case c.IsOut:
@@ -152,6 +156,7 @@
 			}
 		}
 		maps.DeleteFunc(s.orders, func(service string, _ fleet.Order) bool { return !ordered[service] })
+		s.holdOrders()
 	}
 	s.operatorOffset = next
 	s.startHold(now)
@@ -548,6 +553,7 @@
 		for _, o := range p.Orders {
 			s.orders[o.Service] = o
 		}
+		s.holdOrders()
 		s.out, s.operatorOffset = out, p.OpOffset
 		s.startHold(now)
 		changed = true
