chivectl explain: where a host would send a request now, and why

A host answers /explain on its metrics address from the same survey of targets as its choice, and sends nothing. chivectl prints the answer as text or JSON.

--- a/admin/cmd/root.go
+++ b/admin/cmd/root.go
@@ -30,6 +30,7 @@
 	DC         dcCmd         `cmd:"" name:"dc" help:"Take a data centre out of service or back in."`
 	Status     statusCmd     `cmd:"" help:"Show the state of entry hosts, controllers and targets." exits:"unreachable,partial"`
 	Burn       burnCmd       `cmd:"" help:"Show how fast pipelines use up their error budgets." exits:"unreachable,partial"`
+	Explain    explainCmd    `cmd:"" help:"Ask an entry host on the platform where it would send a request now, and why. Nothing is sent to a target." exits:"unreachable"`
 	Settings   settingsCmd   `cmd:"" name:"settings" help:"Show the settings in force and where each comes from."`
 	Completion completionCmd `cmd:"" help:"Print a shell's completion script."`
 }
--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -42,6 +42,7 @@
 	"chivepost/platform/feed"
 	"chivepost/platform/store"
 	"chivepost/platform/wire"
+	"chivepost/share/apiv1"
 	"chivepost/share/fleet"
 )
 
@@ -429,7 +430,7 @@
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
-	home *batch.Home, d *dialer.Pool, b *blame.Controller, l *loads.Controller, rollouts *rollout.Controller, account *memory.Account, log logr.Logger, lc fx.Lifecycle,
+	home *batch.Home, runner *graph.Runner, d *dialer.Pool, b *blame.Controller, l *loads.Controller, rollouts *rollout.Controller, account *memory.Account, log logr.Logger, lc fx.Lifecycle,
 ) *fleetServers {
 	isReady := func() bool {
 		view := t.View()
@@ -448,6 +449,8 @@
 		out.SetLimits(drain.Limits{MaxConns: limits.others})
 		return out
 	}
+	metrics := router("/debug/vars", expvar.Handler())
+	metrics.Handle(apiv1.PathExplain, &edge.Explainer{Handler: handler, Host: s.HostName, StageHome: runner.HomeOf}).Methods(http.MethodGet)
 	fs := &fleetServers{
 		callers: drain.NewServer(&http.Server{Handler: handler, MaxHeaderBytes: maxHeaderBytes}),
 		ready: server(router(wire.PathReady, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -457,7 +460,7 @@
 		}))),
 		peers:     server(bus),
 		directory: server(router(wire.PathResolve, edge.NewDirectory(r, t, handler.Active, isReady, s.MaxTTL))),
-		metrics:   server(router("/debug/vars", expvar.Handler())),
+		metrics:   server(metrics),
 		settings:  s, log: log,
 	}
 	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: account.EndStalled, Timeouts: func() (header, idle time.Duration) {
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -27,6 +27,7 @@
 	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
+	"chivepost/share/apiv1"
 	"chivepost/share/fleet"
 )
 
@@ -92,6 +93,7 @@
 // Balancer chooses targets.
 type Balancer interface {
 	Choose(q pick.Query, now time.Time) (*pick.Chosen, pick.Refusal)
+	Explain(q pick.Query, now time.Time) apiv1.ServiceExplanation
 	RecordRequest(service string, now time.Time)
 	TakeRetry(service string, now time.Time) bool
 	UsualFirstByte(target string) time.Duration
--- a/entry/internal/graph/graph.go
+++ b/entry/internal/graph/graph.go
@@ -109,6 +109,18 @@
 	}
 }
 
+// HomeOf returns the name of the host that would queue stages now.
+func (r *Runner) HomeOf(stages []fleet.Stage) string {
+	region := ""
+	if r.topology.IsSplit(stages) {
+		region = r.region
+	}
+	if home, isOther := r.homes.Home(region); isOther {
+		return home.Name
+	}
+	return r.self
+}
+
 // Run runs all stages of an order, whose ID it sets, and returns the results. The
 // order must be done by until, and is late after due.
 func (r *Runner) Run(ctx context.Context, order batch.Order, due, until time.Time) (*Results, error) {
--- a/entry/internal/pick/pick.go
+++ b/entry/internal/pick/pick.go
@@ -165,32 +165,64 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sweep(now)
+	s := b.survey(q, hosts, now, nil)
+	best, ok := b.bestOf(s, q, now)
+	if !ok {
+		return nil, s.closed.refusal(s.why, now)
+	}
+	h := best.health
+	if h.ejections > 0 {
+		h.probing = true
+	}
+	h.inFlight++
+	h.lastChosen = now
+	if best.target.IsCold(now) {
+		h.coldSends = append(h.coldSends, now)
+	}
+	return &Chosen{Target: best.target, balancer: b, sentAt: now}, Refusal{}
+}
+
+// survey holds the targets that a request may use, by their state.
+type survey struct {
+	available, leaving, unavailable []candidate
+	why                             string // why targets were left out
+	closed                          closures
+	isCrowded                       bool
+}
+
+// survey sorts the targets of a query. leftOut, unless nil, is told of those that the request may
+// not use.
+func (b *Balancer) survey(q Query, hosts int, now time.Time, leftOut func(t *table.Target, why string)) survey {
+	if leftOut == nil {
+		leftOut = func(*table.Target, string) {}
+	}
 	near, nearRegion := b.opts.DataCentre, b.opts.Region
 	if q.DataCentre != "" {
 		near, nearRegion = q.DataCentre, b.opts.Regions[q.DataCentre]
 	}
-	var available, leaving, unavailable []candidate
-	why := "no target is available"
-	var closed closures
-	isCrowded := (isCrowded(hosts, q.Slots) || b.policy.isForced) && !b.policy.isPlain
+	s := survey{why: "no target is available"}
+	s.isCrowded = (isCrowded(hosts, q.Slots) || b.policy.isForced) && !b.policy.isPlain
 	for _, t := range q.Targets {
 		region := b.opts.Regions[t.DataCentre]
 		if len(q.Regions) > 0 && !slices.Contains(q.Regions, region) {
+			leftOut(t, "its region isn't allowed")
 			continue
 		}
 		status := b.notices.Status(noticeOf(t), now)
-		closed.add(status)
+		s.closed.add(status)
 		if status.Closed || q.Tried[t.ID] {
+			leftOut(t, "it has announced that it leaves or is busy")
 			continue
 		}
 		h := b.health(t.ID)
 		if t.IsCold(now) && !b.allowsCold(t, h, q.ColdLimit, hosts, now) {
-			why = "the cold limit of the targets is reached"
+			s.why = "the cold limit of the targets is reached"
+			leftOut(t, s.why)
 			continue
 		}
 		k := candidate{target: t, health: h, own: float64(h.inFlight + 1), distance: 2}
 		k.load, k.rank = k.own, k.own
-		if isCrowded {
+		if s.isCrowded {
 			b.addOthers(&k, now)
 		}
 		switch {
@@ -204,34 +236,30 @@
 		}
 		switch {
 		case h.isUnavailable(now):
-			unavailable = append(unavailable, k)
+			s.unavailable = append(s.unavailable, k)
 		case status.Leaving:
-			leaving = append(leaving, k)
+			s.leaving = append(s.leaving, k)
 		default:
-			available = append(available, k)
+			s.available = append(s.available, k)
 		}
 	}
+	return s
+}
+
+// bestOf returns the best candidate, and false if there is none.
+func (b *Balancer) bestOf(s survey, q Query, now time.Time) (candidate, bool) {
+	available := s.available
 	if len(available) == 0 {
-		available = leaving // they serve on for a while
+		available = s.leaving // they serve on for a while
 	}
 	if len(available) == 0 {
 		// If all are unavailable, the one whose ejection ends first is used.
-		if len(unavailable) == 0 {
-			return nil, closed.refusal(why, now)
+		if len(s.unavailable) == 0 {
+			return candidate{}, false
 		}
-		available = []candidate{slices.MinFunc(unavailable, func(x, y candidate) int { return x.health.ejectedUntil.Compare(y.health.ejectedUntil) })}
-	}
-	best := b.selectBest(available, q, isCrowded, now)
-	h := best.health
-	if h.ejections > 0 {
-		h.probing = true
+		available = []candidate{slices.MinFunc(s.unavailable, func(x, y candidate) int { return x.health.ejectedUntil.Compare(y.health.ejectedUntil) })}
 	}
-	h.inFlight++
-	h.lastChosen = now
-	if best.target.IsCold(now) {
-		h.coldSends = append(h.coldSends, now)
-	}
-	return &Chosen{Target: best.target, balancer: b, sentAt: now}, Refusal{}
+	return b.selectBest(available, q, s.isCrowded, now), true
 }
 
 // closures tells whether all targets that a request may use are closed, and until when.
