Don't relay a first event that crossed the request to stop

Cause: a host that gets no first event in time asks the target to stop by closing its sending side, and goes on elsewhere once the target has stopped. An event that was on its way then was relayed, the target stopped, and the caller got the beginning of a stream whose stage results were freed.

Ruled out: idle timeouts of the new configuration; the engine closed 0.45 s after the send, which is the time after which the host asks.

An event that arrives within 150 ms of the request to stop is dropped and another target takes the request, since the caller has nothing yet. Later events show a target that goes on, and are relayed.

--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -281,8 +281,9 @@
 	stop, askToStop := context.WithCancel(context.Background())
 	defer askToStop() // without effect once the answer is closed
 	req.Stop = stop
-	wasAsked := new(atomic.Bool)
-	c.wasAsked, c.askToStop = wasAsked, func() { wasAsked.Store(true); askToStop() }
+	wasAsked, askedAt := new(atomic.Bool), new(atomic.Int64)
+	c.wasAsked, c.askedAt = wasAsked, askedAt
+	c.askToStop = func() { askedAt.Store(time.Now().UnixNano()); wasAsked.Store(true); askToStop() }
 	ask := c.askToStop // of this attempt
 	var firstByteTimer *time.Timer
 	if c.route.MayRetry() && c.sends+1 < c.route.MaxAttempts && c.hasUntriedTarget() {
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -193,6 +193,7 @@
 	sentTo        map[string]bool // targets that may have got this attempt
 	askToStop     func()          // asks the target of the attempt to stop
 	wasAsked      *atomic.Bool    // that was done
+	askedAt       *atomic.Int64   // when, in Unix nanoseconds; 0: it wasn't
 	isTrial       bool            // shows whether a quarantined part still crashes targets
 	triedNew      bool            // it was sent to a version on trial
 	brokeOff      bool            // the current target broke off its answer
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -33,6 +33,9 @@
 	answerBlock = 16 << 10
 	// maxEvent is the largest event of a stream in bytes.
 	maxEvent = 256 << 10
+	// stopTransit is how long an event may be under way that a target sent before it was asked to
+	// stop: some round trips between regions. A later one shows that the target goes on.
+	stopTransit = 150 * time.Millisecond
 	// eventBuffer is the size of the read buffer in bytes; it holds several events.
 	eventBuffer = 4 << 10
 )
@@ -470,6 +473,12 @@
 		}
 		if n++; n == 1 {
 			c.answerBegan = time.Now()
+			if asked := c.askedAt.Load(); asked != 0 && !c.headWritten && time.Since(time.Unix(0, asked)) < stopTransit {
+				// The first event crossed the request to stop, so the rest won't come. As long as
+				// the caller has nothing, another target can take the request.
+				cancel(errTargetSilent)
+				return c.handleBrokenStream(ctx, t, errTargetSilent)
+			}
 		}
 		t.FirstByte()
 		if resumes && e.id == "" {
