Give packages names of four to six letters, and print the model's figures by a benchmark

Cause: the packages contact, rollout and longpoll have longer names than the layout allows; a test that only prints figures was skipped in each run; comments and a reason said time limit for deadline; a test of the soak spelled out a topic of the platform's store.

Change: hedge, canary and poll; BenchmarkModel in place of TestPrintModel; deadline; the feed's constant.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -23,11 +23,12 @@
 
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/blame"
-	"chivepost/entry/internal/contact"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/edge"
 	"chivepost/entry/internal/graph"
+	"chivepost/entry/internal/hedge"
 	"chivepost/entry/internal/lines"
 	"chivepost/entry/internal/loads"
 	"chivepost/entry/internal/maker"
@@ -35,7 +36,6 @@
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/peers"
 	"chivepost/entry/internal/pick"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/roster"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/boot"
@@ -222,7 +222,7 @@
 }
 
 func newStore(s boot.Settings) *store.Client {
-	return store.New(s.StoreAddress, &http.Client{Transport: contact.New(contact.Options{
+	return store.New(s.StoreAddress, &http.Client{Transport: hedge.New(hedge.Options{
 		Bound: s.ContactBound, MaxResponseBytes: store.MaxAnswerBytes + 1,
 		NewPool: func() *http.Transport {
 			return &http.Transport{
@@ -378,7 +378,7 @@
 	Runner *graph.Runner
 }
 
-func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, notices *notice.Board, gate *rollout.Gate, log logr.Logger) stageParts {
+func newStages(s boot.Settings, r *roster.Controller, t *table.Controller, bus *peers.Transport, d *dialer.Pool, notices *notice.Board, gate *canary.Gate, log logr.Logger) stageParts {
 	catalog, client := maker.NewCatalog(t, notices, s.DataCentres), maker.New(d, notices)
 	catalog.UseRollouts(gate)
 	client.UseRollouts(gate, t)
@@ -393,28 +393,28 @@
 	return blame.New(r, log.WithName("blame"))
 }
 
-func rolloutOptions(s boot.Settings, refs *fleetRefs) rollout.Options {
-	return rollout.Options{Share: s.ExposureShare, Slack: s.ExposureSlack, Regions: s.DataCentres, Hosts: refs.Count}
+func rolloutOptions(s boot.Settings, refs *fleetRefs) canary.Options {
+	return canary.Options{Share: s.ExposureShare, Slack: s.ExposureSlack, Regions: s.DataCentres, Hosts: refs.Count}
 }
 
 // newRolloutGate returns nil, which lets all versions get requests, where roll-outs aren't in
 // force.
-func newRolloutGate(s boot.Settings, refs *fleetRefs) *rollout.Gate {
+func newRolloutGate(s boot.Settings, refs *fleetRefs) *canary.Gate {
 	if !s.HasRollouts() {
 		return nil
 	}
-	return rollout.NewGate(rolloutOptions(s, refs))
+	return canary.NewGate(rolloutOptions(s, refs))
 }
 
 // newRollouts returns nil where roll-outs aren't in force.
-func newRollouts(s boot.Settings, refs *fleetRefs, gate *rollout.Gate, r *roster.Controller, bus *peers.Transport, t *table.Controller, client *store.Client, log logr.Logger) *rollout.Controller {
+func newRollouts(s boot.Settings, refs *fleetRefs, gate *canary.Gate, r *roster.Controller, bus *peers.Transport, t *table.Controller, client *store.Client, log logr.Logger) *canary.Controller {
 	if gate == nil {
 		return nil
 	}
-	return rollout.New(s.HostName, time.Now().UnixMilli(), gate, rolloutOptions(s, refs), r, bus, t, feed.Rollouts(client), log.WithName("rollout"))
+	return canary.New(s.HostName, time.Now().UnixMilli(), gate, rolloutOptions(s, refs), r, bus, t, feed.Rollouts(client), log.WithName("rollout"))
 }
 
-func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, gate *rollout.Gate, account *memory.Account, log logr.Logger) *edge.Handler {
+func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, gate *canary.Gate, account *memory.Account, log logr.Logger) *edge.Handler {
 	options := edge.Options{
 		DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Rollouts: gate, Memory: account, MaxActive: newConnLimits(s).active,
 	}
@@ -430,7 +430,7 @@
 }
 
 func newFleetServers(s boot.Settings, c *fleetCmd, handler *edge.Handler, r *roster.Controller, t *table.Controller, bus *peers.Transport,
-	home *batch.Home, runner *graph.Runner, d *dialer.Pool, b *blame.Controller, l *loads.Controller, rollouts *rollout.Controller, account *memory.Account, log logr.Logger, lc fx.Lifecycle,
+	home *batch.Home, runner *graph.Runner, d *dialer.Pool, b *blame.Controller, l *loads.Controller, rollouts *canary.Controller, account *memory.Account, log logr.Logger, lc fx.Lifecycle,
 ) *fleetServers {
 	isReady := func() bool {
 		view := t.View()
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -16,9 +16,9 @@
 	"golang.org/x/net/netutil"
 
 	"chivepost/entry/internal/conf"
-	"chivepost/entry/internal/contact"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/front"
+	"chivepost/entry/internal/hedge"
 	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/node"
 	"chivepost/entry/internal/peers"
@@ -112,7 +112,7 @@
 
 // newPlatformClient returns the HTTP client for a service of the platform.
 func newPlatformClient(maxResponseBytes int64) *http.Client {
-	return &http.Client{Transport: contact.New(contact.Options{
+	return &http.Client{Transport: hedge.New(hedge.Options{
 		MaxResponseBytes: maxResponseBytes,
 		NewPool: func() *http.Transport {
 			return &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
--- a/entry/internal/rollout/rollout.go
+++ b/entry/internal/canary/canary.go
@@ -1,9 +1,9 @@
-// Package rollout moves the traffic of a service to the targets of another version, as an
+// Package canary moves the traffic of a service to the targets of another version, as an
 // operator orders it, and back if that version is bad. A Gate decides on each host which
 // targets a request may use, within the grants of the Decider, which runs on one host. The
 // Controller exchanges grants and evidence and writes the status. See
 // docs/design/rollouts.md.
-package rollout
+package canary
 
 import (
 	"errors"
--- a/entry/internal/rollout/cases_test.go
+++ b/entry/internal/canary/cases_test.go
@@ -1,4 +1,4 @@
-package rollout
+package canary
 
 import (
 	"fmt"
@@ -202,7 +202,7 @@
 	}
 }
 
-// A decider that takes over shortly before the time limit must not roll a version back for
+// A decider that takes over shortly before the deadline must not roll a version back for
 // lack of evidence before the hosts have reported theirs, and must count what they sent in a
 // cutover that was broken off.
 func TestLateTakeover(t *testing.T) {
--- a/entry/internal/rollout/controller.go
+++ b/entry/internal/canary/controller.go
@@ -1,4 +1,4 @@
-package rollout
+package canary
 
 import (
 	"context"
--- a/entry/internal/rollout/decider.go
+++ b/entry/internal/canary/decider.go
@@ -1,4 +1,4 @@
-package rollout
+package canary
 
 import (
 	"fmt"
@@ -300,7 +300,7 @@
 		case s.isCutOver(size, now):
 			s.complete("all hosts have left the old version")
 		case isLast:
-			s.complete("the time limit is near")
+			s.complete("the deadline is near")
 		}
 	}
 }
--- a/entry/internal/rollout/fleet_test.go
+++ b/entry/internal/canary/fleet_test.go
@@ -1,4 +1,4 @@
-package rollout
+package canary
 
 import (
 	"context"
@@ -52,7 +52,7 @@
 	lag       time.Duration   // after which a write takes effect whose response is lost
 	sent      []time.Time     // to the new version
 	bad       []time.Time     // bad responses of the new version
-	requests  int             // before the time limit
+	requests  int             // before the deadline
 	old       int             // requests in progress at the old version
 	oldSent   []time.Time     // to the old version
 	perTarget map[string]int  // requests in progress
@@ -405,7 +405,7 @@
 }
 
 // runRollout lets the fleet serve for 5 s, gives the order for v2 at once with its targets, and
-// returns after the time limit. It returns the requests to v2 and to all targets since then.
+// returns after the deadline. It returns the requests to v2 and to all targets since then.
 func (f *simFleet) runRollout(during func()) (sent, requests int) {
 	time.Sleep(5 * time.Second)
 	f.mu.Lock()
--- a/entry/internal/edge/attempt.go
+++ b/entry/internal/edge/attempt.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -114,7 +114,7 @@
 		chosen, use, refusal := c.choose(view, query, now)
 		if chosen != nil && c.sends > 0 && !c.h.balancer.TakeRetry(c.service.Name, now) {
 			chosen.Done(pick.Cancelled)
-			use.Done(rollout.Outcome{Kind: rollout.NotSent}, now)
+			use.Done(canary.Outcome{Kind: canary.NotSent}, now)
 			chosen, refusal = nil, pick.Refusal{Reason: "the retry budget is exhausted"}
 		}
 		if chosen == nil {
@@ -236,7 +236,7 @@
 }
 
 // attempt sends the request to one target.
-func (c *call) attempt(ctx context.Context, t *pick.Chosen, use *rollout.Use) result {
+func (c *call) attempt(ctx context.Context, t *pick.Chosen, use *canary.Use) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer func() { c.wasSilent = errors.Is(context.Cause(ctx), errTargetSilent) }()
@@ -351,7 +351,7 @@
 		if errors.Is(send.Err, dialer.ErrConnectionLimit) || errors.Is(send.Err, notice.ErrBusy) || errors.Is(send.Err, notice.ErrLeaving) {
 			o = pick.Refused
 		}
-		if errors.Is(send.Err, rollout.ErrNotGranted) {
+		if errors.Is(send.Err, canary.ErrNotGranted) {
 			o = pick.Cancelled
 		}
 		t.Done(o)
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/graph"
@@ -24,7 +25,6 @@
 	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/pick"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/apiv1"
@@ -118,7 +118,7 @@
 	// HasPeers reports whether another host can take requests; nil means that none can.
 	HasPeers func() bool
 	// Rollouts decides which versions of targets may get requests; nil means that all may.
-	Rollouts *rollout.Gate
+	Rollouts *canary.Gate
 	// Memory accounts for what requests hold; nil means that nothing bounds it.
 	Memory *memory.Account
 	// MaxActive is how many requests may be in progress, each of which may take a connection
--- a/entry/internal/edge/rollout.go
+++ b/entry/internal/edge/rollout.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/pick"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 )
 
@@ -13,7 +13,7 @@
 const disconnectedReason = "caller disconnected"
 
 // choose chooses a target among those that a roll-out lets the request use.
-func (c *call) choose(view *table.View, query pick.Query, now time.Time) (*pick.Chosen, *rollout.Use, pick.Refusal) {
+func (c *call) choose(view *table.View, query pick.Query, now time.Time) (*pick.Chosen, *canary.Use, pick.Refusal) {
 	gate := c.h.opts.Rollouts
 	selection := gate.Select(view, c.service.Name, c.route.Name, c.triedNew || c.sends > 0, now)
 	var refusal pick.Refusal
@@ -36,7 +36,7 @@
 }
 
 // attemptFor sends the request to one target and reports the outcome to the roll-out.
-func (c *call) attemptFor(ctx context.Context, t *pick.Chosen, use *rollout.Use) (res result) {
+func (c *call) attemptFor(ctx context.Context, t *pick.Chosen, use *canary.Use) (res result) {
 	began, events := time.Now(), c.events
 	c.brokeOff, c.wasSilent = false, false
 	res.verdict = verdictMayHaveRun // unless it returns, the response was broken off
@@ -44,7 +44,7 @@
 		now := time.Now()
 		o := c.outcome(res, began, events, now)
 		o.IsCold = t.IsCold(began)
-		c.triedNew = c.triedNew || use.IsTrial() && o.Kind != rollout.NotSent
+		c.triedNew = c.triedNew || use.IsTrial() && o.Kind != canary.NotSent
 		use.Done(o, now)
 	}()
 	return c.attempt(ctx, t, use)
@@ -52,18 +52,18 @@
 
 // outcome returns what the result of an attempt shows of the target's version. events is the
 // number of events before it.
-func (c *call) outcome(res result, began time.Time, events int, now time.Time) rollout.Outcome {
+func (c *call) outcome(res result, began time.Time, events int, now time.Time) canary.Outcome {
 	switch {
 	case res.verdict == verdictNotSent:
-		return rollout.Outcome{Kind: rollout.NotSent}
+		return canary.Outcome{Kind: canary.NotSent}
 	case res.verdict == verdictNotRun || res.verdict == verdictResultsGone || res.isStale || c.isCallerGone() || c.isAborted() || c.reason == disconnectedReason:
-		return rollout.Outcome{Kind: rollout.Neutral}
+		return canary.Outcome{Kind: canary.Neutral}
 	case res.verdict == verdictMayHaveRun && c.brokeOff && !c.wasSilent:
-		return rollout.Outcome{Kind: rollout.Broken}
+		return canary.Outcome{Kind: canary.Broken}
 	case res.verdict == verdictMayHaveRun:
-		return rollout.Outcome{Kind: rollout.Failed}
+		return canary.Outcome{Kind: canary.Failed}
 	}
-	o := rollout.Outcome{Kind: rollout.Answered}
+	o := canary.Outcome{Kind: canary.Answered}
 	if !c.answerBegan.IsZero() {
 		o.FirstByte = c.answerBegan.Sub(began)
 		if n := c.events - events; n > 1 {
--- a/entry/internal/edge/rollout_test.go
+++ b/entry/internal/edge/rollout_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"chivepost/entry/internal/rollout"
+	"chivepost/entry/internal/canary"
 	"chivepost/share/fleet"
 )
 
@@ -12,7 +12,7 @@
 // at the old version after they failed at the new one, and must show the decider what failed.
 func TestVersionsOfTargets(t *testing.T) {
 	h := startHost(t, fakeStages{}, ok, failure)
-	gate := rollout.NewGate(rollout.Options{Share: 0.1, Hosts: h.Count})
+	gate := canary.NewGate(canary.Options{Share: 0.1, Hosts: h.Count})
 	h.handler.opts.Rollouts = gate
 	old, newer := h.view.Targets["s"][0], h.view.Targets["s"][1]
 	old.Version, newer.Version = "v1", "v2"
@@ -34,7 +34,7 @@
 	send("whole", 4)
 	runs(4)
 	now := time.Now()
-	gate.Apply(rollout.Reply{Service: "s", Version: "v2", Phase: rollout.PhaseTrial, Cap: 2}, now, now)
+	gate.Apply(canary.Reply{Service: "s", Version: "v2", Phase: canary.PhaseTrial, Cap: 2}, now, now)
 	send("whole", 4)
 	runs(6) // two at the new version as well
 	r := gate.Reports(&h.view, time.Now())
--- a/entry/internal/contact/contact.go
+++ b/entry/internal/hedge/hedge.go
@@ -1,6 +1,6 @@
-// Package contact keeps calls to one server from waiting on connections that have gone silent
+// Package hedge keeps calls to one server from waiting on connections that have gone silent
 // while new ones work. Only a response proves that a connection still works.
-package contact
+package hedge
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"chivepost/share/longpoll"
+	"chivepost/share/poll"
 )
 
 var (
@@ -186,7 +186,7 @@
 		left++
 		go send(second, func(httptrace.GotConnInfo) {})
 	}
-	timer := time.NewTimer(longpoll.Wait(req.Context()) + t.hedgeAfter)
+	timer := time.NewTimer(poll.Wait(req.Context()) + t.hedgeAfter)
 	defer timer.Stop()
 	for {
 		select {
--- a/entry/internal/contact/contact_test.go
+++ b/entry/internal/hedge/hedge_test.go
@@ -1,4 +1,4 @@
-package contact
+package hedge
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"chivepost/share/longpoll"
+	"chivepost/share/poll"
 	"chivepost/share/silent"
 )
 
@@ -57,7 +57,7 @@
 }
 
 func (s *testServer) call(method, path string, wait, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(longpoll.WithWait(context.Background(), wait), timeout)
+	ctx, cancel := context.WithTimeout(poll.WithWait(context.Background(), wait), timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, s.url+path, strings.NewReader(strings.Repeat("x", map[string]int{http.MethodPost: 3}[method])))
 	if err != nil {
--- a/entry/internal/maker/maker.go
+++ b/entry/internal/maker/maker.go
@@ -13,10 +13,10 @@
 	"time"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
 	"chivepost/entry/internal/place"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
 	"chivepost/share/fleet"
@@ -75,17 +75,17 @@
 	target := batch.Target{ID: call.Target, Address: call.Address, StartMillis: call.Start}
 	use, expected, ok := c.rollouts.begin(target, len(pieces), time.Now())
 	if !ok {
-		return nil, batch.FailureRefused, rollout.ErrNotGranted
+		return nil, batch.FailureRefused, canary.ErrNotGranted
 	}
 	began := time.Now()
-	defer use.Done(rollout.Outcome{Kind: rollout.Neutral}, began) // if run panics
+	defer use.Done(canary.Outcome{Kind: canary.Neutral}, began) // if run panics
 	out, failure, err := c.run(ctx, target, use, body, len(pieces))
 	use.Done(outcomeOf(out, failure, err, time.Since(began), expected), time.Now())
 	return out, failure, err
 }
 
 // run sends a call and returns what Run does.
-func (c *Client) run(ctx context.Context, target batch.Target, use *rollout.Use, body []byte, n int) ([]batch.Outcome, batch.Failure, error) {
+func (c *Client) run(ctx context.Context, target batch.Target, use *canary.Use, body []byte, n int) ([]batch.Outcome, batch.Failure, error) {
 	check := func() error { return use.Check(c.rollouts.view(), time.Now()) }
 	var results []wire.Result
 	status, header, err := c.post(ctx, target, wire.PathStageRun, body, check, func(answer []byte, isFirst bool) error {
@@ -99,7 +99,7 @@
 		return err
 	})
 	switch {
-	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving), errors.Is(err, rollout.ErrNotGranted):
+	case errors.Is(err, notice.ErrBusy), errors.Is(err, notice.ErrLeaving), errors.Is(err, canary.ErrNotGranted):
 		return nil, batch.FailureRefused, err
 	case status == 0:
 		return nil, failureOf(ctx, err), err
--- a/entry/internal/maker/rollout.go
+++ b/entry/internal/maker/rollout.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 )
 
@@ -18,15 +18,15 @@
 // rollouts asks a gate which versions of stage targets may get calls. The zero value lets all
 // of them.
 type rollouts struct {
-	gate   *rollout.Gate
+	gate   *canary.Gate
 	tables Tables
 }
 
 // UseRollouts makes the client send only what the gate allows.
-func (c *Client) UseRollouts(gate *rollout.Gate, tables Tables) { c.rollouts = rollouts{gate, tables} }
+func (c *Client) UseRollouts(gate *canary.Gate, tables Tables) { c.rollouts = rollouts{gate, tables} }
 
 // UseRollouts makes the catalog list targets that may get no calls by their version as busy.
-func (c *Catalog) UseRollouts(gate *rollout.Gate) { c.rollouts = rollouts{gate, c.tables} }
+func (c *Catalog) UseRollouts(gate *canary.Gate) { c.rollouts = rollouts{gate, c.tables} }
 
 func (r rollouts) view() *table.View {
 	if r.gate == nil {
@@ -37,9 +37,9 @@
 
 // begin records a call of a target, and returns false if that may not get it.
 // It also returns how long the configuration expects a call with n pieces to take.
-func (r rollouts) begin(target batch.Target, n int, now time.Time) (*rollout.Use, time.Duration, bool) {
+func (r rollouts) begin(target batch.Target, n int, now time.Time) (*canary.Use, time.Duration, bool) {
 	if r.gate == nil {
-		return &rollout.Use{}, 0, true
+		return &canary.Use{}, 0, true
 	}
 	v := r.tables.View()
 	for _, list := range v.Targets {
@@ -54,7 +54,7 @@
 			}
 		}
 	}
-	return &rollout.Use{}, 0, true // not known any more, so nothing tells its version
+	return &canary.Use{}, 0, true // not known any more, so nothing tells its version
 }
 
 // selected returns a function that reports whether a target of a service may get a call now.
@@ -75,25 +75,25 @@
 // outcomeOf returns what a call shows of the target's version. Calls have different numbers
 // of pieces, so they are compared by their time in percent of the expected one, as
 // milliseconds.
-func outcomeOf(out []batch.Outcome, failure batch.Failure, err error, took, expected time.Duration) rollout.Outcome {
+func outcomeOf(out []batch.Outcome, failure batch.Failure, err error, took, expected time.Duration) canary.Outcome {
 	var send *dialer.SendError
 	switch {
 	case failure == batch.FailureUnreachable, errors.As(err, &send) && !send.Sent:
-		return rollout.Outcome{Kind: rollout.NotSent}
+		return canary.Outcome{Kind: canary.NotSent}
 	case failure == batch.FailureRefused:
-		return rollout.Outcome{Kind: rollout.Neutral}
+		return canary.Outcome{Kind: canary.Neutral}
 	case failure == batch.FailureBroken && errors.As(err, &send):
 		if send.Stale {
-			return rollout.Outcome{Kind: rollout.Neutral}
+			return canary.Outcome{Kind: canary.Neutral}
 		}
-		return rollout.Outcome{Kind: rollout.Broken}
+		return canary.Outcome{Kind: canary.Broken}
 	case failure != batch.FailureNone:
-		return rollout.Outcome{Kind: rollout.Failed}
+		return canary.Outcome{Kind: canary.Failed}
 	}
 	if slices.ContainsFunc(out, func(o batch.Outcome) bool { return o.Fault == batch.FaultError }) {
-		return rollout.Outcome{Kind: rollout.Failed}
+		return canary.Outcome{Kind: canary.Failed}
 	}
-	o := rollout.Outcome{Kind: rollout.Answered}
+	o := canary.Outcome{Kind: canary.Answered}
 	if expected > 0 {
 		o.FirstByte = time.Duration(100 * float64(took) / float64(expected) * float64(time.Millisecond))
 	}
--- a/entry/internal/maker/rollout_test.go
+++ b/entry/internal/maker/rollout_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"chivepost/entry/internal/batch"
+	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
 	"chivepost/entry/internal/notice"
-	"chivepost/entry/internal/rollout"
 	"chivepost/entry/internal/table"
 	"chivepost/share/fleet"
 
@@ -38,7 +38,7 @@
 		Config:  &fleet.Config{Services: map[string]fleet.Service{"s": {Stage: &fleet.Batching{CallOverhead: 200 * time.Millisecond, ItemTime: 10 * time.Millisecond}}}},
 		Targets: map[string][]*table.Target{"s": {{Target: fleet.Target{ID: "old", Service: "s"}}}},
 	}
-	r := rollouts{rollout.NewGate(rollout.Options{}), fixedTables{view}}
+	r := rollouts{canary.NewGate(canary.Options{}), fixedTables{view}}
 	for _, n := range []int{1, 40} {
 		_, expected, _ := r.begin(batch.Target{ID: "old"}, n, time.Now())
 		took := 200*time.Millisecond + time.Duration(n)*10*time.Millisecond
@@ -59,7 +59,7 @@
 		Targets: map[string][]*table.Target{"s": {target("old", "v1"), target("new", "v2")}},
 		Orders:  map[string]fleet.Order{"s": {Service: "s", Target: "v2", Duration: time.Second}},
 	}
-	gate := rollout.NewGate(rollout.Options{Share: 0.1, Hosts: func() int { return 1 }})
+	gate := canary.NewGate(canary.Options{Share: 0.1, Hosts: func() int { return 1 }})
 	board := notice.New(time.Second, logr.Discard())
 	catalog, d := NewCatalog(fixedTables{view}, board, map[string]string{"a": "r"}), &checkingDialer{}
 	client := New(d, board)
@@ -80,9 +80,9 @@
 	}
 	check("no grant", map[string]bool{"new": true}, batch.FailureRefused, 0)
 	now := time.Now()
-	gate.Apply(rollout.Reply{Service: "s", Version: "v2", Phase: rollout.PhaseTrial, Cap: 1}, now, now)
+	gate.Apply(canary.Reply{Service: "s", Version: "v2", Phase: canary.PhaseTrial, Cap: 1}, now, now)
 	check("granted", nil, batch.FailureBroken, 1)
 	check("grant spent", map[string]bool{"new": true}, batch.FailureRefused, 1)
-	gate.Apply(rollout.Reply{Service: "s", Version: "v2", Phase: rollout.PhaseCutover, Cap: 1}, now, now)
+	gate.Apply(canary.Reply{Service: "s", Version: "v2", Phase: canary.PhaseCutover, Cap: 1}, now, now)
 	check("cutover", map[string]bool{"old": true}, batch.FailureBroken, 2)
 }
--- a/entry/internal/pick/model_test.go
+++ b/entry/internal/pick/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -457,13 +456,8 @@
 	{"all loads, 2 s old, by age, own sends", aged(2*time.Second, 0, true, true)},
 }
 
-var printModel = flag.Bool("model", false, "print the figures of docs/design/target-load.md")
-
-// Prints the figures of docs/design/target-load.md with -model.
-func TestPrintModel(t *testing.T) {
-	if !*printModel {
-		t.Skip("needs -model; prints figures and checks nothing")
-	}
+// BenchmarkModel prints the figures of docs/design/target-load.md.
+func BenchmarkModel(b *testing.B) {
 	sizes := []scenario{
 		{hosts: 9, targets: 6, dataCentres: 3}, {hosts: 62, targets: 90, dataCentres: 6}, {hosts: 295, targets: 280, dataCentres: 11},
 	}
--- a/share/logsvc/logsvc.go
+++ b/share/logsvc/logsvc.go
@@ -15,7 +15,7 @@
 	"strconv"
 	"time"
 
-	"chivepost/share/longpoll"
+	"chivepost/share/poll"
 )
 
 // Names of the streams in use.
@@ -133,7 +133,7 @@
 		"max":  {strconv.Itoa(limit)},
 		"wait": {wait.String()},
 	}
-	req, err := http.NewRequestWithContext(longpoll.WithWait(ctx, wait), http.MethodGet, c.url(stream)+"?"+q.Encode(), http.NoBody)
+	req, err := http.NewRequestWithContext(poll.WithWait(ctx, wait), http.MethodGet, c.url(stream)+"?"+q.Encode(), http.NoBody)
 	if err != nil {
 		return Page{}, fmt.Errorf("build read: %w", err)
 	}
--- a/share/longpoll/longpoll.go
+++ b/share/poll/poll.go
@@ -1,6 +1,6 @@
-// Package longpoll tells a transport how long the server may hold a response, so that the
+// Package poll tells a transport how long the server may hold a response, so that the
 // transport can tell a long poll from a silent connection.
-package longpoll
+package poll
 
 import (
 	"context"
--- a/stand/internal/soak/restore_test.go
+++ b/stand/internal/soak/restore_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"chivepost/platform/feed"
 	"chivepost/platform/store"
 )
 
@@ -18,22 +19,22 @@
 	server := httptest.NewServer(s)
 	defer server.Close()
 	client := store.New(strings.TrimPrefix(server.URL, "http://"), server.Client())
-	s.put("keyed.op", "kept", []byte("1"))
+	s.put(feed.TopicOperator, "kept", []byte("1"))
 	time.Sleep(150 * time.Millisecond)
-	s.put("keyed.op", "lost", []byte("2"))
-	s.put("keyed.op", "newer", []byte("3"))
+	s.put(feed.TopicOperator, "lost", []byte("2"))
+	s.put(feed.TopicOperator, "newer", []byte("3"))
 	ctx, era := store.WithEra(context.Background())
-	if _, end, err := client.Newest(ctx, "keyed.op"); err != nil || end != 3 || era.Number() != 1 {
+	if _, end, err := client.Newest(ctx, feed.TopicOperator); err != nil || end != 3 || era.Number() != 1 {
 		t.Fatalf("end %d, era %d, %v, want 3 in era 1", end, era.Number(), err)
 	}
 	s.restore(100 * time.Millisecond)
 	var gone *store.GoneError
-	if _, _, err := client.Read(ctx, "keyed.op", 3, 0); !errors.As(err, &gone) || !gone.IsBeyondEnd || era.Number() != 2 {
+	if _, _, err := client.Read(ctx, feed.TopicOperator, 3, 0); !errors.As(err, &gone) || !gone.IsBeyondEnd || era.Number() != 2 {
 		t.Errorf("read beyond the end: %v in era %d, want a 410 in era 2", err, era.Number())
 	}
-	s.put("keyed.op", "newer", []byte("4"))
+	s.put(feed.TopicOperator, "newer", []byte("4"))
 	s.rewrite()
-	got, _, err := client.Read(ctx, "keyed.op", 0, 0)
+	got, _, err := client.Read(ctx, feed.TopicOperator, 0, 0)
 	values := map[string]string{}
 	for _, r := range got {
 		values[r.Key] += string(r.Value)
