--- a/entry/internal/edge/edge_test.go
+++ b/entry/internal/edge/edge_test.go
@@ -78,44 +78,52 @@
 // targetScript responds to one request on a target's connection.
 type targetScript func(w net.Conn, r *http.Request)
 
+// addTarget starts a target that handles each of its connections by serve.
+func (h *testHost) addTarget(t *testing.T, serve func(c *net.TCPConn)) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	h.view.Targets["s"] = append(h.view.Targets["s"], &table.Target{Target: fleet.Target{
+		ID: fmt.Sprintf("t%d", len(h.view.Targets["s"])), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
+	}})
+}
+
 // startHost starts one target for each script and an entry host in front of them.
 func startHost(t *testing.T, stages StageRunner, scripts ...targetScript) *testHost {
 	t.Helper()
 	h := &testHost{}
 	h.view = table.View{Config: testConfig(), Targets: map[string][]*table.Target{}}
-	for i, s := range scripts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
+	for _, s := range scripts {
+		h.addTarget(t, func(c *net.TCPConn) {
+			br := bufio.NewReader(c)
 			for {
-				c, err := l.Accept()
+				r, err := http.ReadRequest(br)
 				if err != nil {
 					return
 				}
-				go func() {
-					defer c.Close()
-					br := bufio.NewReader(c)
-					for {
-						r, err := http.ReadRequest(br)
-						if err != nil {
-							return
-						}
-						_, _ = io.Copy(io.Discard, r.Body)
-						h.runs.Add(1)
-						s(c, r)
-						if r.Close {
-							return
-						}
-					}
-				}()
+				_, _ = io.Copy(io.Discard, r.Body)
+				h.runs.Add(1)
+				s(c, r)
+				if r.Close {
+					return
+				}
 			}
-		}()
-		h.view.Targets["s"] = append(h.view.Targets["s"], &table.Target{Target: fleet.Target{
-			ID: fmt.Sprintf("t%d", i), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
-		}})
+		})
 	}
 	board := notice.New(testDrain, logr.Discard())
 	balancer := pick.New(pick.Options{DataCentre: "dc", Region: "r", Regions: map[string]string{"dc": "r"}, RetryRatio: 0.2, RetryExtra: 100, RetryWindow: 10 * time.Second}, h, board)
--- a/entry/internal/edge/incomplete_test.go
+++ b/entry/internal/edge/incomplete_test.go
@@ -11,9 +11,7 @@
 	"testing"
 	"time"
 
-	"chivepost/entry/internal/table"
 	"chivepost/platform/wire"
-	"chivepost/share/fleet"
 )
 
 // longBody is as long as the deployments allow, and fills the socket buffers of a connection
@@ -26,31 +24,14 @@
 	t.Helper()
 	h, requests := startHost(t, fakeStages{}), &atomic.Int32{}
 	h.view.Config.Limits.MaxBodyBytes = int64(len(longBody))
-	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-				go func() {
-					defer c.Close()
-					if r, err := http.ReadRequest(bufio.NewReaderSize(c, 1<<10)); err == nil {
-						requests.Add(1)
-						serve(c.(*net.TCPConn), r)
-					}
-				}()
+	for range n {
+		h.addTarget(t, func(c *net.TCPConn) {
+			_ = c.SetReadBuffer(4 << 10)
+			if r, err := http.ReadRequest(bufio.NewReaderSize(c, 1<<10)); err == nil {
+				requests.Add(1)
+				serve(c, r)
 			}
-		}()
-		h.view.Targets["s"] = append(h.view.Targets["s"], &table.Target{Target: fleet.Target{
-			ID: fmt.Sprintf("t%d", i), Service: "s", Address: l.Addr().String(), DataCentre: "dc",
-		}})
+		})
 	}
 	return h, requests
 }
