memory: end no more holders than is short

Callers whose bodies had stalled lost them for more room than was needed: a reservation that didn't fit ended holders for the whole of its growth, as if nothing were free.

check now returns the bytes that are short, and that many are freed. Before, TestNoMoreHoldersAreEndedThanIsShort saw two holders of 4 MB ended for 2 MB.

--- a/entry/internal/memory/account.go
+++ b/entry/internal/memory/account.go
@@ -104,23 +104,23 @@
 	}
 }
 
-// check returns an error if a client's reservation can't grow from one size to another.
-// The caller holds the lock.
-func (a *Account) check(client string, from, to int64) error {
-	if to <= from {
-		return nil
+// check returns an error if a client can't have more bytes for a reservation of a size, and the
+// bytes that it lacks. The caller holds the lock.
+func (a *Account) check(client string, size, more int64) (short int64, err error) {
+	if more <= 0 {
+		return 0, nil
 	}
 	limit := a.limit
-	if to > SmallBytes {
+	if size > SmallBytes {
 		limit -= int64(smallRatio * float64(a.limit))
 	}
-	switch {
-	case a.used+to-from > limit:
-		return ErrAccount
-	case a.byClient[client]+to-from > int64(clientRatio*float64(a.limit)):
-		return ErrClient
+	if short = a.used + more - limit; short > 0 {
+		return short, ErrAccount
+	}
+	if short = a.byClient[client] + more - int64(clientRatio*float64(a.limit)); short > 0 {
+		return short, ErrClient
 	}
-	return nil
+	return 0, nil
 }
 
 // takeStalled returns the functions that end the stalled holders that match, in the order of
@@ -168,17 +168,17 @@
 func (r *Reservation) resize(bytes int64, reserve bool) error {
 	a := r.account
 	a.mu.Lock()
-	err := a.check(r.client, r.bytes, bytes)
+	short, err := a.check(r.client, bytes, bytes-r.bytes)
 	var ends []func()
 	switch {
 	case err != nil:
 		if reason := "account"; err == ErrClient { //nolint:errorlint // check returns it unwrapped
 			reason = "client"
 			refusals.Add(reason, 1)
-			ends = a.takeStalled(func(o *Reservation) bool { return o != r && o.client == r.client }, bytes-r.bytes)
+			ends = a.takeStalled(func(o *Reservation) bool { return o != r && o.client == r.client }, short)
 		} else {
 			refusals.Add(reason, 1)
-			ends = a.takeStalled(func(o *Reservation) bool { return o != r }, bytes-r.bytes)
+			ends = a.takeStalled(func(o *Reservation) bool { return o != r }, short)
 		}
 	case reserve:
 		r.set(bytes)
--- a/entry/internal/memory/account_test.go
+++ b/entry/internal/memory/account_test.go
@@ -116,3 +116,24 @@
 		t.Errorf("ended %v, want those that stall", ended)
 	}
 }
+
+// Guards against the end of more holders than are in the way: what is free counts, too.
+func TestNoMoreHoldersAreEndedThanIsShort(t *testing.T) {
+	a, now := newTestAccount(20 << 20)
+	ended := 0
+	for _, name := range []string{"x", "y"} {
+		r := a.Open(name)
+		if err := r.Grow(4 << 20); err != nil {
+			t.Fatal(err)
+		}
+		r.Begin(func() { ended++ })
+	}
+	*now = now.Add(2 * StallTime)
+	late := a.Open("late")
+	if err := late.Grow(12 << 20); !errors.Is(err, ErrAccount) {
+		t.Fatalf("got %v, want %v", err, ErrAccount)
+	}
+	if ended != 1 {
+		t.Errorf("%d holders of 4 MB were ended for 2 MB", ended)
+	}
+}
