Bound what the kernel holds, and count it to the memory of the host

A process above Limits.MemoryMb is killed, and bytes that were received and not read count to it. Nothing bounded the receive buffers of connections, and the account and the limit of the heap took all of the memory for themselves. Callers that don't read their responses also let targets fill the buffers of the connections to them.

- Connections of callers, operators and peers, to targets and to the store get bounded buffers.
A caller's grows with the reservation of a body that is read.
- A request reserves what the kernel may hold for its connections.
- The limit of the collector is what the memory has left beside that.
- Listeners bound the connections that wait to be accepted by what they hold.

Why it works: what isn't reserved (headers, connections that aren't accepted) has a part of its own, and the other parts add up to the memory.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -29,6 +28,7 @@
 	"chivepost/entry/internal/edge"
 	"chivepost/entry/internal/graph"
 	"chivepost/entry/internal/hedge"
+	"chivepost/entry/internal/kernel"
 	"chivepost/entry/internal/lines"
 	"chivepost/entry/internal/loads"
 	"chivepost/entry/internal/maker"
@@ -55,9 +55,6 @@
 }
 
 const (
-	// memoryLimitRatio is the part of the host's memory above which the garbage collector
-	// works harder.
-	memoryLimitRatio = 0.75
 	// idleBytes is what a host needs when no client is there: 18 MB were measured, and the
 	// tables of 370 hosts and 1,300 targets add to them.
 	idleBytes = 24 << 20
@@ -94,7 +91,6 @@
 	}
 	// Register first, so that a signal during the start also leads to a graceful shutdown.
 	signals := notifySignals()
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryBytes)))
 	out := lines.New(os.Stdout)
 	defer out.Close()
 	log := newFleetLogger(c.LogLevel, out).WithValues("host", settings.HostName)
@@ -104,9 +100,9 @@
 			func() logr.Logger { return log },
 			newStore, newBus, newRoster, newTables, newStages, newEdgeHandler, newFleetServers,
 			newBalancer, newBlame, newNotices, newLoadBoard, newLoads, newRolloutGate, newRollouts,
-			newFleetRefs, newMemoryAccount, dialer.New,
+			newFleetRefs, newMemoryAccount, newHeapLimit, dialer.New,
 		),
-		fx.Invoke(func(*fleetServers) {}),
+		fx.Invoke(func(*memory.HeapLimit, *fleetServers) {}),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StartTimeout(startTimeout), fx.StopTimeout(settings.GracePeriod),
 	)
@@ -160,10 +156,16 @@
 
 // newMemoryAccount returns the account of what clients may make the host hold.
 func newMemoryAccount(s boot.Settings) *memory.Account {
-	free := memoryLimitRatio*float64(s.MemoryBytes) - idleBytes
+	free := memory.HeapRatio*float64(s.MemoryBytes) - idleBytes
 	return memory.New(max(minAccountBytes, int64(accountRatio*free)))
 }
 
+func newHeapLimit(s boot.Settings, account *memory.Account, lc fx.Lifecycle) *memory.HeapLimit {
+	l := memory.NewHeapLimit(s.MemoryBytes, account)
+	lc.Append(fx.StopHook(l.Close))
+	return l
+}
+
 func newFleetLogger(level string, out *lines.Writer) logr.Logger {
 	minLevel := map[string]zapcore.Level{"debug": zap.DebugLevel, "info": zap.InfoLevel, "error": zap.ErrorLevel}[level]
 	encoderConfig := zap.NewProductionEncoderConfig()
@@ -218,7 +220,10 @@
 
 // netDialer returns a dialer for connections to the store and to peers.
 func netDialer() *net.Dialer {
-	return &net.Dialer{Timeout: time.Second, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2}}
+	return &net.Dialer{
+		Timeout: time.Second, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2},
+		Control: platformBuffers.Control,
+	}
 }
 
 func newStore(s boot.Settings) *store.Client {
@@ -416,7 +421,9 @@
 
 func newEdgeHandler(s boot.Settings, refs *fleetRefs, t *table.Controller, runner *graph.Runner, balancer *pick.Balancer, d *dialer.Pool, b *blame.Controller, notices *notice.Board, gate *canary.Gate, account *memory.Account, log logr.Logger) *edge.Handler {
 	options := edge.Options{
-		DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Rollouts: gate, Memory: account, MaxActive: newConnLimits(s).active,
+		DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Rollouts: gate, Memory: account,
+		CallerBytes: fleetBuffers.MaxUnread(), TargetBytes: dialer.Buffers.MaxUnread(), ReceiveBytes: fleetBuffers.Receive,
+		MaxActive: newConnLimits(s).active,
 	}
 	refs.handler = edge.New(options, t, runner, balancer, d, b, notices, log.WithName("edge"))
 	return refs.handler
@@ -514,19 +521,20 @@
 	type endpoint struct {
 		server   interface{ Serve(l net.Listener) error }
 		address  string
+		buffers  kernel.Buffers
 		required bool
 	}
 	endpoints := []endpoint{
-		{fs.callers, fs.settings.CallerAddress, true},
-		{fs.ready, fs.settings.ReadinessAddress, true},
-		{fs.peers, fs.settings.PeerAddress, true},
-		{fs.directory, fs.settings.DirectoryAddress, true},
+		{fs.callers, fs.settings.CallerAddress, fleetBuffers, true},
+		{fs.ready, fs.settings.ReadinessAddress, lookupBuffers, true},
+		{fs.peers, fs.settings.PeerAddress, platformBuffers, true},
+		{fs.directory, fs.settings.DirectoryAddress, lookupBuffers, true},
 	}
 	if metricsPort != 0 {
-		endpoints = append(endpoints, endpoint{fs.metrics, net.JoinHostPort(fs.settings.IP, strconv.Itoa(metricsPort)), false})
+		endpoints = append(endpoints, endpoint{fs.metrics, net.JoinHostPort(fs.settings.IP, strconv.Itoa(metricsPort)), lookupBuffers, false})
 	}
 	for _, e := range endpoints {
-		l, err := net.Listen("tcp", e.address)
+		l, err := e.buffers.Listen(e.address, newBacklog(fs.settings))
 		if err != nil {
 			if e.required {
 				return err
--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -19,6 +19,7 @@
 	"chivepost/entry/internal/drain"
 	"chivepost/entry/internal/front"
 	"chivepost/entry/internal/hedge"
+	"chivepost/entry/internal/kernel"
 	"chivepost/entry/internal/memory"
 	"chivepost/entry/internal/node"
 	"chivepost/entry/internal/peers"
@@ -90,7 +91,8 @@
 func newIncarnation() incarnation { return incarnation(time.Now().UnixNano()) }
 
 func newTargets(s conf.Settings) target.Caller {
-	return target.New(target.Options{DataCentre: s.Host.DataCentre})
+	dialer := net.Dialer{Timeout: time.Second, Control: platformBuffers.Control}
+	return target.New(target.Options{DataCentre: s.Host.DataCentre, Dial: dialer.DialContext})
 }
 
 // newRecorder opens the event record. It returns nil if the settings name no file for it.
@@ -115,7 +117,10 @@
 	return &http.Client{Transport: hedge.New(hedge.Options{
 		MaxResponseBytes: maxResponseBytes,
 		NewPool: func() *http.Transport {
-			return &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes}
+			return &http.Transport{
+				DialContext:         (&net.Dialer{Control: platformBuffers.Control}).DialContext,
+				MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeaderBytes,
+			}
 		},
 	})}
 }
@@ -180,23 +185,23 @@
 	type endpoint struct {
 		server  interface{ Serve(l net.Listener) error }
 		address string
-		limit   int
+		buffers kernel.Buffers
 	}
 	endpoints := []endpoint{
-		{srv.callers, s.Host.Address, s.Limits.MaxConnections},
-		{srv.peers, s.Host.PeerAddress, s.Limits.MaxConnections},
-		{srv.operators, s.Host.OperatorAddress, s.Limits.MaxConnections},
+		{srv.callers, s.Host.Address, callerBuffers},
+		{srv.peers, s.Host.PeerAddress, platformBuffers},
+		{srv.operators, s.Host.OperatorAddress, platformBuffers},
 	}
 	var listeners []net.Listener
 	for _, e := range endpoints {
-		l, err := net.Listen("tcp", e.address)
+		l, err := e.buffers.Listen(e.address, maxBacklog)
 		if err != nil {
 			for _, open := range listeners {
 				_ = open.Close()
 			}
 			return err
 		}
-		listeners = append(listeners, netutil.LimitListener(l, e.limit))
+		listeners = append(listeners, netutil.LimitListener(l, s.Limits.MaxConnections))
 	}
 	for i, e := range endpoints {
 		go func() {
--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"chivepost/entry/internal/kernel"
 	"chivepost/share/quote"
 )
 
@@ -40,6 +41,10 @@
 	discardTimeout  = 50 * time.Millisecond
 )
 
+// Buffers bounds what the kernel holds of responses that callers don't take, and of bodies that
+// targets don't read.
+var Buffers = kernel.Buffers{Receive: 32 << 10, Send: 256 << 10}
+
 var errHeadTooLong = fmt.Errorf("the head of the answer is longer than %d bytes", maxHeadBytes)
 
 // conn is a connection to a target. It carries one request at a time.
@@ -80,14 +85,14 @@
 func dial(ctx context.Context, address string) (*conn, error) {
 	d := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-		Control: func(_, _ string, raw syscall.RawConn) error {
+		Control: func(network, address string, raw syscall.RawConn) error {
 			var err error
 			if ctlErr := raw.Control(func(fd uintptr) {
 				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 			}); ctlErr != nil {
 				return ctlErr
 			}
-			return err
+			return errors.Join(err, Buffers.Control(network, address, raw))
 		},
 	}
 	began := time.Now()
--- a/entry/internal/edge/body.go
+++ b/entry/internal/edge/body.go
@@ -38,7 +38,8 @@
 	c.beginRead()
 	c.memory.Begin(c.endStalledRead)
 	var err error
-	c.body, err = c.memory.ReadBody(c.r.Body, length, limit)
+	c.body, err = c.memory.ReadBody(c.r.Body, length, limit, c.growReceive)
+	c.shrinkReceive()
 	wasEnded := c.memory.Finish()
 	c.isReadEnded = wasEnded
 	c.endRead()
@@ -61,6 +62,27 @@
 	return c.rejectBody(http.StatusBadRequest, "the body is incomplete")
 }
 
+// maxReceiveBytes is the largest receive buffer of a connection whose body is read.
+const maxReceiveBytes = 256 << 10
+
+// growReceive lets the kernel receive as much of the body as there is room for in its reservation,
+// since a small window is slow on a long link.
+func (c *call) growReceive(left int64) {
+	size := int(min(left/2, maxReceiveBytes))
+	if c.h.opts.ReceiveBytes > 0 && size > max(c.h.opts.ReceiveBytes, c.receiveBytes) {
+		c.receiveBytes = size
+		setReceive(c.r, size)
+	}
+}
+
+// shrinkReceive undoes growReceive.
+func (c *call) shrinkReceive() {
+	if c.receiveBytes > 0 {
+		c.receiveBytes = 0
+		setReceive(c.r, c.h.opts.ReceiveBytes)
+	}
+}
+
 var errStalled = errors.New("the body stalled while the host's memory was needed")
 
 // rejectBody writes an error response to a request whose body isn't read to its end, and
--- a/entry/internal/edge/framing.go
+++ b/entry/internal/edge/framing.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"chivepost/entry/internal/kernel"
 )
 
 // net/http drops Content-Length from a request that is also chunked. Other servers could
@@ -74,3 +76,10 @@
 	c, ok := r.Context().Value(connKey{}).(*framingConn)
 	return ok && len(r.TransferEncoding) > 0 && c.ambiguous.Load()
 }
+
+// setReceive sets the receive buffer of the request's connection.
+func setReceive(r *http.Request, size int) {
+	if c, ok := r.Context().Value(connKey{}).(*framingConn); ok {
+		kernel.SetReceive(c.Conn, size)
+	}
+}
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -121,6 +121,12 @@
 	Rollouts *canary.Gate
 	// Memory accounts for what requests hold; nil means that nothing bounds it.
 	Memory *memory.Account
+	// CallerBytes and TargetBytes are what the kernel may hold unread for the connections of a
+	// request to its caller and its target. Memory accounts for them, too.
+	CallerBytes, TargetBytes int64
+	// ReceiveBytes is the size of the receive buffer of callers' connections, to which it returns
+	// after a body; 0 leaves it to the kernel.
+	ReceiveBytes int
 	// MaxActive is how many requests may be in progress, each of which may take a connection
 	// to a target; 0 sets no limit.
 	MaxActive int
@@ -157,34 +163,35 @@
 
 // call holds the state of one request.
 type call struct {
-	h           *Handler
-	w           http.ResponseWriter
-	r           *http.Request
-	ctx         context.Context // ends with the request or when the host ends the request
-	cancel      context.CancelCauseFunc
-	bodyRead    bodyRead
-	isWriting   bool // a held answer is written; guarded by bodyRead.mu
-	req         wire.Request
-	route       *fleet.Route
-	account     *fleet.Account
-	config      *fleet.Config
-	service     fleet.Service
-	body        []byte
-	isBodyRead  bool                // to its end, or there is none
-	memory      *memory.Reservation // for the body and held answers; nil before the head is checked
-	heldBytes   int64               // of an error response that is held while other targets are tried
-	start       time.Time
-	deadline    time.Time
-	priority    int
-	regions     []string
-	id          string        // as the caller sent it, before the head is validated
-	leavingFor  time.Duration // how long the host had been leaving when the request arrived
-	phase       atomic.Int32  // of type phase
-	results     *graph.Results
-	headWritten bool // the response head is written
-	isComplete  bool // so is the response to its end
-	mayHaveRun  bool // a target may have run the request
-	isAnswered  bool // a target's answer was written completely
+	h            *Handler
+	w            http.ResponseWriter
+	r            *http.Request
+	ctx          context.Context // ends with the request or when the host ends the request
+	cancel       context.CancelCauseFunc
+	bodyRead     bodyRead
+	isWriting    bool // a held answer is written; guarded by bodyRead.mu
+	req          wire.Request
+	route        *fleet.Route
+	account      *fleet.Account
+	config       *fleet.Config
+	service      fleet.Service
+	body         []byte
+	isBodyRead   bool                // to its end, or there is none
+	memory       *memory.Reservation // for the body and held answers; nil before the head is checked
+	receiveBytes int                 // of the receive buffer while it is larger than usual
+	heldBytes    int64               // of an error response that is held while other targets are tried
+	start        time.Time
+	deadline     time.Time
+	priority     int
+	regions      []string
+	id           string        // as the caller sent it, before the head is validated
+	leavingFor   time.Duration // how long the host had been leaving when the request arrived
+	phase        atomic.Int32  // of type phase
+	results      *graph.Results
+	headWritten  bool // the response head is written
+	isComplete   bool // so is the response to its end
+	mayHaveRun   bool // a target may have run the request
+	isAnswered   bool // a target's answer was written completely
 	// endsWithoutID says that the last event that the caller got has no ID, so that no other
 	// target can go on after it.
 	endsWithoutID bool
@@ -247,9 +254,18 @@
 	}
 	c.memory = h.opts.Memory.Open(c.memoryClient())
 	defer c.memory.Close()
-	if c.readBody() && c.admit() {
-		c.run()
+	if err := c.memory.AddFixed(h.opts.CallerBytes); err != nil {
+		c.refuseMemory(err)
+		return
+	}
+	if !c.readBody() || !c.admit() {
+		return
+	}
+	if err := c.memory.AddFixed(h.opts.TargetBytes); err != nil {
+		c.refuseMemory(err)
+		return
 	}
+	c.run()
 }
 
 // finish frees the stage results, and logs and counts the request. It passes the panic of
--- a/entry/internal/front/caller.go
+++ b/entry/internal/front/caller.go
@@ -164,7 +164,7 @@
 	if err := (*reserved).Check(r.ContentLength); err != nil {
 		return nil, noMemory(w, err)
 	}
-	body, err := (*reserved).ReadBody(r.Body, r.ContentLength, c.opts.MaxBody)
+	body, err := (*reserved).ReadBody(r.Body, r.ContentLength, c.opts.MaxBody, nil)
 	switch {
 	case errors.Is(err, memory.ErrTooLarge):
 		return nil, c.tooLarge(w)
--- a/entry/internal/memory/account.go
+++ b/entry/internal/memory/account.go
@@ -53,6 +53,7 @@
 
 	mu       sync.Mutex
 	used     int64
+	fixed    int64 // of used, what is held whatever the sizes of reservations
 	byClient map[string]int64
 	open     map[*Reservation]struct{}
 }
@@ -69,6 +70,7 @@
 	client  string
 
 	// The fields below are guarded by account.mu.
+	fixed    int64 // held until it is closed
 	bytes    int64
 	pending  int64 // transferred since the last progress
 	progress time.Time
@@ -86,6 +88,57 @@
 	return r
 }
 
+// Fixed returns the bytes that are held whatever the sizes of reservations.
+func (a *Account) Fixed() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.fixed
+}
+
+// AddFixed reserves bytes that are held until the reservation is closed, whatever its size. They are
+// held outside the heap. If it returns an error, the reservation is as before.
+func (r *Reservation) AddFixed(bytes int64) error {
+	a := r.account
+	a.mu.Lock()
+	short, err := a.check(r.client, 0, bytes)
+	var ends []func()
+	if err == nil {
+		a.reserve(r.client, bytes)
+		r.fixed += bytes
+		a.fixed += bytes
+	} else {
+		ends = a.refuse(r, err, short)
+	}
+	a.mu.Unlock()
+	for _, end := range ends {
+		end()
+	}
+	return err
+}
+
+// reserve changes what a client holds. The caller holds the lock.
+func (a *Account) reserve(client string, bytes int64) {
+	a.used += bytes
+	a.byClient[client] += bytes
+	invar.Check(a.used >= 0 && a.byClient[client] >= 0, "memory account: %d bytes in use, %d by one client", a.used, a.byClient[client])
+	if a.byClient[client] == 0 {
+		delete(a.byClient, client)
+	}
+	usedBytes.Set(a.used)
+	peakBytes.Set(max(peakBytes.Value(), a.used))
+}
+
+// refuse counts a refusal and returns the functions that end the stalled holders in the way of a
+// reservation. The caller holds the lock and calls the functions without it.
+func (a *Account) refuse(r *Reservation, err error, short int64) []func() {
+	if err == ErrClient { //nolint:errorlint // check returns it unwrapped
+		refusals.Add("client", 1)
+		return a.takeStalled(func(o *Reservation) bool { return o != r && o.client == r.client }, short)
+	}
+	refusals.Add("account", 1)
+	return a.takeStalled(func(o *Reservation) bool { return o != r }, short)
+}
+
 // Used returns the bytes that are reserved.
 func (a *Account) Used() int64 {
 	a.mu.Lock()
@@ -134,7 +187,7 @@
 			stalled = append(stalled, r)
 		}
 	}
-	weight := func(r *Reservation) float64 { return float64(r.bytes) * now.Sub(r.progress).Seconds() }
+	weight := func(r *Reservation) float64 { return float64(r.fixed+r.bytes) * now.Sub(r.progress).Seconds() }
 	slices.SortFunc(stalled, func(x, y *Reservation) int {
 		switch wx, wy := weight(x), weight(y); {
 		case wx > wy:
@@ -149,7 +202,7 @@
 		if needed <= 0 {
 			break
 		}
-		needed -= r.bytes
+		needed -= r.fixed + r.bytes
 		ends = append(ends, r.end)
 		r.end, r.isEnded = nil, true
 		endedCount.Add(1)
@@ -172,14 +225,7 @@
 	var ends []func()
 	switch {
 	case err != nil:
-		if reason := "account"; err == ErrClient { //nolint:errorlint // check returns it unwrapped
-			reason = "client"
-			refusals.Add(reason, 1)
-			ends = a.takeStalled(func(o *Reservation) bool { return o != r && o.client == r.client }, short)
-		} else {
-			refusals.Add(reason, 1)
-			ends = a.takeStalled(func(o *Reservation) bool { return o != r }, short)
-		}
+		ends = a.refuse(r, err, short)
 	case reserve:
 		r.set(bytes)
 	}
@@ -192,16 +238,9 @@
 
 // set changes the size of the reservation. The caller holds the lock.
 func (r *Reservation) set(bytes int64) {
-	a := r.account
-	a.used += bytes - r.bytes
-	a.byClient[r.client] += bytes - r.bytes
-	invar.Check(a.used >= 0 && a.byClient[r.client] >= 0 && bytes >= 0, "memory account: %d bytes in use, %d by one client, %d in one reservation", a.used, a.byClient[r.client], bytes)
-	if a.byClient[r.client] == 0 {
-		delete(a.byClient, r.client)
-	}
+	invar.Check(bytes >= 0, "memory account: %d bytes in one reservation", bytes)
+	r.account.reserve(r.client, bytes-r.bytes)
 	r.bytes = bytes
-	usedBytes.Set(a.used)
-	peakBytes.Set(max(peakBytes.Value(), a.used))
 }
 
 // Begin lets the account call end, at most once, if the holder stalls while its bytes are
@@ -240,6 +279,9 @@
 		return
 	}
 	r.set(0)
+	a.reserve(r.client, -r.fixed)
+	a.fixed -= r.fixed
+	r.fixed = 0
 	delete(a.open, r)
 	r.end = nil
 	invar.Check(len(a.open) > 0 || a.used == 0 && len(a.byClient) == 0, "memory account: %d bytes in use by nobody", a.used)
--- a/entry/internal/memory/account_test.go
+++ b/entry/internal/memory/account_test.go
@@ -137,3 +137,28 @@
 		t.Errorf("%d holders of 4 MB were ended for 2 MB", ended)
 	}
 }
+
+// Guards against bytes of the kernel that aren't refused, outlive their request, or keep small
+// requests from the part that is theirs.
+func TestFixedBytesOfReservations(t *testing.T) {
+	a, _ := newTestAccount(1 << 20)
+	large := a.Open("x")
+	if err := large.Grow(800_000); err != nil {
+		t.Fatal(err)
+	}
+	small := a.Open("y")
+	if err := small.AddFixed(200_000); err != nil {
+		t.Errorf("fixed bytes within the part of small requests: %v", err)
+	}
+	if err := small.AddFixed(200_000); !errors.Is(err, ErrAccount) {
+		t.Errorf("fixed bytes above the account: got %v, want %v", err, ErrAccount)
+	}
+	if err := small.Grow(10_000); err != nil || a.Fixed() != 200_000 || a.Used() != 1_010_000 {
+		t.Errorf("%d bytes are fixed and %d used, error %v", a.Fixed(), a.Used(), err)
+	}
+	small.Close()
+	large.Close()
+	if a.Fixed() != 0 || a.Used() != 0 {
+		t.Errorf("%d bytes are fixed and %d used after all were closed", a.Fixed(), a.Used())
+	}
+}
--- a/entry/internal/memory/body.go
+++ b/entry/internal/memory/body.go
@@ -14,8 +14,9 @@
 
 // ReadBody reads a body of the announced length, which is negative if it is not known, and of
 // at most limit bytes. Its reservation grows in steps as bytes arrive, so that an announced
-// length alone takes no memory.
-func (r *Reservation) ReadBody(body io.Reader, length, limit int64) ([]byte, error) {
+// length alone takes no memory. After each step it calls grown, unless that is nil, with the bytes
+// that are still to come within the reservation.
+func (r *Reservation) ReadBody(body io.Reader, length, limit int64, grown func(left int64)) ([]byte, error) {
 	size, most := int64(firstBodyBytes), limit+1
 	if length > 0 {
 		size, most = min(length, SmallBytes), length
@@ -25,6 +26,9 @@
 		if err := r.Grow(size); err != nil {
 			return nil, err
 		}
+		if grown != nil {
+			grown(size - int64(len(out)))
+		}
 		out = append(make([]byte, 0, size), out...)
 		for len(out) < cap(out) {
 			n, err := body.Read(out[len(out):cap(out)])
