Give ordinary requests the places of responses that nobody reads

Beside 300 clients that ask for long responses, read nothing, send on and come back, ordinary requests got nothing but 503, "the host has too many requests in progress", for 20 s. At the limit, stalled holders were ended all at once, 2 s after their last byte, and the places went to whoever asked next: the crowd, which asks without a pause. A request took its place before its body was read, so slow bodies held places, too.

A request now takes a place when its body is read. At the limit it waits if responses are blocked, at most one request for each. Those whose callers take least are cut off, as many as requests wait, and places go to the client with the fewest requests in progress, in the order of arrival. A refusal closes the connection while requests wait, since a client that sends on would take each place as it becomes free. If no response is blocked, the refusal comes at once as before.

TestRequestsAboveNumberInProgressAreRefused sets the limiter instead of the number; it checks the same. In account_test EndSlowest takes the place of EndStalled, which is gone; it must also end no writers.

TestUnreadResponsesMakeRoomForRequests got 503 before.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"chivepost/entry/internal/active"
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/blame"
 	"chivepost/entry/internal/canary"
@@ -423,7 +424,7 @@
 	options := edge.Options{
 		DataCentre: s.DataCentre, Region: s.Region, HasPeers: refs.hasPeers, Rollouts: gate, Memory: account,
 		CallerBytes: fleetBuffers.MaxUnread(), TargetBytes: dialer.Buffers.MaxUnread(), ReceiveBytes: fleetBuffers.Receive,
-		MaxActive: newConnLimits(s).active,
+		Active: active.New(newConnLimits(s).active, memory.Writers(account)),
 	}
 	refs.handler = edge.New(options, t, runner, balancer, d, b, notices, log.WithName("edge"))
 	return refs.handler
@@ -470,7 +471,7 @@
 		metrics:   server(metrics),
 		settings:  s, log: log,
 	}
-	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: account.EndStalled, Timeouts: func() (header, idle time.Duration) {
+	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: func() { account.EndSlowest(memory.Reading, 1) }, Timeouts: func() (header, idle time.Duration) {
 		return callerTimeouts(t.View().Config)
 	}, HeaderBytes: func() int {
 		if config := t.View().Config; config != nil {
--- a/entry/internal/edge/body.go
+++ b/entry/internal/edge/body.go
@@ -36,7 +36,7 @@
 		}
 	}
 	c.beginRead()
-	c.memory.Begin(c.endStalledRead)
+	c.memory.Begin(memory.Reading, c.endStalledRead)
 	var err error
 	c.body, err = c.memory.ReadBody(c.r.Body, length, limit, c.growReceive)
 	c.shrinkReceive()
@@ -83,7 +83,7 @@
 	}
 }
 
-var errStalled = errors.New("the body stalled while the host's memory was needed")
+var errStalled = errors.New("the body stalled while its memory or its connection was needed")
 
 // rejectBody writes an error response to a request whose body isn't read to its end, and
 // closes the connection.
@@ -109,9 +109,9 @@
 	}
 }
 
-// memoryClient returns who answers for the memory of the request: the client account, or the
-// remote address of a request without one.
-func (c *call) memoryClient() string {
+// client returns who answers for what the request holds: the client account, or the remote address
+// of a request without one.
+func (c *call) client() string {
 	if c.account != nil {
 		return "account " + c.account.Name
 	}
--- /dev/null
+++ b/entry/internal/edge/crowd_test.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"chivepost/entry/internal/active"
+	"chivepost/entry/internal/memory"
+	"chivepost/platform/wire"
+)
+
+// sendUnread sends a request whose response isn't read.
+func sendUnread(t *testing.T, h *testHost, path string) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: svc\r\nAttempt-Id: 1\r\nAuthorization: Token k\r\n\r\n", path); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against callers that read nothing and fill the number of requests in progress: an
+// ordinary request gets the place of one of them.
+func TestUnreadResponsesMakeRoomForRequests(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		path   string
+		script targetScript
+	}{
+		{"long answers", "/open/big", func(w net.Conn, r *http.Request) {
+			if r.URL.Path == "/open/big" {
+				reply(w, r, 200, strings.Repeat("x", 16<<20))
+				return
+			}
+			ok(w, r)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := startHost(t, fakeStages{}, test.script)
+			for i := range h.view.Config.Routes {
+				h.view.Config.Routes[i].Timeout = 20 * time.Second
+			}
+			account := memory.New(16 << 20)
+			h.handler.opts.Memory, h.handler.opts.Active = account, active.New(2, memory.Writers(account))
+			for range 2 {
+				sendUnread(t, h, test.path)
+			}
+			for deadline := time.Now().Add(10 * time.Second); account.Blocked(memory.Writing) < 2; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the responses aren't blocked")
+				}
+			}
+			if got := h.send(t, "/open/x", func(r *http.Request) { r.Header.Set(wire.HeaderTimeLeft, "5000") }); got.status != http.StatusOK || got.body != "whole" {
+				t.Errorf("status %d, body %q, want a whole answer", got.status, got.body)
+			}
+		})
+	}
+}
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 
+	"chivepost/entry/internal/active"
 	"chivepost/entry/internal/batch"
 	"chivepost/entry/internal/canary"
 	"chivepost/entry/internal/dialer"
@@ -76,6 +77,10 @@
 	minStreamPatience       = 2 * time.Second
 	streamPatienceObjective = 4
 	streamPatienceGaps      = 8
+	// maxPlaceWait bounds how long a request waits until one whose caller doesn't read is ended, as
+	// does placeWaitShare of the time that is left.
+	maxPlaceWait   = 2 * time.Second
+	placeWaitShare = 0.5
 	// maxStageRuns is how often the stages of a request run if their results get lost.
 	maxStageRuns = 3
 )
@@ -127,9 +132,9 @@
 	// ReceiveBytes is the size of the receive buffer of callers' connections, to which it returns
 	// after a body; 0 leaves it to the kernel.
 	ReceiveBytes int
-	// MaxActive is how many requests may be in progress, each of which may take a connection
-	// to a target; 0 sets no limit.
-	MaxActive int
+	// Active bounds the requests in progress, each of which may take a connection to a target;
+	// nil sets no limit.
+	Active *active.Limiter
 }
 
 // Handler is the HTTP handler for requests of callers.
@@ -252,22 +257,54 @@
 	if !c.checkHead() {
 		return
 	}
-	c.memory = h.opts.Memory.Open(c.memoryClient())
+	c.memory = h.opts.Memory.Open(c.client())
 	defer c.memory.Close()
 	if err := c.memory.AddFixed(h.opts.CallerBytes); err != nil {
 		c.refuseMemory(err)
 		return
 	}
-	if !c.readBody() || !c.admit() {
-		return
-	}
-	if err := c.memory.AddFixed(h.opts.TargetBytes); err != nil {
-		c.refuseMemory(err)
+	if !c.readBody() || !c.admit() || !c.acquirePlace() {
 		return
 	}
+	defer c.releasePlace()
 	c.run()
 }
 
+// acquirePlace takes the place of one of the requests in progress, for which it waits if it may
+// come in time. It refuses the request and returns false if there is none.
+func (c *call) acquirePlace() bool {
+	limiter := c.h.opts.Active
+	if limiter == nil {
+		return true
+	}
+	if limiter.Acquire(c.ctx, c.client(), min(maxPlaceWait, time.Duration(placeWaitShare*float64(time.Until(c.deadline))))) {
+		err := c.memory.AddFixed(c.h.opts.TargetBytes)
+		if err == nil {
+			return true
+		}
+		c.releasePlace()
+		return c.refuseMemory(err)
+	}
+	switch {
+	case c.isCallerGone():
+		return false
+	case c.isAborted():
+		return c.refuseLeaving()
+	}
+	c.isRefusedActive = true
+	if limiter.HasWaiting() {
+		// A client that sends on without reading would take each place that becomes free.
+		c.w.Header().Set("Connection", "close")
+	}
+	return c.refuse("the host has too many requests in progress", 0)
+}
+
+func (c *call) releasePlace() {
+	if c.h.opts.Active != nil {
+		c.h.opts.Active.Release(c.client())
+	}
+}
+
 // finish frees the stage results, and logs and counts the request. It passes the panic of
 // abort on, and reports any other one, which ends only this request. Without a complete
 // response, it closes the connection, since the server would give the response a regular end.
@@ -325,13 +362,6 @@
 	if c.config == nil {
 		return c.refuse("the host has no configuration yet", 0)
 	}
-	if limit := c.h.opts.MaxActive; limit > 0 && c.h.Active() > limit {
-		c.isRefusedActive = true
-		if c.h.opts.Memory != nil {
-			c.h.opts.Memory.EndStalled() // requests whose bodies don't arrive are in progress, too
-		}
-		return c.refuse("the host has too many requests in progress", 0)
-	}
 	host, _, _ := strings.Cut(c.r.Host, ":")
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	route, ok := c.config.Route(host, path)
--- a/entry/internal/edge/memory_test.go
+++ b/entry/internal/edge/memory_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"chivepost/entry/internal/active"
 	"chivepost/entry/internal/memory"
 )
 
@@ -175,7 +176,7 @@
 		<-release
 		ok(w, r)
 	})
-	h.handler.opts.MaxActive = 2
+	h.handler.opts.Active = active.New(2, memory.Writers(memory.New(1<<20)))
 	var held []*bufio.Reader
 	for range 2 {
 		_, r := sendPart(t, h, "Content-Length: 1", "x")
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -194,12 +194,13 @@
 	return nil
 }
 
-// beginWrite lets the host end a caller that doesn't read its answer while memory is needed.
+// beginWrite lets the host end a caller that doesn't read its answer while what the request holds is
+// needed.
 func (c *call) beginWrite() {
 	c.bodyRead.mu.Lock()
 	c.isWriting = true
 	c.bodyRead.mu.Unlock()
-	c.memory.Begin(func() {
+	c.memory.Begin(memory.Writing, func() {
 		c.bodyRead.mu.Lock()
 		defer c.bodyRead.mu.Unlock()
 		if c.isWriting {
--- a/entry/internal/memory/account.go
+++ b/entry/internal/memory/account.go
@@ -3,6 +3,7 @@
 package memory
 
 import (
+	"cmp"
 	"errors"
 	"expvar"
 	"slices"
@@ -29,6 +30,22 @@
 	// ProgressBytes is how much a holder must transfer to count as moving, so that single
 	// bytes don't keep it alive.
 	ProgressBytes = 16 << 10
+	// blockedTime is how long a holder must have waited for its client to count as blocked.
+	blockedTime = 50 * time.Millisecond
+	// The holders that EndSlowest may end have made no progress for patience, or have waited for
+	// their clients for StallTime in all. A response is not cut off for the latter if the client
+	// takes slowWriteRate bytes a second or more.
+	patience      = 500 * time.Millisecond
+	slowWriteRate = 64 << 10
+)
+
+// Kind says what a holder waits for.
+type Kind int
+
+// The kinds of holders.
+const (
+	Reading Kind = iota // for the body of a request
+	Writing             // for the client to take a response
 )
 
 // The errors of reservations that don't fit name the limit that refused.
@@ -44,6 +61,7 @@
 	holders    = expvar.NewInt("memory_account_holders_count")
 	refusals   = expvar.NewMap("memory_account_refusals_by_limit_count")
 	endedCount = expvar.NewInt("memory_account_stalled_ended_count")
+	slowCount  = expvar.NewInt("memory_account_slowest_ended_count")
 )
 
 // Account is an account of the bytes held for clients. It is safe for concurrent use.
@@ -76,6 +94,10 @@
 	progress time.Time
 	end      func() // ends the holder if it stalls; nil: it must not be ended
 	isEnded  bool   // end was called
+	kind     Kind   // what it waits for while end is set
+	began    time.Time
+	spent    time.Duration // waiting of this kind before began
+	moved    int64         // transferred while waiting of this kind
 }
 
 // Open returns a reservation of no bytes for a client. It must be closed.
@@ -146,15 +168,78 @@
 	return a.used
 }
 
-// EndStalled ends the holders that have stalled, for a host that runs out of something else
-// than memory.
-func (a *Account) EndStalled() {
+// Blocked returns how many holders of a kind wait for their clients.
+func (a *Account) Blocked(kind Kind) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n, now := 0, a.now()
+	for r := range a.open {
+		if r.end != nil && r.kind == kind && now.Sub(r.began) >= blockedTime {
+			n++
+		}
+	}
+	return n
+}
+
+// Writers returns the holders of an account that write responses.
+func Writers(a *Account) *WriterSet { return &WriterSet{account: a} }
+
+// WriterSet is the holders of an account that write responses.
+type WriterSet struct{ account *Account }
+
+// Blocked returns how many of them wait for their clients to read.
+func (w *WriterSet) Blocked() int { return w.account.Blocked(Writing) }
+
+// End ends up to n of them, those with the lowest rate first.
+func (w *WriterSet) End(n int) { w.account.EndSlowest(Writing, n) }
+
+// EndSlowest ends up to n holders of a kind, those with the lowest rate first, for a host that runs
+// out of something else than memory. It returns how many it has ended.
+func (a *Account) EndSlowest(kind Kind, n int) int {
 	a.mu.Lock()
-	ends := a.takeStalled(func(*Reservation) bool { return true }, a.limit)
+	now := a.now()
+	var slow []*Reservation
+	for r := range a.open {
+		if r.end != nil && r.kind == kind && r.mayEnd(now) {
+			slow = append(slow, r)
+		}
+	}
+	slices.SortFunc(slow, func(x, y *Reservation) int { return cmp.Compare(x.rate(now), y.rate(now)) })
+	slow = slow[:min(n, len(slow))]
+	ends := make([]func(), 0, len(slow))
+	for _, r := range slow {
+		ends = append(ends, r.takeEnd())
+		slowCount.Add(1)
+	}
 	a.mu.Unlock()
 	for _, end := range ends {
 		end()
 	}
+	return len(ends)
+}
+
+// mayEnd reports whether the holder is slow enough to be ended for others. The caller holds the
+// lock of the account.
+func (r *Reservation) mayEnd(now time.Time) bool {
+	if now.Sub(r.progress) >= patience {
+		return true
+	}
+	isLong := r.spent+now.Sub(r.began) >= StallTime
+	return isLong && (r.kind == Reading || r.rate(now) < slowWriteRate)
+}
+
+// rate returns the bytes a second that the holder has transferred while it waited for its client.
+// The caller holds the lock of the account.
+func (r *Reservation) rate(now time.Time) float64 {
+	return float64(r.moved) / max((r.spent+now.Sub(r.began)).Seconds(), blockedTime.Seconds())
+}
+
+// takeEnd marks the holder as ended and returns the function that ends it. The caller holds the
+// lock of the account.
+func (r *Reservation) takeEnd() func() {
+	end := r.end
+	r.end, r.isEnded = nil, true
+	return end
 }
 
 // check returns an error if a client can't have more bytes for a reservation of a size, and the
@@ -203,8 +288,7 @@
 			break
 		}
 		needed -= r.fixed + r.bytes
-		ends = append(ends, r.end)
-		r.end, r.isEnded = nil, true
+		ends = append(ends, r.takeEnd())
 		endedCount.Add(1)
 	}
 	return ends
@@ -243,18 +327,23 @@
 	r.bytes = bytes
 }
 
-// Begin lets the account call end, at most once, if the holder stalls while its bytes are
-// needed.
-func (r *Reservation) Begin(end func()) {
+// Begin lets the account call end, at most once, if the holder is in the way of others while it
+// waits for its client.
+func (r *Reservation) Begin(kind Kind, end func()) {
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
-	r.end, r.isEnded, r.progress, r.pending = end, false, r.account.now(), 0
+	now := r.account.now()
+	if kind != r.kind {
+		r.spent, r.moved = 0, 0
+	}
+	r.end, r.isEnded, r.kind, r.began, r.progress, r.pending = end, false, kind, now, now, 0
 }
 
 // Moved records that bytes were transferred.
 func (r *Reservation) Moved(bytes int) {
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
+	r.moved += int64(bytes)
 	if r.pending += int64(bytes); r.pending >= ProgressBytes {
 		r.pending, r.progress = 0, r.account.now()
 	}
@@ -266,7 +355,10 @@
 	r.account.mu.Lock()
 	defer r.account.mu.Unlock()
 	wasEnded = r.isEnded
-	r.end, r.isEnded = nil, false
+	if !r.began.IsZero() {
+		r.spent += r.account.now().Sub(r.began)
+	}
+	r.end, r.isEnded, r.began = nil, false, time.Time{}
 	return wasEnded
 }
 
--- a/entry/internal/memory/account_test.go
+++ b/entry/internal/memory/account_test.go
@@ -27,7 +27,7 @@
 			open = append(open, a.Open(string(rune('a'+random.IntN(5)))))
 		case n < 8:
 			r := open[random.IntN(len(open))]
-			r.Begin(func() {})
+			r.Begin(Reading, func() {})
 			_ = r.Grow(random.Int64N(1 << 18)) // a refusal is a result too
 			r.Moved(random.IntN(1 << 16))
 			r.Finish()
@@ -83,7 +83,7 @@
 	ended := map[string]int{}
 	hold := func(name string, bytes int64) *Reservation {
 		r := a.Open(name)
-		r.Begin(func() { ended[name]++ })
+		r.Begin(Reading, func() { ended[name]++ })
 		if err := r.Grow(bytes); err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,8 @@
 	if err := late.Grow(4 << 20); err != nil {
 		t.Errorf("after the end of a stalled holder: %v", err)
 	}
-	a.EndStalled()
+	a.EndSlowest(Writing, 4)
+	a.EndSlowest(Reading, 2)
 	if ended["trickle"] != 1 || ended["old"] != 1 || ended["complete"] != 0 || ended["moving"] != 0 {
 		t.Errorf("ended %v, want those that stall", ended)
 	}
@@ -126,7 +127,7 @@
 		if err := r.Grow(4 << 20); err != nil {
 			t.Fatal(err)
 		}
-		r.Begin(func() { ended++ })
+		r.Begin(Reading, func() { ended++ })
 	}
 	*now = now.Add(2 * StallTime)
 	late := a.Open("late")
@@ -162,3 +163,33 @@
 		t.Errorf("%d bytes are fixed and %d used after all were closed", a.Fixed(), a.Used())
 	}
 }
+
+// Guards against the end of clients that read well while others read little or nothing.
+func TestSlowestWritersAreEndedFirst(t *testing.T) {
+	a, now := newTestAccount(1 << 20)
+	var ended []string
+	write := func(name string) *Reservation {
+		r := a.Open(name)
+		r.Begin(Writing, func() { ended = append(ended, name) })
+		return r
+	}
+	fast, slow, stalled := write("fast"), write("slow"), write("stalled")
+	for range 10 {
+		*now = now.Add(StallTime / 5)
+		fast.Moved(slowWriteRate)
+		slow.Moved(ProgressBytes)
+	}
+	if n := a.Blocked(Writing); n != 3 || a.Blocked(Reading) != 0 {
+		t.Errorf("%d writers and %d readers are blocked", n, a.Blocked(Reading))
+	}
+	write("new")
+	if n := a.EndSlowest(Writing, 1); n != 1 || len(ended) != 1 || ended[0] != "stalled" {
+		t.Errorf("%d were ended: %v, want the one that takes nothing", n, ended)
+	}
+	if n := a.EndSlowest(Writing, 4); n != 1 || len(ended) != 2 || ended[1] != "slow" {
+		t.Errorf("%d more were ended: %v, want the one below %d bytes a second", n, ended, slowWriteRate)
+	}
+	if fast.Finish() || !slow.Finish() || !stalled.Finish() {
+		t.Error("Finish doesn't tell which holder was ended")
+	}
+}
