edge: streams that nobody reads can be ended

A caller that didn't read its stream kept its place and its connections until 2 s after the deadline, and nothing could end it: only held and long answers were holders. Ordinary requests got 503 meanwhile.

The write of an event is now a time in which the request may be ended, like that of a block of an answer.

TestUnreadResponsesMakeRoomForRequests/streams failed before: no response counted as blocked.

--- a/entry/internal/edge/crowd_test.go
+++ b/entry/internal/edge/crowd_test.go
@@ -27,6 +27,16 @@
 	}
 }
 
+// endlessStream writes events until its caller disconnects.
+func endlessStream(w net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: sig\r\nContent-Type: text/event-stream\r\n\r\n", wire.HeaderID, r.Header.Get(wire.HeaderID), wire.HeaderReceipt)
+	for id := 1; ; id++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 4000)); err != nil {
+			return
+		}
+	}
+}
+
 // Guards against callers that read nothing and fill the number of requests in progress: an
 // ordinary request gets the place of one of them.
 func TestUnreadResponsesMakeRoomForRequests(t *testing.T) {
@@ -42,6 +52,13 @@
 			}
 			ok(w, r)
 		}},
+		{"streams", "/stream/endless", func(w net.Conn, r *http.Request) {
+			if r.URL.Path == "/stream/endless" {
+				endlessStream(w, r)
+				return
+			}
+			ok(w, r)
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := startHost(t, fakeStages{}, test.script)
--- a/entry/internal/edge/stream.go
+++ b/entry/internal/edge/stream.go
@@ -250,10 +250,12 @@
 // writeStream writes a part of a stream. Events are flushed as they arrive, comments only if
 // nothing follows them yet. It returns false if the caller has disconnected.
 func (c *call) writeStream(t *pick.Chosen, raw []byte, flush bool) bool {
-	_, err := c.w.Write(raw)
+	c.beginWrite()
+	err := c.writeBlocks(raw)
 	if err == nil && flush {
 		err = http.NewResponseController(c.w).Flush()
 	}
+	c.endWrite()
 	if err != nil {
 		t.Done(pick.Cancelled)
 		c.reason = disconnectedReason
