drain: slow headers and unread responses make room for connections

600 clients that send one byte of a header each and come back kept a host full: no ordinary request was answered in 20 s. Only idle connections and stalled holders of memory made room. A new connection waited for 250 ms, was closed, and all behind it waited as long each.

With all connections in use, those now make room that have been in a header for 200 ms or in a write for 1 s, the longest first, then the slowest bodies. While any will soon be due, a new connection waits for up to 3 s instead of being closed, and so gets its turn in the order of arrival.

A request that runs is never ended for a connection. A header that is ended has not been read as a request, so callers repeat it.

The two new tests of drain failed before.

--- a/entry/cmd/fleet.go
+++ b/entry/cmd/fleet.go
@@ -471,7 +471,9 @@
 		metrics:   server(metrics),
 		settings:  s, log: log,
 	}
-	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: func() { account.EndSlowest(memory.Reading, 1) }, Timeouts: func() (header, idle time.Duration) {
+	fs.callers.SetLimits(drain.Limits{MaxConns: limits.callers, OnFull: func(n int) bool {
+		return account.EndSlowest(memory.Reading, n) > 0 || account.Blocked(memory.Reading) > 0
+	}, Timeouts: func() (header, idle time.Duration) {
 		return callerTimeouts(t.View().Config)
 	}, HeaderBytes: func() int {
 		if config := t.View().Config; config != nil {
--- a/entry/internal/drain/limits_test.go
+++ b/entry/internal/drain/limits_test.go
@@ -92,7 +92,7 @@
 	It("refuses connections for which there is no room, and says so", func() {
 		release := make(chan struct{})
 		var fullCount atomic.Int32
-		s := startLimited(drain.Limits{MaxConns: 4, OnFull: func() { fullCount.Add(1) }}, func(w http.ResponseWriter, r *http.Request) {
+		s := startLimited(drain.Limits{MaxConns: 4, OnFull: func(int) bool { fullCount.Add(1); return false }}, func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.Copy(w, r.Body)
 			<-release
 		})
@@ -158,4 +158,34 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 		Expect(isClosed(c, r, 2*time.Second)).To(BeTrue())
 	})
+
+	// Guards against clients that send a byte of a header each and fill all connections.
+	It("ends headers that arrive slowly for new connections", func() {
+		s := startLimited(drain.Limits{MaxConns: 4}, echo)
+		for range 4 {
+			c, _ := s.dial()
+			_, err := io.WriteString(c, "G")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		c, r := s.dial()
+		Expect(roundTrip(c, r, "ordinary")).To(Equal("ordinary"))
+	})
+
+	// Guards against clients that send requests, read no response and fill all connections.
+	It("ends responses that nobody reads for new connections", func() {
+		s := startLimited(drain.Limits{MaxConns: 4}, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body) // all of it before the response begins
+			if len(body) == 0 {
+				body = make([]byte, 16<<20)
+			}
+			_, _ = w.Write(body)
+		})
+		for range 4 {
+			c, _ := s.dial()
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		c, r := s.dial()
+		Expect(roundTrip(c, r, "ordinary")).To(Equal("ordinary"))
+	})
 })
--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	conns     map[*conn]struct{}
 	empty     chan struct{} // closed when a closing server has no connection left
 	searched  time.Time     // when idle connections were last selected to be closed
+	slowEnded time.Time     // when slow ones were last selected to be ended
+	isRoomDue bool          // whether any then made room, or was about to
 	freed     chan struct{} // gets a value, if there is room, when a connection is closed
 }
 
@@ -51,8 +54,9 @@
 	// HeaderBytes returns how many bytes the header of a request may have; 0 sets no limit other
 	// than that of the http.Server, which can't change. nil is the same.
 	HeaderBytes func() int
-	// OnFull is called when there is no room for a connection, so that others can be ended.
-	OnFull func()
+	// OnFull is called when there is no room for n connections, so that requests which wait for
+	// their clients can be ended. It reports whether any has been or will soon be.
+	OnFull func(n int) bool
 }
 
 const (
@@ -63,14 +67,28 @@
 	// each selection looks at all connections. Selections are searchInterval apart.
 	closeBatchRatio = 1.0 / 32
 	searchInterval  = 10 * time.Millisecond
-	// roomTimeout is how long a new connection waits for room before it is closed.
-	roomTimeout = 250 * time.Millisecond
+	// roomTimeout is how long a new connection waits for room before it is closed, and
+	// maxRoomTimeout if others are about to make room. Later ones wait in the kernel meanwhile, in
+	// the order of their arrival. roomInterval is the time between two attempts.
+	roomTimeout    = 250 * time.Millisecond
+	maxRoomTimeout = 3 * time.Second
+	roomInterval   = 5 * time.Millisecond
+	// Without idle connections, those make room that have sent the header of a request for
+	// slowHeaderTime, or whose client has taken nothing of a response for slowWriteTime.
+	slowHeaderTime = 200 * time.Millisecond
+	slowWriteTime  = time.Second
+	// minWaitTime is how long a connection must have waited for its client to be one of those that
+	// may soon make room.
+	minWaitTime = 50 * time.Millisecond
+	// writeBlock is how much is written at once.
+	writeBlock = 32 << 10
 )
 
 var (
 	idleClosed  = expvar.NewInt("drain_idle_connections_closed_count")
 	headersCut  = expvar.NewInt("drain_headers_too_long_count")
 	connRefused = expvar.NewInt("drain_connections_refused_count")
+	slowClosed  = expvar.NewInt("drain_slow_connections_closed_count")
 )
 
 // SetLimits sets the limits. It must be called before Serve.
@@ -230,62 +248,108 @@
 	}
 }
 
-// makeRoom closes the connections that have been idle for longest if few more may be opened,
-// and reports whether there is room for one.
+// makeRoom closes the connections that are of the least use if few more may be opened, and reports
+// whether there is room for one.
 func (s *Server) makeRoom() bool {
 	if s.limits.MaxConns <= 0 {
 		return true
 	}
-	var timeout <-chan time.Time
+	began := time.Now()
+	timeout := roomTimeout
 	for {
-		open, longestIdle := s.selectIdle()
+		open, closing, longestIdle := s.selectIdle()
 		for _, c := range longestIdle {
 			c.closeIdle()
 		}
 		if open < s.limits.MaxConns || s.isClosing.Load() {
 			return true
 		}
-		if timeout == nil {
-			timeout = time.After(roomTimeout)
-			if s.limits.OnFull != nil {
-				s.limits.OnFull()
-			}
+		if open-closing-len(longestIdle) >= s.limits.MaxConns && s.endSlow() {
+			timeout = maxRoomTimeout
 		}
+		wait := time.NewTimer(roomInterval)
 		select {
 		case <-s.freed:
-		case <-timeout:
-			return false
+			wait.Stop()
+		case <-wait.C:
+			if time.Since(began) >= timeout {
+				return false
+			}
+		}
+	}
+}
+
+// endSlow ends connections that wait for their clients, and reports whether any makes room now or
+// soon. Those that were just ended have roomInterval to close before others are.
+func (s *Server) endSlow() bool {
+	n := max(1, int(closeBatchRatio*float64(s.limits.MaxConns)))
+	s.mu.Lock()
+	isRoomDue, wasEnded := s.isRoomDue, time.Since(s.slowEnded) < roomInterval
+	s.mu.Unlock()
+	if wasEnded {
+		return isRoomDue
+	}
+	slow, isRoomDue := s.selectSlow(n)
+	for _, c := range slow {
+		c.endSlow()
+	}
+	if n -= len(slow); n > 0 && s.limits.OnFull != nil && s.limits.OnFull(n) {
+		isRoomDue = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowEnded, s.isRoomDue = time.Now(), isRoomDue
+	return isRoomDue
+}
+
+// selectSlow returns up to n connections to end because they have waited for their clients for
+// longest, and whether there are others that may soon be.
+func (s *Server) selectSlow(n int) (slow []*conn, hasMore bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	waiting := map[*conn]time.Duration{}
+	for c := range s.conns {
+		wait, limit := c.waitTime(now)
+		if wait < minWaitTime || c.isEnding.Load() {
+			continue
+		}
+		hasMore = true
+		if wait >= limit {
+			slow, waiting[c] = append(slow, c), wait
 		}
 	}
+	slices.SortFunc(slow, func(x, y *conn) int { return cmp.Compare(waiting[y], waiting[x]) })
+	return slow[:min(n, len(slow))], hasMore
 }
 
-// selectIdle returns the number of open connections, and those to close because they have
-// been idle for longest.
-func (s *Server) selectIdle() (open int, longestIdle []*conn) {
+// selectIdle returns the number of open connections, how many of them are being closed as idle, and
+// those to close because they have been idle for longest.
+func (s *Server) selectIdle() (open, closing int, longestIdle []*conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	open = len(s.conns)
 	excess := open + 1 - int(closeRatio*float64(s.limits.MaxConns))
 	now := time.Now()
 	if excess <= 0 || now.Sub(s.searched) < searchInterval && open < s.limits.MaxConns {
-		return open, nil
+		return open, 0, nil
 	}
 	s.searched = now
 	var idle []*conn
 	for c := range s.conns {
 		switch {
 		case c.isClosing.Load():
-			excess--
+			closing++
 		case connState(c.state.Load()) == connIdle:
 			idle = append(idle, c)
 		}
 	}
-	if excess <= 0 {
-		return open, nil
+	if excess -= closing; excess <= 0 {
+		return open, closing, nil
 	}
 	slices.SortFunc(idle, func(x, y *conn) int { return cmp.Compare(x.since.Load(), y.since.Load()) })
 	excess = max(excess, int(closeBatchRatio*float64(s.limits.MaxConns)))
-	return open, idle[:min(excess, len(idle))]
+	return open, closing, idle[:min(excess, len(idle))]
 }
 
 // connState says what a connection does.
@@ -305,6 +369,9 @@
 	state     atomic.Int32 // a connState
 	since     atomic.Int64 // when the state began, in Unix nanoseconds
 	isClosing atomic.Bool  // it is closed unless a request arrives
+	isEnding  atomic.Bool  // it is ended although a request arrives or is answered
+	// writeSince is when a write began that hasn't returned, in Unix nanoseconds; 0: there is none.
+	writeSince atomic.Int64
 	// headerBytes counts the bytes read in state connHeader.
 	headerBytes atomic.Int64
 
@@ -332,6 +399,52 @@
 	return n, err
 }
 
+// Write writes in blocks, so that a client that reads slowly can be told from one that doesn't.
+func (c *conn) Write(p []byte) (n int, err error) {
+	defer c.writeSince.Store(0)
+	for block := range slices.Chunk(p, writeBlock) {
+		c.writeSince.Store(time.Now().UnixNano())
+		if c.isEnding.Load() {
+			return n, &net.OpError{Op: "write", Net: "tcp", Err: os.ErrDeadlineExceeded}
+		}
+		written, err := c.Conn.Write(block)
+		if n += written; err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// waitTime returns for how long the connection has waited for its client, and from which time on it
+// may be ended.
+func (c *conn) waitTime(now time.Time) (wait, limit time.Duration) {
+	if since := c.writeSince.Load(); since != 0 {
+		return now.Sub(time.Unix(0, since)), slowWriteTime
+	}
+	if connState(c.state.Load()) == connHeader {
+		return now.Sub(time.Unix(0, c.since.Load())), slowHeaderTime
+	}
+	return 0, 0
+}
+
+// endSlow ends the connection if it still waits for its client.
+func (c *conn) endSlow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if wait, limit := c.waitTime(now); wait == 0 || wait < limit {
+		return
+	}
+	if c.writeSince.Load() == 0 && c.applied != connHeader {
+		return // the header has just begun, and since is still that of the state before
+	}
+	if !c.isEnding.CompareAndSwap(false, true) {
+		return
+	}
+	slowClosed.Add(1)
+	_ = c.Conn.SetDeadline(now) // it fails only on a closed connection
+}
+
 const (
 	// headerSlack is what the server may read with a header beyond its end.
 	headerSlack   = 4 << 10
@@ -428,6 +541,9 @@
 }
 
 func (c *conn) applyDeadline() error {
+	if c.isEnding.Load() {
+		return nil // the deadline has passed
+	}
 	deadline := c.readDeadline
 	for _, limit := range []time.Time{c.lingerUntil, c.stateUntil} {
 		if !limit.IsZero() && (deadline.IsZero() || deadline.After(limit)) {
