serve: connections above max_connections make room instead of waiting

Callers, peers and operators got no answer while max_connections clients kept their connections: further ones waited in the kernel until others closed by themselves. Responses outside pipelines had no write deadline, so that clients which read nothing stayed for good.

The test "accepts no more connections than allowed" took idle connections for full ones; these are now closed for new ones. It is replaced by one that holds a request on each connection, and by one that idle connections make room, at each listener.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
-	"golang.org/x/net/netutil"
 
 	"chivepost/entry/internal/conf"
 	"chivepost/entry/internal/drain"
@@ -139,8 +138,7 @@
 
 // servers holds the HTTP servers of an entry host.
 type servers struct {
-	callers, operators *drain.Server
-	peers              *http.Server
+	callers, operators, peers *drain.Server
 }
 
 func newServers(s conf.Settings, n *node.Node, bus *peers.Transport, log logr.Logger,
@@ -151,9 +149,9 @@
 	}, n.Config(), n, n.Drain(), n.Burn(), n.Run)
 	operator := front.NewOperatorHandler(s.Host.Name, n.Publisher(), n, int64(s.Limits.MaxFrame))
 	srv := &servers{
-		callers:   drain.NewServer(newServer(s, caller.Router())),
+		callers:   newServer(s, caller.Router()),
 		peers:     newServer(s, bus),
-		operators: drain.NewServer(newServer(s, operator.Router())),
+		operators: newServer(s, operator.Router()),
 	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return srv.start(s, log) },
@@ -169,14 +167,19 @@
 	return srv, nil
 }
 
-func newServer(s conf.Settings, h http.Handler) *http.Server {
-	return &http.Server{
+// newServer returns a server with the limits of the settings. Requests to pipelines and connections
+// of peers set write deadlines of their own.
+func newServer(s conf.Settings, h http.Handler) *drain.Server {
+	out := drain.NewServer(&http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: s.Limits.ReadTimeout,
 		ReadTimeout:       s.Limits.ReadTimeout,
+		WriteTimeout:      writeTimeout,
 		IdleTimeout:       s.Limits.IdleTimeout,
 		MaxHeaderBytes:    int(s.Limits.MaxHeader),
-	}
+	})
+	out.SetLimits(drain.Limits{MaxConns: s.Limits.MaxConnections})
+	return out
 }
 
 // start opens all listeners before it serves any, so that a port in use is reported
@@ -201,7 +204,7 @@
 			}
 			return err
 		}
-		listeners = append(listeners, netutil.LimitListener(l, s.Limits.MaxConnections))
+		listeners = append(listeners, l)
 	}
 	for i, e := range endpoints {
 		go func() {
--- a/entry/cmd/serve_test.go
+++ b/entry/cmd/serve_test.go
@@ -44,11 +44,14 @@
 }
 
 func startServers(s conf.Settings) *servers {
-	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	srv := &servers{callers: drain.NewServer(newServer(s, ok)), peers: newServer(s, ok), operators: drain.NewServer(newServer(s, ok))}
+	return startServersWith(s, func(http.ResponseWriter, *http.Request) {})
+}
+
+func startServersWith(s conf.Settings, handle http.HandlerFunc) *servers {
+	srv := &servers{callers: newServer(s, handle), peers: newServer(s, handle), operators: newServer(s, handle)}
 	Expect(srv.start(s, logr.Discard())).To(Succeed())
 	DeferCleanup(func() {
-		for _, server := range []*http.Server{srv.callers.Server, srv.peers, srv.operators.Server} {
+		for _, server := range []*drain.Server{srv.callers, srv.peers, srv.operators} {
 			_ = server.Close()
 		}
 	})
@@ -94,31 +97,58 @@
 		Expect(resp.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 	})
 
-	It("accepts no more connections than allowed, and more after some close", func() {
+	It("serves no more connections than allowed, and more after some close", func() {
 		s := testSettings()
-		startServers(s)
+		begun, release := make(chan struct{}), make(chan struct{})
+		startServersWith(s, func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				begun <- struct{}{}
+				<-release
+			}
+		})
 		var open []net.Conn
 		for range s.Limits.MaxConnections {
 			conn, err := net.Dial("tcp", s.Host.Address)
 			Expect(err).NotTo(HaveOccurred())
+			_, err = conn.Write([]byte("GET /held HTTP/1.1\r\nHost: h\r\n\r\n"))
+			Expect(err).NotTo(HaveOccurred())
+			<-begun
 			open = append(open, conn)
 		}
-		get := func() error {
-			client := http.Client{Timeout: 100 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-			resp, err := client.Get("http://" + s.Host.Address)
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			return err
-		}
-		Expect(get()).To(HaveOccurred())
+		Expect(get(s.Host.Address, 100*time.Millisecond)).To(HaveOccurred())
+		close(release)
 		for _, conn := range open {
 			_ = conn.Close()
 		}
-		Eventually(get).WithTimeout(5 * time.Second).Should(Succeed())
+		Eventually(func() error { return get(s.Host.Address, 100*time.Millisecond) }).WithTimeout(5 * time.Second).Should(Succeed())
 	})
+
+	DescribeTable("closes idle connections for new ones", func(address func(conf.Settings) string) {
+		s := testSettings()
+		startServers(s)
+		for range 2 * s.Limits.MaxConnections {
+			conn, err := net.Dial("tcp", address(s))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+		}
+		Expect(get(address(s), 5*time.Second)).To(Succeed())
+	},
+		Entry("from callers", func(s conf.Settings) string { return s.Host.Address }),
+		Entry("from peers", func(s conf.Settings) string { return s.Host.PeerAddress }),
+		Entry("from operators", func(s conf.Settings) string { return s.Host.OperatorAddress }),
+	)
 })
 
+// get sends a request on a connection of its own.
+func get(address string, timeout time.Duration) error {
+	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + address)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
+
 // Incident "lost in restarts": a connection on which a request had begun to arrive was closed
 // as idle when the host stopped.
 var _ = DescribeTable("a host that stops answers a request that it has begun to read", func(address func(conf.Settings) string) {
