edge: reset the connection of a broken response to HTTP/1.0

A response without a length that broke off looked complete to a caller of HTTP/1.0, for whom the end of the connection is that of the response. The connection is now reset.

TestBrokenResponseToHTTP10IsReset saw a regular end before.

--- a/entry/internal/edge/crowd_test.go
+++ b/entry/internal/edge/crowd_test.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -81,3 +85,25 @@
 		})
 	}
 }
+
+// Guards against a response that breaks off and looks complete to a caller of HTTP/1.0, for whom
+// the end of the connection is that of the response.
+func TestBrokenResponseToHTTP10IsReset(t *testing.T) {
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: sig\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", wire.HeaderID,
+			r.Header.Get(wire.HeaderID), wire.HeaderReceipt, 2*maxHeldAnswer, strings.Repeat("x", 2*maxHeldAnswer))
+		_ = w.Close()
+	})
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(c, "GET /once/x HTTP/1.0\r\nHost: svc\r\nAttempt-Id: 1\r\nAuthorization: Token k\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, bufio.NewReader(c)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ends with %v, want a reset", err)
+	}
+}
--- a/entry/internal/edge/framing.go
+++ b/entry/internal/edge/framing.go
@@ -83,3 +83,13 @@
 		kernel.SetReceive(c.Conn, size)
 	}
 }
+
+// resetOnClose makes the end of the request's connection a reset, so that a response whose end is
+// that of the connection doesn't look complete.
+func resetOnClose(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*framingConn); ok {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // fails only if the connection is closed
+		}
+	}
+}
--- a/entry/internal/edge/handler.go
+++ b/entry/internal/edge/handler.go
@@ -326,6 +326,9 @@
 		p = http.ErrAbortHandler
 	}
 	if p != nil {
+		if c.headWritten && !c.r.ProtoAtLeast(1, 1) {
+			resetOnClose(c.r) // HTTP/1.0 has no chunks, so a response may have no other end
+		}
 		panic(p)
 	}
 }
