edge: free a body once no other target can get it

The body of a request stayed reserved until the request ended, for the whole length of a stream, although only a further attempt could need it. Other callers were refused for its memory.

It is freed when it is written and a complete or long answer, or the first event of a stream without further attempts, is on its way.

TestBodyIsFreedOnceTargetHasAnswered saw 300,000 bytes in use during the stream before.

--- a/entry/internal/dialer/conn.go
+++ b/entry/internal/dialer/conn.go
@@ -225,14 +225,9 @@
 		if err != nil {
 			isReset, unacknowledged = false, 0 // the state isn't known: the write tells alone
 		}
-		isWritten := true
-		if a.written != nil {
-			select {
-			case <-a.written:
-				isReset = isReset || a.writeFailed.Load()
-			default:
-				isWritten = false
-			}
+		isWritten := a.IsBodyWritten()
+		if isWritten && a.written != nil {
+			isReset = isReset || a.writeFailed.Load()
 		}
 		if isReset {
 			resetBodies.Add(1)
@@ -245,6 +240,19 @@
 	}
 }
 
+// IsBodyWritten reports whether the body of the request is written, so that it isn't used any more.
+func (a *Answer) IsBodyWritten() bool {
+	if a.written == nil {
+		return true
+	}
+	select {
+	case <-a.written:
+		return true
+	default:
+		return false
+	}
+}
+
 // Discard reads the rest of the body, if it is short and arrives soon, so that the connection
 // can be reused.
 func (a *Answer) Discard() {
@@ -267,16 +275,8 @@
 func (a *Answer) Close() {
 	a.closeOnce.Do(func() {
 		isOpen := a.stop()
-		if a.written != nil {
-			select {
-			case <-a.written:
-			default:
-				// The target answered before it had read the body.
-				a.reusable = false
-			}
-			if a.writeFailed.Load() {
-				a.reusable = false
-			}
+		if !a.IsBodyWritten() || a.writeFailed != nil && a.writeFailed.Load() {
+			a.reusable = false // the target answered before it had read the body
 		}
 		a.pool.release(a.target, a.conn, isOpen && a.readToEnd && a.reusable, a.idleLimit)
 	})
--- a/entry/internal/edge/crowd_test.go
+++ b/entry/internal/edge/crowd_test.go
@@ -107,3 +107,40 @@
 		t.Errorf("the connection ends with %v, want a reset", err)
 	}
 }
+
+// Guards against bodies that stay reserved although no other target can get them any more.
+func TestBodyIsFreedOnceTargetHasAnswered(t *testing.T) {
+	const size = 300_000
+	release := make(chan struct{})
+	h := startHost(t, fakeStages{}, func(w net.Conn, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 X\r\n%s: %s\r\n%s: sig\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n", wire.HeaderID,
+			r.Header.Get(wire.HeaderID), wire.HeaderReceipt)
+		<-release
+		_ = w.Close()
+	})
+	for i := range h.view.Config.Routes {
+		h.view.Config.Routes[i].Resumable, h.view.Config.Routes[i].Timeout = false, 20*time.Second
+	}
+	h.view.Config.Limits.MaxBodyBytes = size
+	account := memory.New(4 << 20)
+	h.handler.opts.Memory = account
+	c, err := net.Dial("tcp", strings.TrimPrefix(h.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := fmt.Fprintf(c, "POST /stream/x HTTP/1.1\r\nHost: svc\r\nAttempt-Id: 1\r\nAuthorization: Token k\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size)); err != nil {
+		t.Fatal(err)
+	}
+	if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 200") {
+		t.Fatalf("the response begins with %q, %v", line, err)
+	}
+	for deadline := time.Now().Add(5 * time.Second); account.Used() >= size; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are in use while the stream goes on", account.Used())
+		}
+	}
+	close(release)
+}
--- a/entry/internal/edge/relay.go
+++ b/entry/internal/edge/relay.go
@@ -106,6 +106,7 @@
 	if a.Status < http.StatusMultipleChoices {
 		c.clearParts()
 	}
+	c.freeBody(a, cap(body))
 	c.writeHeldAnswer(h)
 	c.isAnswered = c.isComplete
 	return result{verdict: verdictDone}
@@ -144,6 +145,16 @@
 	}
 }
 
+// freeBody frees the body of the request, which no other target will get. The reservation keeps
+// what is held of the answer.
+func (c *call) freeBody(a *dialer.Answer, answerBytes int) {
+	if !a.IsBodyWritten() {
+		return
+	}
+	c.body = nil
+	c.memory.Shrink(int64(answerBytes) + c.heldBytes)
+}
+
 // isEventStream reports whether an answer may be a stream of events by its type, which targets
 // need not name.
 func isEventStream(h http.Header) bool {
@@ -260,6 +271,7 @@
 		c.w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	c.w.WriteHeader(a.Status)
+	c.freeBody(a, cap(start))
 	err := c.copyAnswer(start, a)
 	if err != nil {
 		var op *net.OpError
--- a/entry/internal/edge/stream.go
+++ b/entry/internal/edge/stream.go
@@ -236,7 +236,9 @@
 		if silenceTimer != nil {
 			silenceTimer.Reset(silence)
 		}
-		c.events++
+		if c.events++; c.body != nil && (!c.route.MayRetry() || c.sends >= c.route.MaxAttempts) {
+			c.freeBody(a, 0)
+		}
 		if c.endsWithoutID = e.id == ""; e.id != "" {
 			c.req.LastEvent = e.id
 		}
--- a/entry/internal/memory/account.go
+++ b/entry/internal/memory/account.go
@@ -302,6 +302,13 @@
 // as before.
 func (r *Reservation) Grow(bytes int64) error { return r.resize(bytes, true) }
 
+// Shrink makes the reservation one of that many bytes, which are no more than before.
+func (r *Reservation) Shrink(bytes int64) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	r.set(min(bytes, r.bytes))
+}
+
 func (r *Reservation) resize(bytes int64, reserve bool) error {
 	a := r.account
 	a.mu.Lock()
--- a/entry/internal/memory/account_test.go
+++ b/entry/internal/memory/account_test.go
@@ -157,6 +157,10 @@
 	if err := small.Grow(10_000); err != nil || a.Fixed() != 200_000 || a.Used() != 1_010_000 {
 		t.Errorf("%d bytes are fixed and %d used, error %v", a.Fixed(), a.Used(), err)
 	}
+	small.Shrink(1000)
+	if a.Used() != 1_001_000 {
+		t.Errorf("%d bytes used after one has shrunk", a.Used())
+	}
 	small.Close()
 	large.Close()
 	if a.Fixed() != 0 || a.Used() != 0 {
