drain: a leaving host refuses connections without room at once

From the signal on, a new connection gets room at once or is closed, so that its caller goes to another host and nothing waits when the listener closes. The same holds for chive-entry serve.

--- a/entry/cmd/serve.go
+++ b/entry/cmd/serve.go
@@ -156,6 +156,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error { return srv.start(s, log) },
 		OnStop: func(ctx context.Context) error {
+			srv.callers.Leave()
 			leaveErr := n.Leave(ctx)
 			err := srv.stop(ctx)
 			n.Close()
--- a/entry/internal/drain/limits_test.go
+++ b/entry/internal/drain/limits_test.go
@@ -159,6 +159,31 @@
 		Expect(isClosed(c, r, 2*time.Second)).To(BeTrue())
 	})
 
+	// Guards against connections that wait for room until the listener of a host that leaves is
+	// closed, which resets them.
+	It("refuses connections without room at once while the host leaves", func() {
+		begun, release := make(chan struct{}), make(chan struct{})
+		s := startLimited(drain.Limits{MaxConns: 2, OnFull: func(int) bool { return true }}, func(http.ResponseWriter, *http.Request) {
+			begun <- struct{}{}
+			<-release
+		})
+		for range 2 {
+			c, _ := s.dial()
+			_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			Expect(err).NotTo(HaveOccurred())
+			<-begun
+		}
+		defer close(release)
+		waiting, waitingReader := s.dial()
+		Expect(isClosed(waiting, waitingReader, 400*time.Millisecond)).To(BeFalse())
+		s.Leave()
+		Expect(isClosed(waiting, waitingReader, time.Second)).To(BeTrue())
+		for range 3 {
+			c, r := s.dial()
+			Expect(isClosed(c, r, time.Second)).To(BeTrue())
+		}
+	})
+
 	// Guards against clients that send a byte of a header each and fill all connections.
 	It("ends headers that arrive slowly for new connections", func() {
 		s := startLimited(drain.Limits{MaxConns: 4}, echo)
--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -28,6 +28,7 @@
 // that a read either returns bytes, which are then answered, or ends the connection.
 type Server struct {
 	*http.Server
+	isLeaving atomic.Bool
 	isClosing atomic.Bool
 	setUp     sync.Once
 	limits    Limits
@@ -156,6 +157,10 @@
 	return err
 }
 
+// Leave ends the wait of new connections for room, before Shutdown closes the listeners. What waits
+// to be accepted then would be reset, and callers have other hosts.
+func (s *Server) Leave() { s.isLeaving.Store(true) }
+
 // Shutdown closes the listeners and, after lingerTime, the idle connections. It waits until
 // the others are closed too. If ctx ends first, it closes them and returns the error of ctx.
 func (s *Server) Shutdown(ctx context.Context) error {
@@ -267,6 +272,9 @@
 		if open-closing-len(longestIdle) >= s.limits.MaxConns && s.endSlow() {
 			timeout = maxRoomTimeout
 		}
+		if s.isLeaving.Load() {
+			return false
+		}
 		wait := time.NewTimer(roomInterval)
 		select {
 		case <-s.freed:
--- a/entry/internal/edge/shutdown.go
+++ b/entry/internal/edge/shutdown.go
@@ -11,6 +11,7 @@
 // connection had to be given up.
 func (h *Handler) Shutdown(plan drain.Plan, server *drain.Server) error {
 	h.Leave(plan)
+	server.Leave()
 	time.Sleep(time.Until(plan.Closing))
 	// Callers that don't read must not keep their requests from ending in time.
 	writeBy := plan.Abort.Add(plan.End.Sub(plan.Abort) / 2)
