drain: connections that wait get room when a full host begins to leave

The host had read none that could be traced, so no promise was broken, but callers had waited for nothing.

At the signal a full host now closes its idle connections and ends the slow ones, and those that wait have 150 ms to take their room. Waiting on for a quarter of the time until the listeners close was tried and was worse: new connections waited instead, and were cut at the end of it.

--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -28,7 +28,7 @@
 // that a read either returns bytes, which are then answered, or ends the connection.
 type Server struct {
 	*http.Server
-	isLeaving atomic.Bool
+	leaveAt   atomic.Int64 // when connections no longer wait for room, in Unix nanoseconds; 0: never
 	isClosing atomic.Bool
 	setUp     sync.Once
 	limits    Limits
@@ -157,9 +157,37 @@
 	return err
 }
 
-// Leave ends the wait of new connections for room, before Shutdown closes the listeners. What waits
-// to be accepted then would be reset, and callers have other hosts.
-func (s *Server) Leave() { s.isLeaving.Store(true) }
+// leaveRoomTime is how long connections wait for room once the host leaves.
+const leaveRoomTime = 150 * time.Millisecond
+
+// Leave gives the connections that wait for room that of all idle and slow ones, and ends the wait of
+// later ones, before Shutdown closes the listeners. What waits to be accepted then would be reset, and
+// callers have other hosts.
+func (s *Server) Leave() {
+	s.leaveAt.Store(time.Now().Add(leaveRoomTime).UnixNano())
+	if s.limits.MaxConns <= 0 {
+		return
+	}
+	s.mu.Lock()
+	isFull := len(s.conns) >= s.limits.MaxConns
+	var idle []*conn
+	for c := range s.conns {
+		if connState(c.state.Load()) == connIdle {
+			idle = append(idle, c)
+		}
+	}
+	s.mu.Unlock()
+	if !isFull {
+		return
+	}
+	slow, _ := s.selectSlow(s.limits.MaxConns)
+	for _, c := range slow {
+		c.endSlow()
+	}
+	for _, c := range idle {
+		c.closeIdle()
+	}
+}
 
 // Shutdown closes the listeners and, after lingerTime, the idle connections. It waits until
 // the others are closed too. If ctx ends first, it closes them and returns the error of ctx.
@@ -272,7 +300,7 @@
 		if open-closing-len(longestIdle) >= s.limits.MaxConns && s.endSlow() {
 			timeout = maxRoomTimeout
 		}
-		if s.isLeaving.Load() {
+		if at := s.leaveAt.Load(); at != 0 && time.Now().UnixNano() >= at {
 			return false
 		}
 		wait := time.NewTimer(roomInterval)
