soak: crowds beside restarts, freezes and reloads

They come back for as long as hosts are shut down, killed, paused and reloaded and links fail.

A host may close a connection whose request it has not read. The check of lost requests took every request that was cut more than 200 ms after its last byte for one that was read; with a crowd, connections wait for longer to be accepted. The run now looks at the sockets of the hosts, and doesn't count a request that was unread when last looked at, at most 400 ms before the cut. Other kinds of runs don't look and are checked as before.

--- a/stand/cmd/soak.go
+++ b/stand/cmd/soak.go
@@ -14,7 +14,7 @@
 type soakCmd struct {
 	Binary   string        `default:"bin/chive-entry" type:"existingfile" help:"Program of the entry hosts."`
 	Dir      string        `default:"out/soak" help:"Folder for settings and logs."`
-	Faults   soak.Faults   `default:"all" enum:"mixed,planned,tainted,announced,resumed,restored,all" help:"What is injected: mixed faults, planned work alone, prompts that crash targets, targets that leave or are busy by what they answer or that answer twice, streams that break off and targets that fail to go on with them, restores of the store from copies beside kills, or all but the last two at once."`
+	Faults   soak.Faults   `default:"all" enum:"mixed,planned,tainted,announced,resumed,restored,crowded,all" help:"What is injected: mixed faults, planned work alone, prompts that crash targets, targets that leave or are busy by what they answer or that answer twice, streams that break off and targets that fail to go on with them, restores of the store from copies beside kills, clients outside the limits beside planned work and faults of hosts, or all but the last three at once."`
 	Seed     uint64        `default:"1" help:"Seed of faults and load."`
 	Duration time.Duration `default:"1m" help:"How long faults are injected."`
 	Hosts    int           `default:"6" help:"Number of entry hosts, at most 200 and what half of the memory bears."`
--- a/stand/internal/soak/config.go
+++ b/stand/internal/soak/config.go
@@ -67,6 +67,7 @@
 		"Version": r.version,
 		"Routes": []any{
 			route(kindOnce, "unsafe", servicePlain, callTimeout, nil), route(kindSafe, "safe", servicePlain, callTimeout, nil),
+			route(kindCrowd, "safe", servicePlain, callTimeout, map[string]any{"Public": true}),
 			route(kindStream, "streaming", serviceModel, callTimeout, stream(800, stage(serviceStages), stage(serviceStages, 0))),
 			route(kindLong, "streaming", serviceModel, maxLongLimit,
 				stream(4000, stage(serviceLongStages), stage(serviceLongStages, 0), stage(serviceLongStages, 1))),
--- a/stand/internal/soak/crowd.go
+++ b/stand/internal/soak/crowd.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -79,50 +81,82 @@
 	}
 }
 
+// tcpSocket is a row of the kernel's table of TCP sockets.
+type tcpSocket struct {
+	local, remote  netip.AddrPort
+	inode          string // unacceptedInode before the connection is accepted
+	isListening    bool
+	unread, unsent int64
+}
+
+const (
+	unacceptedInode = "0"
+	listeningState  = "0A"
+)
+
+// readSockets returns the TCP sockets of the machine.
+func readSockets() []tcpSocket {
+	table, _ := os.ReadFile("/proc/net/tcp") // empty on other systems than Linux
+	var out []tcpSocket
+	for line := range bytes.Lines(table) {
+		fields := strings.Fields(string(line))
+		if len(fields) < 10 {
+			continue
+		}
+		local, localErr := decodeAddress(fields[1])
+		remote, remoteErr := decodeAddress(fields[2])
+		if localErr != nil || remoteErr != nil {
+			continue // the head of the table
+		}
+		unsent, unread, _ := strings.Cut(fields[4], ":")
+		s := tcpSocket{local: local, remote: remote, inode: fields[9], isListening: fields[3] == listeningState}
+		s.unsent, _ = strconv.ParseInt(unsent, 16, 64) // the kernel writes numbers
+		s.unread, _ = strconv.ParseInt(unread, 16, 64)
+		out = append(out, s)
+	}
+	return out
+}
+
+// decodeAddress parses an address such as 0100007F:1F90, whose bytes are in the order of the host.
+func decodeAddress(text string) (netip.AddrPort, error) {
+	host, port, _ := strings.Cut(text, ":")
+	n, err := strconv.ParseUint(port, 16, 16)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	ip, err := hex.DecodeString(host)
+	if err != nil || len(ip) != 4 {
+		return netip.AddrPort{}, fmt.Errorf("address %q", text)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{ip[3], ip[2], ip[1], ip[0]}), uint16(n)), nil
+}
+
 // heldBytes returns the resident memory of a process, the bytes that its sockets have received and
 // that it has not read, and those in their send queues.
-func heldBytes(pid int) (resident, unread, unsent int64) {
+func heldBytes(pid int, table []tcpSocket) (resident, unread, unsent int64) {
 	statm, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid)) // empty if the process has exited
 	if fields := strings.Fields(string(statm)); len(fields) > 1 {
 		pages, _ := strconv.ParseInt(fields[1], 10, 64)
 		resident = pages * int64(os.Getpagesize())
 	}
-	sockets := map[string]bool{}
+	inodes := map[string]bool{}
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	fds, _ := os.ReadDir(dir)
 	for _, fd := range fds {
 		link, _ := os.Readlink(filepath.Join(dir, fd.Name())) // empty if it was closed since
 		if inode, ok := strings.CutPrefix(link, "socket:["); ok {
-			sockets[strings.TrimSuffix(inode, "]")] = true
+			inodes[strings.TrimSuffix(inode, "]")] = true
 		}
 	}
-	table, _ := os.ReadFile("/proc/net/tcp")
-	const listening = "0A"
-	listeners := map[string]bool{} // by local address
-	type queues struct{ unread, unsent int64 }
-	notAccepted := map[string]queues{} // by local address
-	for line := range bytes.Lines(table) {
-		fields := strings.Fields(string(line))
-		if len(fields) < 10 {
-			continue
-		}
-		local := fields[1]
-		out, in, _ := strings.Cut(fields[4], ":")
-		sent, _ := strconv.ParseInt(out, 16, 64) // the header of the table has no numbers
-		received, _ := strconv.ParseInt(in, 16, 64)
-		switch inode := fields[9]; {
-		case fields[3] == listening:
-			listeners[local] = listeners[local] || sockets[inode]
-		case sockets[inode]:
-			unread, unsent = unread+received, unsent+sent
-		case inode == "0":
-			q := notAccepted[local]
-			notAccepted[local] = queues{q.unread + received, q.unsent + sent}
+	listeners := map[netip.AddrPort]bool{}
+	for _, s := range table {
+		if s.isListening && inodes[s.inode] {
+			listeners[s.local] = true
 		}
 	}
-	for local, q := range notAccepted {
-		if listeners[local] {
-			unread, unsent = unread+q.unread, unsent+q.unsent
+	for _, s := range table {
+		if !s.isListening && (inodes[s.inode] || s.inode == unacceptedInode && listeners[s.local]) {
+			unread, unsent = unread+s.unread, unsent+s.unsent
 		}
 	}
 	return resident, unread, unsent
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -128,6 +128,11 @@
 	return !slices.Contains([]string{"kill", "kill many", "data centre out", "configuration", "key revoked"}, f.name)
 }))
 
+// crowdFaults are faults of hosts and links beside a crowd.
+var crowdFaults = slices.DeleteFunc(slices.Clone(faultKinds), func(f fault) bool {
+	return !slices.Contains([]string{"kill", "term", "hup", "pause", "store link", "target link", "target slow", "configuration"}, f.name)
+})
+
 const (
 	// maxCopyAge is the age of the oldest copy that the store is restored from.
 	maxCopyAge = 4 * time.Second
--- a/stand/internal/soak/host.go
+++ b/stand/internal/soak/host.go
@@ -29,6 +29,7 @@
 type host struct {
 	name, ip, dataCentre, region string
 	binary, dir                  string
+	hasCrowd                     bool   // clients outside the limits connect to it
 	storeProxy                   *proxy // between the host and the store
 	trace                        *trace
 	checker                      *checker
@@ -58,6 +59,9 @@
 		"Platform.Address=" + h.storeProxy.address(), "HeartbeatMs=400", "Bounds.DrainMs=2500", "Bounds.ConfigApplyMs=2500",
 		fmt.Sprintf("Bounds.GraceS=%d", int(graceTime.Seconds())), fmt.Sprintf("Bounds.ContactMs=%d", contactTime.Milliseconds()), "Bounds.RetryBudgetRatio=0.2", "Bounds.RetryWindowS=10", "Bounds.RetryMinExtra=100",
 	}
+	if h.hasCrowd {
+		lines = append(lines, fmt.Sprintf("Limits.MemoryMb=%d", crowdedMemoryMB), fmt.Sprintf("Limits.MaxFds=%d", crowdedFds))
+	}
 	for dataCentre, region := range regions {
 		lines = append(lines, "Zones."+dataCentre+"="+region)
 	}
@@ -81,6 +85,11 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, out.Close())
 	}
+	if h.hasCrowd {
+		if err := limitFds(cmd.Process.Pid, crowdedFds); err != nil {
+			h.checker.report("can't limit the descriptors of %s: %v", h.name, err)
+		}
+	}
 	h.cmd, h.exited, h.life = cmd, make(chan struct{}), h.trace.recordStart(h.name)
 	h.starts++
 	exited, current := h.exited, h.life
@@ -100,6 +109,13 @@
 	return nil
 }
 
+// pid returns the ID of the host's newest process.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Pid
+}
+
 // restartDelay is how long the platform takes to restart a process.
 const restartDelay = 300 * time.Millisecond
 
--- a/stand/internal/soak/kept.go
+++ b/stand/internal/soak/kept.go
@@ -202,6 +202,7 @@
 	checker.count("kept: sent")
 	a := attempt{id: q.id, host: k.run.hostOf(k.address), kind: q.kind, isTainted: q.isTainted, limit: q.limit, began: time.Now()}
 	conn := k.conn
+	a.local = conn.LocalAddr().String()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	_ = conn.SetDeadline(a.began.Add(q.limit + answerSlack)) // an error shows with the next call
--- a/stand/internal/soak/losses.go
+++ b/stand/internal/soak/losses.go
@@ -15,6 +15,8 @@
 	// lossSlack is the time after the last byte of a request within which a host may close the
 	// connection of a request that it has not read.
 	lossSlack = 200 * time.Millisecond
+	// unreadSlack is the longest time between two looks at requests that aren't read.
+	unreadSlack = 400 * time.Millisecond
 	// lossTail is how long after the grace period a lost request counts.
 	lossTail = time.Second
 	// earlyTime is how long after SIGTERM a request may be sent that the end of the grace period
@@ -57,6 +59,9 @@
 // isLossCandidate reports whether a host is to blame for the cut, apart from planned work.
 func (t *trace) isLossCandidate(a attempt) bool {
 	runs := t.runs[a.id]
+	if len(runs) == 0 && t.wasUnread(a) {
+		return false
+	}
 	if len(runs) == 0 && a.ended.Sub(a.sent) <= lossSlack || a.ended.Sub(a.began) >= a.limit-limitSlack {
 		return false
 	}
@@ -72,6 +77,13 @@
 	return !t.hasOutage(a.began.Add(-contactTime), a.ended, names...)
 }
 
+// wasUnread reports whether the host had not read the request when its connection was last looked at
+// before the cut.
+func (t *trace) wasUnread(a attempt) bool {
+	seen, ok := t.unread[a.local]
+	return ok && !seen.Before(a.sent) && a.ended.Sub(seen) <= unreadSlack
+}
+
 // terminationBefore returns the last SIGTERM of the host for which the request counts, or zero.
 func (t *trace) terminationBefore(a attempt) time.Time {
 	var out time.Time
--- a/stand/internal/soak/losses_test.go
+++ b/stand/internal/soak/losses_test.go
@@ -54,6 +54,24 @@
 		}, 1},
 		{"reached no target, later than the slack", func(t *trace) { t.attempts = []attempt{cutAttempt(kindLong, 3, 7.5)} }, 1},
 		{"reached no target, sent before SIGTERM", func(t *trace) { t.attempts = []attempt{cutAttempt(kindLong, -1, 7.5)} }, 1},
+		{"not read when its connection was cut", func(t *trace) {
+			a := cutAttempt(kindOnce, -1, 0.01)
+			a.local = "c"
+			t.attempts = []attempt{a}
+			t.recordUnread("c", after(-0.03))
+		}, 0},
+		{"read long before its connection was cut", func(t *trace) {
+			a := cutAttempt(kindOnce, -1, 0.01)
+			a.local = "c"
+			t.attempts = []attempt{a}
+			t.recordUnread("c", after(-0.5))
+		}, 1},
+		{"not read when an earlier request was sent", func(t *trace) {
+			a := cutAttempt(kindOnce, -1, -0.7)
+			a.local, a.ended = "c", after(0.01)
+			t.attempts = []attempt{a}
+			t.recordUnread("c", after(-1.1))
+		}, 1},
 		{"reached a target and cut at once", func(t *trace) {
 			t.attempts = []attempt{cutAttempt(kindOnce, 4.4, 4.45)}
 			t.runs["x"] = []*targetRun{{target: "reg", began: after(4.41), ended: after(4.42)}}
--- a/stand/internal/soak/planned.go
+++ b/stand/internal/soak/planned.go
@@ -26,6 +26,9 @@
 	FaultsResumed Faults = "resumed"
 	// FaultsRestored are restores of the store from copies, beside kills and operators' orders.
 	FaultsRestored Faults = "restored"
+	// FaultsCrowded are clients outside the limits that stay connected, beside planned work and
+	// kills and pauses of hosts.
+	FaultsCrowded Faults = "crowded"
 )
 
 const (
--- a/stand/internal/soak/run.go
+++ b/stand/internal/soak/run.go
@@ -167,7 +167,7 @@
 		dataCentre := dataCentres[i%len(dataCentres)]
 		h := &host{
 			name: fmt.Sprintf("host-%d", i), ip: address(r.opts.Seed, 2+i), dataCentre: dataCentre, region: regions[dataCentre],
-			binary: r.opts.Binary, dir: r.opts.Dir, storeProxy: link, trace: r.trace, checker: r.checker,
+			hasCrowd: r.hasCrowd(), binary: r.opts.Binary, dir: r.opts.Dir, storeProxy: link, trace: r.trace, checker: r.checker,
 		}
 		if len(seeds) < 3 {
 			seeds = append(seeds, h.address(portPeers))
@@ -252,8 +252,14 @@
 			callers.Go(func() { newKeptCaller(n, r, r.opts.Seed).sendRequests(load) })
 		}
 	}
+	crowded, endCrowds := context.WithCancel(ctx)
+	defer endCrowds()
+	if r.hasCrowd() {
+		callers.Go(func() { r.runCrowds(crowded) })
+	}
 	faults := r.injectAll(ctx)
 	r.faults.Wait() // until every fault has ended
+	endCrowds()
 	time.Sleep(recoveryTime)
 	sent, answered := r.requestCounts()
 	time.Sleep(finalLoadTime - recoveryTime)
@@ -318,11 +324,13 @@
 		add(func() map[string]int { return r.inject(ctx, announcedFaults) })
 	case FaultsResumed:
 		add(func() map[string]int { return r.inject(ctx, resumeFaults) })
+	case FaultsCrowded:
+		add(func() map[string]int { return r.inject(ctx, crowdFaults) })
 	case FaultsRestored:
 		add(func() map[string]int { return r.inject(ctx, restoreFaults) })
 	}
 	switch kind {
-	case FaultsPlanned, FaultsAll:
+	case FaultsPlanned, FaultsCrowded, FaultsAll:
 		add(func() map[string]int { return r.perform(ctx, planWork(steps, r.opts.Duration, len(r.hosts))) })
 	case FaultsTainted:
 		add(func() map[string]int { return r.perform(ctx, planRestarts(steps, r.opts.Duration, len(r.hosts))) })
--- a/stand/internal/soak/target.go
+++ b/stand/internal/soak/target.go
@@ -226,7 +226,15 @@
 		return
 	}
 	id := r.Header.Get(wire.HeaderID)
-	kind, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	kind, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	if kind == kindCrowd {
+		size, _ := strconv.Atoi(rest) // crowds send numbers
+		w.Header().Set(wire.HeaderID, id)
+		w.Header().Set(wire.HeaderReceipt, "receipt-"+t.id+"-"+id)
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = io.CopyN(w, zeros{}, int64(size)) // the sender may have disconnected
+		return
+	}
 	t.run.trace.recordContact(contact{id: id, target: t.id, at: time.Now(), saysLeave: t.saysLeaving.Load(), busy: time.Duration(t.busySeconds.Load()) * time.Second})
 	if t.refuse(w, r, id) {
 		return
--- a/stand/internal/soak/trace.go
+++ b/stand/internal/soak/trace.go
@@ -25,6 +25,7 @@
 // attempt is a request as its caller saw it.
 type attempt struct {
 	id, host, kind string
+	local          string // address of its connection
 	isTainted      bool
 	limit          time.Duration // counted from began
 	began          time.Time
@@ -68,13 +69,22 @@
 	outages  []*outage
 	lives    map[string][]*life // by host
 	contacts []contact
-	reloads  map[string][]time.Time       // SIGHUP, by host
-	crashes  []time.Time                  // of targets that began to answer a tainted request
-	tainted  struct{ from, to time.Time } // when tainted requests are sent
+	reloads  map[string][]time.Time // SIGHUP, by host
+	// unread is when a connection was last seen with bytes that its host had not read, by the address
+	// of the caller.
+	unread  map[string]time.Time
+	crashes []time.Time                  // of targets that began to answer a tainted request
+	tainted struct{ from, to time.Time } // when tainted requests are sent
 }
 
 func newTrace() *trace {
-	return &trace{runs: map[string][]*targetRun{}, lives: map[string][]*life{}, reloads: map[string][]time.Time{}}
+	return &trace{runs: map[string][]*targetRun{}, lives: map[string][]*life{}, reloads: map[string][]time.Time{}, unread: map[string]time.Time{}}
+}
+
+func (t *trace) recordUnread(caller string, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unread[caller] = at
 }
 
 func (t *trace) recordAttempt(a attempt) {
