--- a/stand/internal/soak/crowd_return_test.go
+++ b/stand/internal/soak/crowd_return_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"chivepost/platform/wire"
 )
 
 const (
@@ -62,7 +64,7 @@
 }
 
 const (
-	returnHead    = " HTTP/1.1\r\nHost: crowd.example\r\nAttempt-Id: c\r\n"
+	returnHead    = " HTTP/1.1\r\nHost: crowd.example\r\n" + wire.HeaderID + ": c\r\n"
 	returnChunked = "POST /x" + returnHead + "Transfer-Encoding: chunked\r\n\r\n"
 )
 
--- a/stand/internal/soak/crowded.go
+++ b/stand/internal/soak/crowded.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"chivepost/platform/wire"
 )
 
 const (
@@ -24,7 +26,7 @@
 
 // hostCrowds returns the crowds that are connected to each host.
 func hostCrowds() []returningClient {
-	const head = " HTTP/1.1\r\nHost: soak.example\r\nAttempt-Id: crowd\r\n"
+	const head = " HTTP/1.1\r\nHost: soak.example\r\n" + wire.HeaderID + ": crowd\r\n"
 	long := "GET /crowd/4000000" + head + "\r\n"
 	chunk := "4000\r\n" + strings.Repeat("x", 16<<10) + "\r\n"
 	return []returningClient{
