drain: handle a request whose header was whole when it was to be ended

Found by reading: a connection ended for the time of its header could no longer be written to. If the last bytes of the header had just been read, as after a pause of the process, the request would have run and its response been lost.

A header now ends as one does whose time is over: reads fail, and a request that was read whole is handled. A request on a connection that was ended for an unread response isn't run, since nothing could be answered.

--- a/entry/internal/drain/conn.go
+++ b/entry/internal/drain/conn.go
@@ -28,7 +28,7 @@
 	state     atomic.Int32 // a connState
 	since     atomic.Int64 // when the state began, in Unix nanoseconds
 	isClosing atomic.Bool  // it is closed unless a request arrives
-	isEnding  atomic.Bool  // it is ended although a request arrives or is answered
+	isEnding  atomic.Bool  // it is ended although a response is written
 	// writeSince is when a write began that hasn't returned, in Unix nanoseconds; 0: there is none.
 	writeSince atomic.Int64
 	// headerBytes counts the bytes read in state connHeader.
@@ -86,7 +86,8 @@
 	return 0, 0
 }
 
-// endSlow ends the connection if it still waits for its client.
+// endSlow ends the connection if it still waits for its client. A header ends as if its time were
+// over, so that a request whose last bytes were just read is handled.
 func (c *conn) endSlow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -94,14 +95,17 @@
 	if wait, limit := c.waitTime(now); wait == 0 || wait < limit {
 		return
 	}
-	if c.writeSince.Load() == 0 && c.applied != connHeader {
-		return // the header has just begun, and since is still that of the state before
-	}
-	if !c.isEnding.CompareAndSwap(false, true) {
-		return
+	switch {
+	case c.writeSince.Load() != 0:
+		if c.isEnding.CompareAndSwap(false, true) {
+			slowClosed.Add(1)
+			_ = c.Conn.SetDeadline(now) // it fails only on a closed connection
+		}
+	case c.applied == connHeader && (c.stateUntil.IsZero() || c.stateUntil.After(now)):
+		slowClosed.Add(1)
+		c.stateUntil = now
+		_ = c.applyDeadline() // it fails only on a closed connection
 	}
-	slowClosed.Add(1)
-	_ = c.Conn.SetDeadline(now) // it fails only on a closed connection
 }
 
 const (
--- a/entry/internal/drain/server.go
+++ b/entry/internal/drain/server.go
@@ -93,6 +93,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 			c.setState(connActive)
+			if c.isEnding.Load() {
+				panic(http.ErrAbortHandler) // nothing could be answered, so the request isn't run
+			}
 		}
 		if s.isClosing.Load() {
 			w.Header().Set("Connection", "close")
