--- a/stand/internal/soak/crowd_test.go
+++ b/stand/internal/soak/crowd_test.go
@@ -58,14 +58,6 @@
 	return l.Addr().String()
 }
 
-// crowdRoute returns a route to the target of the crowd tests.
-func crowdRoute(name, prefix, kind string) map[string]any {
-	return map[string]any{
-		"Name": name, "Host": "crowd.example", "PathPrefix": prefix, "Type": kind, "TimeoutMs": crowdTimeout.Milliseconds(),
-		"TargetLatencyMs": 800, "ItlTargetMs": 500, "Service": "s", "MaxAttempts": 1, "Public": true,
-	}
-}
-
 // serveTarget answers ordinary requests, /big/N with N bytes and /stream/N with N events.
 func serveTarget(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off needs no answer
@@ -102,8 +94,14 @@
 	go func() { _ = targetServer.Serve(targetListener) }()
 	t.Cleanup(func() { _, _ = storeServer.Close(), targetServer.Close() })
 	config, _ := json.Marshal(map[string]any{ // plain values don't fail
-		"Version":  1,
-		"Routes":   []any{crowdRoute("r", "/", "safe"), crowdRoute("streams", "/stream/", "streaming")},
+		"Version": 1,
+		"Routes": []any{map[string]any{
+			"Name": "r", "Host": "crowd.example", "PathPrefix": "/", "Type": "safe", "TimeoutMs": crowdTimeout.Milliseconds(),
+			"TargetLatencyMs": 800, "Service": "s", "MaxAttempts": 1, "Public": true,
+		}, map[string]any{
+			"Name": "streams", "Host": "crowd.example", "PathPrefix": "/stream/", "Type": "streaming", "TimeoutMs": crowdTimeout.Milliseconds(),
+			"TargetLatencyMs": 800, "ItlTargetMs": 500, "Service": "s", "MaxAttempts": 1, "Public": true,
+		}},
 		"Services": []any{map[string]any{"Name": "s", "HealthPath": "/healthz", "MaxConnections": 400}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": crowdMaxBody, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
