make test: run the soak package by itself, on all cores

The first bytes of the target took 3 s.

Cause: the crowd, the caller and the target of the test share its process, and make test ran it on one thread with the race detector, beside the other packages. In calm it failed in 2 of 4 runs in that form; a request sent to the target directly took 1.1 to 3.6 s there, more than the 2 s of the caller. It is the cause of the entry for the crowd of streams in KNOWN-RED.txt, too.

Change: one thread is for packages with synctest bubbles (a crash of the runtime), and this package has none. It now runs with the race detector on all cores, after the other packages of the modules; test-cores runs it by itself, too. Crowds, bounds and checks are as they were.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,8 @@
 # passed over.
 RED := $(shell sed -n 's/^\(Test[^ :]*\): .*/\1/p' KNOWN-RED.txt 2>/dev/null | sed 's,/,$$/^,; s,.*,^&$$,' | paste -sd '|' -)
 SKIP := $(if $(RED),-skip '$(RED)')
+# Sets packages to all packages of a module but that of the soak.
+PACKAGES := set -o pipefail && packages=$$($(GO) list ./... | grep -v '^chivepost/stand/internal/soak$$')
 
 .PHONY: build demo soak platform-soak platform-soak-short test test-cores histories lint fmt vet tidy clean capacity
 
@@ -44,13 +46,18 @@
 # synctest bubble, and a run crashed in runtime.(*timer).maybeRunChan (SIGSEGV) with several.
 # The load model has no goroutines, so it runs without the detector, which would take it
 # five times as long.
+#
+# The package of the soak has no such bubble. It runs by itself after the others, on all cores:
+# its crowds, callers and targets share the process of the test, which starves them on one thread.
 test:
-	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP) -race -cpu 1 -count=1 ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(PACKAGES) && $(GO) test $(SKIP) -race -cpu 1 -count=1 $$packages) || exit 1; done
+	@cd stand && $(GO) test $(SKIP) -race -count=1 ./internal/soak
 	@cd entry && $(GO) test -count=1 ./internal/model
 
 # The same tests on all cores, without the race detector.
 test-cores:
-	@for m in $(MODULES); do (cd $$m && $(GO) test $(SKIP) -count=1 ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && $(PACKAGES) && $(GO) test $(SKIP) -count=1 $$packages) || exit 1; done
+	@cd stand && $(GO) test $(SKIP) -count=1 ./internal/soak
 
 # The randomised histories in full; make test runs fewer of them, under the race detector.
 histories:
